--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# One environment for each locked set of dependencies, shared by all checkouts.
+CACHE ?= $(or $(XDG_CACHE_HOME),$(HOME)/.cache)/siskinshift
+LOCK_HASH := $(shell sha256sum requirements.lock | cut -c1-12)
+VENV := $(CACHE)/venv-$(LOCK_HASH)
+PYTHON := $(VENV)/bin/python
+export PYTHONPATH := src:.
+
+.PHONY: environment format lint generate check-generated types unit test demo
+
+environment: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock
+	mkdir -p $(CACHE)
+	flock $(CACHE)/lock sh -c 'test -f $@ || { python3 -m venv $(VENV) && \
+	  $(VENV)/bin/pip install -q -r requirements.lock && touch $@; }'
+
+format: environment
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+lint: environment
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+generate: environment
+	$(PYTHON) -m tools.generate
+
+check-generated: environment
+	$(PYTHON) -m tools.generate --check
+
+types: environment
+	$(PYTHON) -m mypy
+
+unit: environment
+	$(PYTHON) -m pytest
+
+test: lint check-generated types unit
+
+demo: environment
+	$(PYTHON) -m siskinshift demo
--- /dev/null
+++ b/src/siskinshift/agent/__init__.py
@@ -0,0 +1,3 @@
+"""The agent process beside an upstream."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/balancer/__init__.py
@@ -0,0 +1,3 @@
+"""The balancer process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/balancer/application.py
@@ -0,0 +1,118 @@
+"""The balancer: takes datagrams of the fabric and passes each to an agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinshift.configuration.store import ConfigurationStore
+from siskinshift.control.server import ControlRoutes
+from siskinshift.control.server import ControlServer
+from siskinshift.core.clocks import monotonic_clock
+from siskinshift.core.clocks import unix_milliseconds
+from siskinshift.core.keyring import KeyRing
+from siskinshift.core.packets import Envelope
+from siskinshift.kv.etcd import EtcdStore
+from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.membership.node import MembershipNode
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+from siskinshift.routing.chooser import AgentChooser
+from siskinshift.routing.chooser import DropPacket
+from siskinshift.runtime.application import Application
+from siskinshift.runtime.counters import Counters
+from siskinshift.runtime.datagrams import DatagramSocket
+from siskinshift.wire.codec import EnvelopeCodec
+from siskinshift.wire.exceptions import WireError
+
+
+if TYPE_CHECKING:
+    from siskinshift.core.views import View
+    from siskinshift.settings.generated import Settings
+
+
+class BalancerApplication(Application):
+    """One entry instance.
+
+    Attributes:
+        counters: What happened to datagrams.
+        membership: The balancer's part in membership.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__(settings)
+        node = settings.node
+        self.counters = Counters()
+        key_ring = KeyRing(settings.keys)
+        self._codec = EnvelopeCodec(key_ring)
+        self._chooser = AgentChooser()
+        self._view_version = 0
+        self._store = ConfigurationStore(EtcdStore(settings.kv))
+        self._socket = DatagramSocket(node.data_endpoint)
+        routes = ControlRoutes()
+        self._server = ControlServer(
+            endpoint=node.control_endpoint,
+            routes=routes,
+            key_ring=key_ring,
+            executor=self.executor,
+        )
+        member = Member(
+            member_id=node.node_id,
+            role=Role.BALANCER,
+            incarnation=unix_milliseconds(),
+            version=1,
+            state=MemberState.READY,
+            region=node.region,
+            failure_domain=node.failure_domain,
+            control=node.control_endpoint,
+            data=self._socket.endpoint,
+        )
+        self.membership = MembershipNode(
+            application=self,
+            member=member,
+            routes=routes,
+            key_ring=key_ring,
+            clock=monotonic_clock,
+        )
+
+    def on_start(self) -> None:
+        """Opens the control server and starts forwarding."""
+        self.owns(self._socket.close)
+        self.owns(self._server.server_close)
+        self.owns(self._server.close_connections)
+        self.owns(self._server.shutdown)
+        self.spawn(self._server.serve_forever, 0.1)
+        self.membership.views.subscribe(self._on_view)
+        self.membership.start()
+        self.every(self.settings.kv.poll_interval, self._read_configuration)
+        self.spawn(self._socket.receive_until, self.stopping, self._on_datagram)
+
+    def _on_view(self, view: View) -> None:
+        self._chooser.update(view)
+        self._view_version = view.version
+
+    def _read_configuration(self) -> None:
+        if not self.settings.kv.endpoints:
+            return
+        try:
+            services = self._store.read_all()
+        except StoreUnavailableError:
+            self.counters.add("kv.unavailable")
+            return
+        for service in services:
+            self.membership.services.merge(service)
+        self.membership.services_changed()
+
+    def _on_datagram(self, datagram: bytes, _source: tuple[str, int]) -> None:
+        try:
+            packet = self._codec.unpack(datagram)
+        except WireError as error:
+            self.counters.add(f"dropped.{error.code}")
+            return
+        choice = self._chooser.choose(packet)
+        if isinstance(choice, DropPacket):
+            self.counters.add(f"dropped.{choice.error.value}")
+            return
+        envelope = Envelope(packet=packet, view_version=self._view_version)
+        self._socket.send(self._codec.pack_envelope(envelope), choice.agent.data)
+        self.counters.add("forwarded")
--- /dev/null
+++ b/src/siskinshift/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""What the operators want."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/console/commands/agent.py
@@ -0,0 +1,22 @@
+"""Command `agent`: runs the process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from siskinshift.console.processes import run_until_signal
+from siskinshift.console.registry import command
+
+
+@command("agent")
+def run_agent(settings: str) -> None:
+    """Runs an agent in the foreground until SIGTERM.
+
+    Args:
+        settings: Path of the INI file.
+    """
+    # Imported here so that other commands don't pay for it.
+    from siskinshift.agent.application import AgentApplication
+    from siskinshift.settings.loader import load_settings
+
+    run_until_signal(AgentApplication(load_settings(Path(settings))))
--- /dev/null
+++ b/src/siskinshift/console/commands/balancer.py
@@ -0,0 +1,22 @@
+"""Command `balancer`: runs the process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from siskinshift.console.processes import run_until_signal
+from siskinshift.console.registry import command
+
+
+@command("balancer")
+def run_balancer(settings: str) -> None:
+    """Runs a balancer in the foreground until SIGTERM.
+
+    Args:
+        settings: Path of the INI file.
+    """
+    # Imported here so that other commands don't pay for it.
+    from siskinshift.balancer.application import BalancerApplication
+    from siskinshift.settings.loader import load_settings
+
+    run_until_signal(BalancerApplication(load_settings(Path(settings))))
--- /dev/null
+++ b/src/siskinshift/console/commands/standin.py
@@ -0,0 +1,67 @@
+"""Commands `standin ...`: stand-ins for the platform and an upstream."""
+
+from __future__ import annotations
+
+from siskinshift.console.processes import run_until_signal
+from siskinshift.console.registry import command
+from siskinshift.core.endpoints import parse_endpoint
+
+
+DEFAULT_SEED = 1
+
+
+@command("standin kv")
+def run_kv(listen: str) -> None:
+    """Runs a small key-value service for trials.
+
+    Args:
+        listen: IP number and port.
+    """
+    from siskinshift.standins.kv import KvStandIn
+
+    run_until_signal(KvStandIn(parse_endpoint(listen)))
+
+
+@command("standin fabric")
+def run_fabric(
+    addresses: str, return_endpoint: str, balancers: str, seed: int = DEFAULT_SEED
+) -> None:
+    """Runs a fabric that hands each datagram to a random balancer.
+
+    Args:
+        addresses: Service addresses, comma-separated.
+        return_endpoint: Where agents send answers.
+        balancers: Data endpoints of balancers, comma-separated.
+        seed: Seed of the random choice.
+    """
+    from siskinshift.standins.fabric import FabricStandIn
+
+    fabric = FabricStandIn(
+        addresses=[parse_endpoint(text) for text in _split(addresses)],
+        return_endpoint=parse_endpoint(return_endpoint),
+        balancers=[parse_endpoint(text) for text in _split(balancers)],
+        seed=seed,
+    )
+    run_until_signal(fabric)
+
+
+@command("standin upstream")
+def run_upstream(name: str, listen: str) -> None:
+    """Runs an upstream that answers datagrams with its name.
+
+    Args:
+        name: Name in its answers.
+        listen: IP number and port.
+    """
+    from siskinshift.standins.upstream import DatagramUpstreamStandIn
+
+    run_until_signal(
+        DatagramUpstreamStandIn(name=name, endpoint=parse_endpoint(listen))
+    )
+
+
+def _split(texts: str | tuple[str, ...]) -> list[str]:
+    # fire turns "a,b" into a tuple.
+    if isinstance(texts, tuple):
+        return [str(text) for text in texts]
+    return [text.strip() for text in texts.split(",")]
--- /dev/null
+++ b/src/siskinshift/demo/deployment.py
@@ -0,0 +1,209 @@
+"""A whole deployment in one process: stand-ins, balancers and agents."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from siskinshift.agent.application import AgentApplication
+from siskinshift.balancer.application import BalancerApplication
+from siskinshift.configuration.store import ConfigurationStore
+from siskinshift.core.endpoints import format_endpoint
+from siskinshift.kv.etcd import EtcdStore
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import Group
+from siskinshift.messages.core import Service
+from siskinshift.messages.core import ServiceMode
+from siskinshift.settings.loader import SettingsLoader
+from siskinshift.standins.fabric import FabricStandIn
+from siskinshift.standins.kv import KvStandIn
+from siskinshift.standins.upstream import DatagramUpstreamStandIn
+
+
+if TYPE_CHECKING:
+    from siskinshift.settings.generated import Settings
+
+
+LOOPBACK = "127.0.0.1"
+FABRIC_SEED = 7
+
+
+@frozen
+class ServicePlan:
+    """Size of one service in the demo.
+
+    Attributes:
+        service_id: Name of the service; the upstream class as well.
+        upstreams: Number of upstreams.
+        slots: Slots of each upstream.
+    """
+
+    service_id: str
+    upstreams: int
+    slots: int
+
+
+def free_endpoint(kind: socket.SocketKind = socket.SOCK_STREAM) -> Endpoint:
+    """Finds a port of the loopback address that is free now.
+
+    Args:
+        kind: TCP or UDP.
+
+    Returns:
+        The endpoint.
+    """
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((LOOPBACK, 0))
+        return Endpoint(*probe.getsockname())
+
+
+class Deployment:
+    """Starts and stops everything that a deployment needs.
+
+    Attributes:
+        kv: The key-value stand-in.
+        fabric: The fabric stand-in.
+        balancers_by_id: Running balancers.
+        agents_by_id: Running agents.
+        upstreams_by_id: Upstream stand-ins by the id of their agent.
+        services_by_id: Configured services.
+    """
+
+    def __init__(
+        self, *, name: str, plans: tuple[ServicePlan, ...], balancers: int
+    ) -> None:
+        """Prepares a deployment.
+
+        Args:
+            name: Name of the deployment, goes into node ids.
+            plans: Its services.
+            balancers: Number of balancers.
+        """
+        self._name = name
+        self._plans = plans
+        self._balancer_count = balancers
+        self._seeds = [free_endpoint() for _ in range(balancers)]
+        self.kv = KvStandIn(Endpoint(LOOPBACK, 0))
+        self.services_by_id = {plan.service_id: _service(plan) for plan in plans}
+        addresses = [s.addresses[0] for s in self.services_by_id.values()]
+        self.fabric = FabricStandIn(
+            addresses=addresses,
+            return_endpoint=Endpoint(LOOPBACK, 0),
+            balancers=(),
+            seed=FABRIC_SEED,
+        )
+        self.balancers_by_id: dict[str, BalancerApplication] = {}
+        self.agents_by_id: dict[str, AgentApplication] = {}
+        self.upstreams_by_id: dict[str, DatagramUpstreamStandIn] = {}
+
+    def start(self) -> None:
+        """Starts stand-ins, writes the configuration, starts all processes."""
+        self.kv.start()
+        self.fabric.start()
+        store = ConfigurationStore(EtcdStore(self._settings("operator").kv))
+        for service in self.services_by_id.values():
+            store.write(service)
+        for index, seed in enumerate(self._seeds):
+            self.start_balancer(index, seed)
+        for plan in self._plans:
+            for index in range(plan.upstreams):
+                self.start_agent(plan, index)
+
+    def start_balancer(self, index: int, control: Endpoint) -> BalancerApplication:
+        """Starts a balancer and shows it to the fabric.
+
+        Args:
+            index: Number of the balancer.
+            control: Its control endpoint.
+
+        Returns:
+            The running balancer.
+        """
+        node_id = f"{self._name}-balancer-{index}"
+        balancer = BalancerApplication(self._settings(node_id, control=control))
+        balancer.start()
+        self.balancers_by_id[node_id] = balancer
+        self.refresh_fabric()
+        return balancer
+
+    def refresh_fabric(self) -> None:
+        """Tells the fabric which balancers there are."""
+        self.fabric.balancers = tuple(
+            balancer.settings.node.data_endpoint
+            for balancer in self.balancers_by_id.values()
+        )
+
+    def start_agent(self, plan: ServicePlan, index: int) -> AgentApplication:
+        """Starts an upstream stand-in with its agent.
+
+        Args:
+            plan: Service it serves.
+            index: Number of the upstream.
+
+        Returns:
+            The running agent.
+        """
+        node_id = f"{plan.service_id}-{index}"
+        upstream = DatagramUpstreamStandIn(name=node_id, endpoint=Endpoint(LOOPBACK, 0))
+        upstream.start()
+        agent_lines = [
+            "[agent]",
+            f"upstream_class = {plan.service_id}",
+            f"upstream_endpoint = {format_endpoint(upstream.endpoint)}",
+            f"slots = {plan.slots}",
+            f"fabric_return = {format_endpoint(self.fabric.return_endpoint)}",
+        ]
+        agent = AgentApplication(self._settings(node_id, extra=agent_lines))
+        agent.start()
+        self.agents_by_id[node_id] = agent
+        self.upstreams_by_id[node_id] = upstream
+        return agent
+
+    def stop(self) -> None:
+        """Stops everything."""
+        for application in (
+            *self.agents_by_id.values(),
+            *self.balancers_by_id.values(),
+        ):
+            application.stop()
+        for upstream in self.upstreams_by_id.values():
+            upstream.stop()
+        self.fabric.stop()
+        self.kv.stop()
+
+    def _settings(
+        self,
+        node_id: str,
+        *,
+        control: Endpoint | None = None,
+        extra: list[str] | None = None,
+    ) -> Settings:
+        control = control or free_endpoint()
+        data = free_endpoint(socket.SOCK_DGRAM)
+        seeds = ", ".join(format_endpoint(seed) for seed in self._seeds)
+        lines = [
+            "[node]",
+            f"node_id = {node_id}",
+            f"control_endpoint = {format_endpoint(control)}",
+            f"data_endpoint = {format_endpoint(data)}",
+            "[keys]",
+            "current = demo-key-of-sixteen-or-more",
+            "[kv]",
+            f"endpoints = {format_endpoint(self.kv.endpoint)}",
+            "[membership]",
+            f"seeds = {seeds}",
+            *(extra or []),
+        ]
+        return SettingsLoader(source=node_id).load("\n".join(lines))
+
+
+def _service(plan: ServicePlan) -> Service:
+    return Service(
+        service_id=plan.service_id,
+        addresses=(free_endpoint(socket.SOCK_DGRAM),),
+        mode=ServiceMode.DATAGRAM,
+        upstream_class=plan.service_id,
+        groups=(Group(group_id="default", share=1),),
+    )
--- /dev/null
+++ b/src/siskinshift/flows/__init__.py
@@ -0,0 +1,3 @@
+"""Ownership and hand-over of flows between agents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Who is there, and in which state."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between processes, generated from schema/messages."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Choice of an agent for a flow."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/runtime/__init__.py
@@ -0,0 +1,3 @@
+"""Life cycle, clocks and threads of a process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/runtime/application.py
@@ -0,0 +1,91 @@
+"""Life cycle of a process: an application owns its threads and clean-up."""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from typing import TYPE_CHECKING
+from typing import Any
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinshift.settings.generated import Settings
+
+
+THREADS_MAXIMUM = 4096
+
+
+class Application:
+    """Base of the processes; hooks run in the order start, stopping, stop.
+
+    Attributes:
+        settings: All settings of the process.
+        stopping: Set once the application is to end.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.stopping = threading.Event()
+        self._clean_ups = ExitStack()
+        self.executor = ThreadPoolExecutor(
+            max_workers=THREADS_MAXIMUM, thread_name_prefix=settings.node.node_id
+        )
+
+    def start(self) -> None:
+        """Starts the application; on an error all that was opened is closed."""
+        try:
+            self.on_start()
+        except BaseException:
+            self.stop()
+            raise
+
+    def stop(self) -> None:
+        """Stops at once: ends loops, closes what is owned, joins the threads."""
+        self.stopping.set()
+        self.on_stop()
+        self._clean_ups.close()
+        self.executor.shutdown(wait=True)
+
+    def owns(self, clean_up: Callable[[], object]) -> None:
+        """Registers a clean-up; the last one registered runs first.
+
+        Args:
+            clean_up: Called once when the application stops.
+        """
+        self._clean_ups.callback(clean_up)
+
+    def spawn(self, task: Callable[..., object], *args: object) -> Future[Any]:
+        """Runs a task on a thread of the application.
+
+        Args:
+            task: The task; it returns soon after `stopping` is set.
+            args: Its arguments.
+
+        Returns:
+            The future of the task.
+        """
+        return self.executor.submit(task, *args)
+
+    def every(self, interval: float, step: Callable[[], object]) -> None:
+        """Runs a step again and again until the application stops.
+
+        Args:
+            interval: Pause between two steps, seconds.
+            step: The step.
+        """
+
+        def loop() -> None:
+            while not self.stopping.wait(interval):
+                step()
+
+        self.spawn(loop)
+
+    def on_start(self) -> None:
+        """Hook: opens sockets and starts tasks."""
+
+    def on_stop(self) -> None:
+        """Hook: says good-bye before clean-up."""
--- /dev/null
+++ b/src/siskinshift/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of a process, read from INI."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/settings/generated.py
@@ -0,0 +1,331 @@
+"""Settings of schema/settings.toml; generated, do not edit."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from siskinshift.messages.core import Endpoint
+from siskinshift.settings.options import Option
+from siskinshift.settings.options import Secret
+from siskinshift.settings.options import Section
+
+
+@frozen
+class NodeSettings:
+    """Who this process is and where it listens.
+
+    Attributes:
+        node_id: Name, unique in the deployment.
+        region: Region this instance stands in.
+        failure_domain: Failure domain this instance stands in.
+        control_endpoint: IP number and port for messages between processes (TCP).
+        data_endpoint: IP number and port for forwarded datagrams (UDP).
+    """
+
+    node_id: str
+    region: str
+    failure_domain: str
+    control_endpoint: Endpoint
+    data_endpoint: Endpoint
+
+
+@frozen
+class KeysSettings:
+    """Shared keys that authenticate the system's processes to each other.
+
+    Attributes:
+        current: Key to sign with, 16 characters or more.
+        previous: Key still accepted while keys are rotated.
+    """
+
+    current: Secret
+    previous: Secret
+
+
+@frozen
+class KvSettings:
+    """The platform's key-value service.
+
+    Attributes:
+        endpoints: Endpoints, comma-separated; empty when none is used.
+        timeout: Time allowed for one call. In seconds.
+        poll_interval: Pause between two reads of the configuration. In seconds.
+    """
+
+    endpoints: tuple[Endpoint, ...]
+    timeout: float
+    poll_interval: float
+
+
+@frozen
+class MembershipSettings:
+    """How members find and watch each other.
+
+    Attributes:
+        seeds: Control endpoints of balancers to announce to.
+        heartbeat_interval: Pause between two heartbeats. In seconds.
+        gone_after: Silence after which a member counts as gone. In seconds.
+    """
+
+    seeds: tuple[Endpoint, ...]
+    heartbeat_interval: float
+    gone_after: float
+
+
+@frozen
+class AgentSettings:
+    """The agent beside an upstream.
+
+    Attributes:
+        upstream_class: Class of the upstream; services name it.
+        upstream_endpoint: Endpoint of the upstream.
+        slots: Requests the upstream runs at once.
+        fabric_return: Endpoint of the fabric that takes answers (UDP).
+        flow_idle_timeout: Silence after which a datagram flow is closed. In seconds.
+        drain_timeout: Time flows are given to end when the agent drains. In seconds.
+    """
+
+    upstream_class: str
+    upstream_endpoint: Endpoint
+    slots: int
+    fabric_return: Endpoint
+    flow_idle_timeout: float
+    drain_timeout: float
+
+
+@frozen
+class FlowsSettings:
+    """How flows outlive change.
+
+    Attributes:
+        settle_delay: Least time a bucket stays unsettled after its primary changed. In seconds.
+        settle_timeout: Time after which a bucket settles though a peer did not confirm. In seconds.
+        max_hops: Times a datagram may be passed on.
+    """
+
+    settle_delay: float
+    settle_timeout: float
+    max_hops: int
+
+
+@frozen
+class Settings:
+    """All settings of a process.
+
+    Attributes:
+        node: Who this process is and where it listens.
+        keys: Shared keys that authenticate the system's processes to each other.
+        kv: The platform's key-value service.
+        membership: How members find and watch each other.
+        agent: The agent beside an upstream.
+        flows: How flows outlive change.
+    """
+
+    node: NodeSettings
+    keys: KeysSettings
+    kv: KvSettings
+    membership: MembershipSettings
+    agent: AgentSettings
+    flows: FlowsSettings
+
+
+SECTIONS: tuple[Section, ...] = (
+    Section(
+        name="node",
+        doc="Who this process is and where it listens.",
+        settings_class=NodeSettings,
+        options=(
+            Option(
+                name="node_id",
+                type="str",
+                doc="Name, unique in the deployment.",
+            ),
+            Option(
+                name="region",
+                type="str",
+                default="region-1",
+                doc="Region this instance stands in.",
+            ),
+            Option(
+                name="failure_domain",
+                type="str",
+                default="fd-1",
+                doc="Failure domain this instance stands in.",
+            ),
+            Option(
+                name="control_endpoint",
+                type="endpoint",
+                doc="IP number and port for messages between processes (TCP).",
+            ),
+            Option(
+                name="data_endpoint",
+                type="endpoint",
+                doc="IP number and port for forwarded datagrams (UDP).",
+            ),
+        ),
+    ),
+    Section(
+        name="keys",
+        doc="Shared keys that authenticate the system's processes to each other.",
+        settings_class=KeysSettings,
+        options=(
+            Option(
+                name="current",
+                type="secret",
+                doc="Key to sign with, 16 characters or more.",
+            ),
+            Option(
+                name="previous",
+                type="secret",
+                default="",
+                doc="Key still accepted while keys are rotated.",
+            ),
+        ),
+    ),
+    Section(
+        name="kv",
+        doc="The platform's key-value service.",
+        settings_class=KvSettings,
+        options=(
+            Option(
+                name="endpoints",
+                type="endpoints",
+                default="",
+                doc="Endpoints, comma-separated; empty when none is used.",
+            ),
+            Option(
+                name="timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=60.0,
+                default=1.0,
+                doc="Time allowed for one call.",
+            ),
+            Option(
+                name="poll_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.05,
+                maximum=60.0,
+                default=0.25,
+                doc="Pause between two reads of the configuration.",
+            ),
+        ),
+    ),
+    Section(
+        name="membership",
+        doc="How members find and watch each other.",
+        settings_class=MembershipSettings,
+        options=(
+            Option(
+                name="seeds",
+                type="endpoints",
+                default="",
+                doc="Control endpoints of balancers to announce to.",
+            ),
+            Option(
+                name="heartbeat_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.05,
+                maximum=10.0,
+                default=0.5,
+                doc="Pause between two heartbeats.",
+            ),
+            Option(
+                name="gone_after",
+                type="float",
+                unit="seconds",
+                minimum=0.2,
+                maximum=60.0,
+                default=2.0,
+                doc="Silence after which a member counts as gone.",
+            ),
+        ),
+    ),
+    Section(
+        name="agent",
+        doc="The agent beside an upstream.",
+        settings_class=AgentSettings,
+        options=(
+            Option(
+                name="upstream_class",
+                type="str",
+                default="",
+                doc="Class of the upstream; services name it.",
+            ),
+            Option(
+                name="upstream_endpoint",
+                type="endpoint",
+                default="127.0.0.1:9000",
+                doc="Endpoint of the upstream.",
+            ),
+            Option(
+                name="slots",
+                type="int",
+                minimum=1,
+                maximum=10000,
+                default=1,
+                doc="Requests the upstream runs at once.",
+            ),
+            Option(
+                name="fabric_return",
+                type="endpoint",
+                default="127.0.0.1:9001",
+                doc="Endpoint of the fabric that takes answers (UDP).",
+            ),
+            Option(
+                name="flow_idle_timeout",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=604800.0,
+                default=14400.0,
+                doc="Silence after which a datagram flow is closed.",
+            ),
+            Option(
+                name="drain_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=604800.0,
+                default=14400.0,
+                doc="Time flows are given to end when the agent drains.",
+            ),
+        ),
+    ),
+    Section(
+        name="flows",
+        doc="How flows outlive change.",
+        settings_class=FlowsSettings,
+        options=(
+            Option(
+                name="settle_delay",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=60.0,
+                default=3.0,
+                doc="Least time a bucket stays unsettled after its primary changed.",
+            ),
+            Option(
+                name="settle_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=120.0,
+                default=10.0,
+                doc="Time after which a bucket settles though a peer did not confirm.",
+            ),
+            Option(
+                name="max_hops",
+                type="int",
+                minimum=1,
+                maximum=16,
+                default=6,
+                doc="Times a datagram may be passed on.",
+            ),
+        ),
+    ),
+)
--- /dev/null
+++ b/src/siskinshift/settings/loader.py
@@ -0,0 +1,152 @@
+"""Reads settings from INI text and checks each value against the schema."""
+
+from __future__ import annotations
+
+import configparser
+from typing import TYPE_CHECKING
+from typing import Any
+
+from siskinshift.core.endpoints import parse_endpoint
+from siskinshift.settings.exceptions import SettingsError
+from siskinshift.settings.generated import SECTIONS
+from siskinshift.settings.generated import Settings
+from siskinshift.settings.options import Secret
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from siskinshift.settings.options import Option
+    from siskinshift.settings.options import Section
+
+
+SECRET_LENGTH_MINIMUM = 16
+
+
+class SettingsLoader:
+    """Turns INI text into `Settings`, collecting every fault before it refuses."""
+
+    def __init__(self, *, source: str) -> None:
+        """Prepares a loader.
+
+        Args:
+            source: Name of the file, for messages.
+        """
+        self._source = source
+        self._problems: list[str] = []
+
+    def load(self, text: str) -> Settings:
+        """Reads the text.
+
+        Args:
+            text: Content of an INI file.
+
+        Returns:
+            The settings, checked.
+
+        Raises:
+            SettingsError: The text is no INI or a value is not allowed.
+        """
+        parser = configparser.ConfigParser(interpolation=None)
+        try:
+            parser.read_string(text, source=self._source)
+        except configparser.Error as error:
+            problem = str(error).replace("\n", " ")
+            raise SettingsError((f"{self._source}: {problem}",)) from error
+        self._refuse_unknown(parser)
+        values: dict[str, Any] = {
+            section.name: self._load_section(parser, section) for section in SECTIONS
+        }
+        if self._problems:
+            raise SettingsError(tuple(self._problems))
+        return Settings(**values)
+
+    def _refuse_unknown(self, parser: configparser.ConfigParser) -> None:
+        options_by_section = {s.name: {o.name for o in s.options} for s in SECTIONS}
+        for section_name in parser.sections():
+            known = options_by_section.get(section_name)
+            if known is None:
+                allowed = ", ".join(options_by_section)
+                self._fault(section_name, "", "", f"unknown section; known: {allowed}")
+                continue
+            for key in parser[section_name]:
+                if key not in known:
+                    allowed = ", ".join(sorted(known))
+                    self._fault(section_name, key, "", f"unknown key; known: {allowed}")
+
+    def _load_section(
+        self, parser: configparser.ConfigParser, section: Section
+    ) -> object:
+        values: dict[str, object] = {}
+        for option in section.options:
+            text = parser.get(section.name, option.name, fallback=None)
+            values[option.name] = self._load_option(section.name, option, text)
+        return section.settings_class(**values)
+
+    def _load_option(self, section: str, option: Option, text: str | None) -> object:
+        if text is None:
+            if option.default is None:
+                self._fault(section, option.name, "", f"required; {option.doc}")
+                return None
+            text = str(option.default)
+        try:
+            return self._convert(option, text.strip())
+        except ValueError as error:
+            shown = "(secret)" if option.type == "secret" else text
+            self._fault(section, option.name, shown, str(error))
+            return None
+
+    def _convert(self, option: Option, text: str) -> object:
+        if option.type in ("int", "float"):
+            return self._convert_number(option, text)
+        if option.type == "choice" and text not in option.choices:
+            raise ValueError(f"allowed: {', '.join(option.choices)}")
+        if option.type == "secret":
+            return self._convert_secret(text)
+        if option.type == "endpoint":
+            return parse_endpoint(text)
+        if option.type == "endpoints":
+            parts = [part.strip() for part in text.split(",") if part.strip()]
+            return tuple(parse_endpoint(part) for part in parts)
+        return text
+
+    def _convert_secret(self, text: str) -> Secret:
+        if text and len(text) < SECRET_LENGTH_MINIMUM:
+            raise ValueError(f"allowed: {SECRET_LENGTH_MINIMUM} characters or more")
+        return Secret(text)
+
+    def _convert_number(self, option: Option, text: str) -> int | float:
+        allowed = f"{option.minimum} to {option.maximum} {option.unit}".strip()
+        try:
+            number: int | float = int(text) if option.type == "int" else float(text)
+        except ValueError as error:
+            raise ValueError(f"allowed: {option.type}, {allowed}") from error
+        low = option.minimum if option.minimum is not None else number
+        high = option.maximum if option.maximum is not None else number
+        if not low <= number <= high:
+            raise ValueError(f"allowed: {allowed}")
+        return number
+
+    def _fault(self, section: str, key: str, value: str, allowed: str) -> None:
+        place = f"{self._source}: [{section}] {key}".rstrip()
+        shown = f" = {value!r}" if value else ""
+        self._problems.append(f"{place}{shown}: {allowed}")
+
+
+def load_settings(path: Path) -> Settings:
+    """Reads a settings file.
+
+    Args:
+        path: The INI file.
+
+    Returns:
+        The settings, checked.
+
+    Raises:
+        SettingsError: The file can't be read or a value is not allowed.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError((f"{path}: can't be read: {error}",)) from error
+    return SettingsLoader(source=str(path)).load(text)
--- /dev/null
+++ b/src/siskinshift/standins/upstream.py
@@ -0,0 +1,60 @@
+"""Stand-in for an upstream of mode `datagram`: answers with its own name."""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+from siskinshift.runtime.datagrams import DatagramSocket
+
+
+if TYPE_CHECKING:
+    from siskinshift.messages.core import Endpoint
+
+
+SEPARATOR = b"|"
+
+
+class DatagramUpstreamStandIn:
+    """Answers each datagram with "name|payload".
+
+    Attributes:
+        received: Datagrams taken so far.
+    """
+
+    def __init__(self, *, name: str, endpoint: Endpoint) -> None:
+        """Binds the socket.
+
+        Args:
+            name: Name that goes into each answer.
+            endpoint: Where to listen.
+        """
+        self.received = 0
+        self._name = name.encode()
+        self._stopping = threading.Event()
+        self._socket = DatagramSocket(endpoint)
+        self._executor = ThreadPoolExecutor(1, name)
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where it listens."""
+        return self._socket.endpoint
+
+    def start(self) -> None:
+        """Starts to answer."""
+        self._executor.submit(
+            self._socket.receive_until, self._stopping, self._on_datagram
+        )
+
+    def stop(self) -> None:
+        """Stops and closes the socket."""
+        self._stopping.set()
+        self._executor.shutdown(wait=True)
+        self._socket.close()
+
+    def _on_datagram(self, datagram: bytes, source: tuple[str, int]) -> None:
+        self.received += 1
+        host, port = source
+        answer = self._name + SEPARATOR + datagram
+        self._socket.send(answer, type(self.endpoint)(host, port))
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,3 @@
+"""Tools for developers of siskinshift."""
+
+from __future__ import annotations
