--- /dev/null
+++ b/src/siskinshift/objectives/__init__.py
@@ -0,0 +1,3 @@
+"""Service-level objectives and how fast their budgets burn."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/siskinshift/observability/metrics.py
@@ -0,0 +1,219 @@
+"""Metrics by OpenTelemetry, read from cheap counters only when exported."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+from siskinshift.observability.instruments import EVENTS
+from siskinshift.observability.instruments import INSTRUMENTS_BY_COUNTER
+from siskinshift.observability.instruments import OBJECTIVE_EVENTS
+from siskinshift.observability.instruments import REQUEST_DURATION
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from opentelemetry.metrics import CallbackOptions
+    from opentelemetry.metrics import Histogram
+    from opentelemetry.metrics import Observation
+    from opentelemetry.sdk.metrics import MeterProvider
+    from opentelemetry.sdk.metrics.export import MetricReader
+
+    from siskinshift.core.clocks import Clock
+    from siskinshift.objectives.recorder import ObjectiveRecorder
+    from siskinshift.runtime.counters import Counters
+    from siskinshift.settings.generated import MetricsSettings
+    from siskinshift.settings.generated import Settings
+
+
+METER_NAME = "siskinshift"
+# Seconds; from a local answer to an answer nobody waits for any more.
+DURATION_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+
+ReaderFactory: TypeAlias = "Callable[[MetricsSettings], MetricReader]"
+
+_readers_by_exporter: dict[str, ReaderFactory] = {}
+
+
+def exports_as(exporter: str) -> Callable[[ReaderFactory], ReaderFactory]:
+    """Registers the decorated function as the maker of an exporter's reader.
+
+    Args:
+        exporter: Value of the setting.
+
+    Returns:
+        The decorator.
+    """
+
+    def register(factory: ReaderFactory) -> ReaderFactory:
+        _readers_by_exporter[exporter] = factory
+        return factory
+
+    return register
+
+
+@exports_as("prometheus")
+def _prometheus_reader(settings: MetricsSettings) -> MetricReader:
+    from opentelemetry.exporter.prometheus import PrometheusMetricReader
+
+    return PrometheusMetricReader()
+
+
+@exports_as("otlp")
+def _otlp_reader(settings: MetricsSettings) -> MetricReader:
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+        OTLPMetricExporter,
+    )
+    from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+
+    exporter = OTLPMetricExporter(endpoint=settings.otlp_url)
+    interval = settings.interval * 1000
+    return PeriodicExportingMetricReader(exporter, export_interval_millis=interval)
+
+
+class Metrics:
+    """Exports a process's counters and objectives; with exporter off, nothing.
+
+    The data path adds to `Counters` only. The SDK reads them when an export is due,
+    so its cost depends on the interval and not on the rate of datagrams. The SDK is
+    imported only when an exporter is chosen: it takes memory that agents lack.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        counters: Counters,
+        objectives: ObjectiveRecorder,
+        clock: Clock,
+    ) -> None:
+        """Prepares the exporter that the settings choose.
+
+        Args:
+            settings: All settings of the process.
+            counters: Counters of the process.
+            objectives: What the process saw of its objectives.
+            clock: Clock of the process.
+        """
+        self._settings = settings
+        self._counters = counters
+        self._objectives = objectives
+        self._clock = clock
+        self._provider: MeterProvider | None = None
+        self._durations: Histogram | None = None
+        self._stop_server: Callable[[], None] | None = None
+
+    def start(self) -> None:
+        """Starts to export."""
+        factory = _readers_by_exporter.get(self._settings.metrics.exporter)
+        if factory is None:
+            return
+        from opentelemetry.sdk.metrics import MeterProvider
+        from opentelemetry.sdk.resources import Resource
+
+        node = self._settings.node
+        resource = Resource.create(
+            {"service.name": METER_NAME, "service.instance.id": node.node_id}
+        )
+        reader = factory(self._settings.metrics)
+        self._provider = MeterProvider([reader], resource=resource)
+        self._register()
+        if self._settings.metrics.exporter == "prometheus":
+            self._serve()
+
+    def stop(self) -> None:
+        """Exports once more and ends."""
+        if self._stop_server is not None:
+            self._stop_server()
+        if self._provider is not None:
+            self._provider.shutdown()
+
+    def request_ended(self, service_id: str, group_id: str, seconds: float) -> None:
+        """Records how long a request took.
+
+        Args:
+            service_id: Service of the request.
+            group_id: Group of the request.
+            seconds: Time from arrival to the end of the answer.
+        """
+        if self._durations is not None:
+            labels = {"service": service_id, "group": group_id}
+            self._durations.record(seconds, labels)
+
+    def _register(self) -> None:
+        assert self._provider is not None
+        meter = self._provider.get_meter(METER_NAME)
+        for counter, instrument in INSTRUMENTS_BY_COUNTER.items():
+            meter.create_observable_counter(
+                instrument.name,
+                [self._observer_of(counter)],
+                unit=instrument.unit,
+                description=instrument.description,
+            )
+        meter.create_observable_counter(
+            EVENTS.name,
+            [self._observe_others],
+            unit=EVENTS.unit,
+            description=EVENTS.description,
+        )
+        meter.create_observable_gauge(
+            OBJECTIVE_EVENTS.name,
+            [self._observe_objectives],
+            unit=OBJECTIVE_EVENTS.unit,
+            description=OBJECTIVE_EVENTS.description,
+        )
+        self._durations = meter.create_histogram(
+            REQUEST_DURATION.name,
+            unit=REQUEST_DURATION.unit,
+            description=REQUEST_DURATION.description,
+            explicit_bucket_boundaries_advisory=DURATION_BOUNDS,
+        )
+
+    def _serve(self) -> None:
+        from prometheus_client import start_http_server
+
+        endpoint = self._settings.metrics.prometheus_endpoint
+        server, thread = start_http_server(endpoint.port, addr=endpoint.host)
+
+        def stop() -> None:
+            server.shutdown()
+            server.server_close()
+            thread.join()
+
+        self._stop_server = stop
+
+    def _observer_of(
+        self, counter: str
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        from opentelemetry.metrics import Observation
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            for name, count in self._counters.snapshot().items():
+                head, _dot, kind = name.partition(".")
+                if head == counter:
+                    yield Observation(count, {"kind": kind} if kind else {})
+
+        return observe
+
+    def _observe_others(self, _: CallbackOptions) -> Iterable[Observation]:
+        from opentelemetry.metrics import Observation
+
+        for name, count in self._counters.snapshot().items():
+            if name.partition(".")[0] not in INSTRUMENTS_BY_COUNTER:
+                yield Observation(count, {"event": name})
+
+    def _observe_objectives(self, _: CallbackOptions) -> Iterable[Observation]:
+        from opentelemetry.metrics import Observation
+
+        for sample in self._objectives.samples(now=self._clock()):
+            labels = {
+                "node": self._settings.node.node_id,
+                "objective": sample.key.kind.value,
+                "service": sample.key.service_id,
+                "group": sample.key.group_id,
+                "window": sample.window.name,
+            }
+            yield Observation(sample.counts.good, labels | {"result": "good"})
+            yield Observation(sample.counts.bad, labels | {"result": "bad"})
--- /dev/null
+++ b/src/siskinshift/report/__init__.py
@@ -0,0 +1,3 @@
+"""Reports for operators."""
+
+from __future__ import annotations
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -108,6 +108,53 @@
     max_hops: int
 
 
+@frozen
+class LogsSettings:
+    """Logs as JSON lines on standard error.
+
+    Attributes:
+        level: Most detailed level that is written.
+    """
+
+    level: str
+
+
+@frozen
+class MetricsSettings:
+    """Metrics by OpenTelemetry; off costs nothing.
+
+    Attributes:
+        exporter: How metrics leave the process.
+        prometheus_endpoint: Where metrics are served for exporter prometheus.
+        otlp_url: Collector for exporter otlp (HTTP).
+        interval: Pause between two exports to the collector. In seconds.
+    """
+
+    exporter: str
+    prometheus_endpoint: Endpoint
+    otlp_url: str
+    interval: float
+
+
+@frozen
+class ObjectivesSettings:
+    """Service-level objectives that `report burn` measures against.
+
+    Attributes:
+        unbroken_flows: Part of flows that end unbroken. In fraction.
+        answered_in_time: Part of requests answered within time_limit. In fraction.
+        time_limit: Time within which a request counts as answered in time. In seconds.
+        imbalance_limit: Work of the busiest upstream slot over the mean that still counts as balanced. In ratio.
+        balanced_time: Part of time in which a service is balanced. In fraction.
+    """
+
+    unbroken_flows: float
+    answered_in_time: float
+    time_limit: float
+    imbalance_limit: float
+    balanced_time: float
+
+
 @frozen
 class Settings:
     """All settings of a process.
@@ -119,6 +166,9 @@
         membership: How members find and watch each other.
         agent: The agent beside an upstream.
         flows: How flows outlive change.
+        logs: Logs as JSON lines on standard error.
+        metrics: Metrics by OpenTelemetry; off costs nothing.
+        objectives: Service-level objectives that `report burn` measures against.
     """
 
     node: NodeSettings
@@ -127,6 +177,9 @@
     membership: MembershipSettings
     agent: AgentSettings
     flows: FlowsSettings
+    logs: LogsSettings
+    metrics: MetricsSettings
+    objectives: ObjectivesSettings
 
 
 SECTIONS: tuple[Section, ...] = (
@@ -328,4 +381,105 @@
             ),
         ),
     ),
+    Section(
+        name="logs",
+        doc="Logs as JSON lines on standard error.",
+        settings_class=LogsSettings,
+        options=(
+            Option(
+                name="level",
+                type="choice",
+                choices=("off", "error", "info", "debug"),
+                default="info",
+                doc="Most detailed level that is written.",
+            ),
+        ),
+    ),
+    Section(
+        name="metrics",
+        doc="Metrics by OpenTelemetry; off costs nothing.",
+        settings_class=MetricsSettings,
+        options=(
+            Option(
+                name="exporter",
+                type="choice",
+                choices=("off", "prometheus", "otlp"),
+                default="off",
+                doc="How metrics leave the process.",
+            ),
+            Option(
+                name="prometheus_endpoint",
+                type="endpoint",
+                default="127.0.0.1:9464",
+                doc="Where metrics are served for exporter prometheus.",
+            ),
+            Option(
+                name="otlp_url",
+                type="str",
+                default="http://127.0.0.1:4318/v1/metrics",
+                doc="Collector for exporter otlp (HTTP).",
+            ),
+            Option(
+                name="interval",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=600.0,
+                default=15.0,
+                doc="Pause between two exports to the collector.",
+            ),
+        ),
+    ),
+    Section(
+        name="objectives",
+        doc="Service-level objectives that `report burn` measures against.",
+        settings_class=ObjectivesSettings,
+        options=(
+            Option(
+                name="unbroken_flows",
+                type="float",
+                unit="fraction",
+                minimum=0.5,
+                maximum=0.999999,
+                default=0.9999,
+                doc="Part of flows that end unbroken.",
+            ),
+            Option(
+                name="answered_in_time",
+                type="float",
+                unit="fraction",
+                minimum=0.5,
+                maximum=0.999999,
+                default=0.999,
+                doc="Part of requests answered within time_limit.",
+            ),
+            Option(
+                name="time_limit",
+                type="float",
+                unit="seconds",
+                minimum=0.001,
+                maximum=3600.0,
+                default=1.0,
+                doc="Time within which a request counts as answered in time.",
+            ),
+            Option(
+                name="imbalance_limit",
+                type="float",
+                unit="ratio",
+                minimum=1.0,
+                maximum=100.0,
+                default=1.25,
+                doc="Work of the busiest upstream slot over the mean that still counts as balanced.",
+            ),
+            Option(
+                name="balanced_time",
+                type="float",
+                unit="fraction",
+                minimum=0.5,
+                maximum=0.999999,
+                default=0.99,
+                doc="Part of time in which a service is balanced.",
+            ),
+        ),
+    ),
 )
