--- /dev/null
+++ b/src/siskinshift/console/commands/report.py
@@ -0,0 +1,35 @@
+"""Commands `report ...`: what the processes saw, for operators."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from siskinshift.console.arguments import endpoints_of
+from siskinshift.console.registry import command
+
+
+@command("report burn")
+def report_burn(settings: str, targets: str, output: str = "text") -> str:
+    """Shows how fast each service's and group's error budget burns.
+
+    Asks each process for its metrics (metrics exporter prometheus).
+
+    Example: siskinshift report burn site.ini 10.0.0.1:9464,10.0.0.2:9464 --output html
+
+    Args:
+        settings: INI file whose section [objectives] is used.
+        targets: Metrics endpoints, comma-separated.
+        output: text, json or html.
+    """
+    from siskinshift.report.burn_report import build_report
+    from siskinshift.report.exceptions import MetricsUnreachableError
+    from siskinshift.report.renderers import render_report
+    from siskinshift.report.scrape import scrape_all
+    from siskinshift.settings.loader import load_settings
+
+    objectives = load_settings(Path(settings)).objectives
+    endpoints = endpoints_of(targets)
+    scrape = scrape_all(endpoints)
+    if len(scrape.silent) == len(endpoints):
+        raise MetricsUnreachableError(f"no answer from {', '.join(scrape.silent)}")
+    return render_report(build_report(scrape, objectives), output)
--- /dev/null
+++ b/src/siskinshift/console/exceptions.py
@@ -0,0 +1,12 @@
+"""Errors of the command line."""
+
+from __future__ import annotations
+
+from siskinshift.core.errors import ErrorKind
+from siskinshift.exceptions import SiskinshiftError
+
+
+class ArgumentError(SiskinshiftError):
+    """An argument that can't be used."""
+
+    kind = ErrorKind.INVALID_ARGUMENT
--- a/src/siskinshift/observability/metrics.py
+++ b/src/siskinshift/observability/metrics.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import TypeAlias
+from typing import Protocol
+from typing import TypeVar
 
 from siskinshift.observability.instruments import EVENTS
 from siskinshift.observability.instruments import INSTRUMENTS_BY_COUNTER
@@ -32,45 +33,90 @@
 # Seconds; from a local answer to an answer nobody waits for any more.
 DURATION_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 
-ReaderFactory: TypeAlias = "Callable[[MetricsSettings], MetricReader]"
 
-_readers_by_exporter: dict[str, ReaderFactory] = {}
+class MetricsExporter(Protocol):
+    """A way for metrics to leave the process."""
 
+    def open(self) -> MetricReader:
+        """Starts the exporter and gives the reader that feeds it."""
 
-def exports_as(exporter: str) -> Callable[[ReaderFactory], ReaderFactory]:
-    """Registers the decorated function as the maker of an exporter's reader.
+    def close(self) -> None:
+        """Ends what `open` started."""
+
+
+_exporters_by_name: dict[str, Callable[[MetricsSettings], MetricsExporter]] = {}
+
+ExporterT = TypeVar("ExporterT", bound="Callable[[MetricsSettings], MetricsExporter]")
+
+
+def exports_as(name: str) -> Callable[[ExporterT], ExporterT]:
+    """Registers the decorated class as an exporter.
 
     Args:
-        exporter: Value of the setting.
+        name: Value of the setting.
 
     Returns:
         The decorator.
     """
 
-    def register(factory: ReaderFactory) -> ReaderFactory:
-        _readers_by_exporter[exporter] = factory
-        return factory
+    def register(exporter: ExporterT) -> ExporterT:
+        _exporters_by_name[name] = exporter
+        return exporter
 
     return register
 
 
 @exports_as("prometheus")
-def _prometheus_reader(settings: MetricsSettings) -> MetricReader:
-    from opentelemetry.exporter.prometheus import PrometheusMetricReader
+class _PrometheusExporter:
+    """Serves metrics as text over HTTP; a registry of its own for each process."""
 
-    return PrometheusMetricReader()
+    def __init__(self, settings: MetricsSettings) -> None:
+        self._endpoint = settings.prometheus_endpoint
+        self._stop_server: Callable[[], None] | None = None
+
+    def open(self) -> MetricReader:
+        from opentelemetry.exporter.prometheus import PrometheusMetricReader
+        from prometheus_client import CollectorRegistry
+        from prometheus_client import start_http_server
+
+        registry = CollectorRegistry()
+        reader = PrometheusMetricReader(registry=registry)
+        server, thread = start_http_server(
+            self._endpoint.port, addr=self._endpoint.host, registry=registry
+        )
+
+        def stop() -> None:
+            server.shutdown()
+            server.server_close()
+            thread.join()
+
+        self._stop_server = stop
+        return reader
+
+    def close(self) -> None:
+        if self._stop_server is not None:
+            self._stop_server()
 
 
 @exports_as("otlp")
-def _otlp_reader(settings: MetricsSettings) -> MetricReader:
-    from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
-        OTLPMetricExporter,
-    )
-    from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+class _OtlpExporter:
+    """Pushes metrics to a collector."""
+
+    def __init__(self, settings: MetricsSettings) -> None:
+        self._settings = settings
+
+    def open(self) -> MetricReader:
+        from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+            OTLPMetricExporter,
+        )
+        from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
 
-    exporter = OTLPMetricExporter(endpoint=settings.otlp_url)
-    interval = settings.interval * 1000
-    return PeriodicExportingMetricReader(exporter, export_interval_millis=interval)
+        exporter = OTLPMetricExporter(endpoint=self._settings.otlp_url)
+        interval = self._settings.interval * 1000
+        return PeriodicExportingMetricReader(exporter, export_interval_millis=interval)
+
+    def close(self) -> None:
+        """Leaves the end to the provider, which flushes the reader."""
 
 
 class Metrics:
@@ -103,12 +149,12 @@
         self._clock = clock
         self._provider: MeterProvider | None = None
         self._durations: Histogram | None = None
-        self._stop_server: Callable[[], None] | None = None
+        self._exporter: MetricsExporter | None = None
 
     def start(self) -> None:
         """Starts to export."""
-        factory = _readers_by_exporter.get(self._settings.metrics.exporter)
-        if factory is None:
+        make_exporter = _exporters_by_name.get(self._settings.metrics.exporter)
+        if make_exporter is None:
             return
         from opentelemetry.sdk.metrics import MeterProvider
         from opentelemetry.sdk.resources import Resource
@@ -117,18 +163,16 @@
         resource = Resource.create(
             {"service.name": METER_NAME, "service.instance.id": node.node_id}
         )
-        reader = factory(self._settings.metrics)
-        self._provider = MeterProvider([reader], resource=resource)
+        self._exporter = make_exporter(self._settings.metrics)
+        self._provider = MeterProvider([self._exporter.open()], resource=resource)
         self._register()
-        if self._settings.metrics.exporter == "prometheus":
-            self._serve()
 
     def stop(self) -> None:
         """Exports once more and ends."""
-        if self._stop_server is not None:
-            self._stop_server()
         if self._provider is not None:
             self._provider.shutdown()
+        if self._exporter is not None:
+            self._exporter.close()
 
     def request_ended(self, service_id: str, group_id: str, seconds: float) -> None:
         """Records how long a request took.
@@ -171,19 +215,6 @@
             explicit_bucket_boundaries_advisory=DURATION_BOUNDS,
         )
 
-    def _serve(self) -> None:
-        from prometheus_client import start_http_server
-
-        endpoint = self._settings.metrics.prometheus_endpoint
-        server, thread = start_http_server(endpoint.port, addr=endpoint.host)
-
-        def stop() -> None:
-            server.shutdown()
-            server.server_close()
-            thread.join()
-
-        self._stop_server = stop
-
     def _observer_of(
         self, counter: str
     ) -> Callable[[CallbackOptions], Iterable[Observation]]:
--- /dev/null
+++ b/src/siskinshift/report/exceptions.py
@@ -0,0 +1,18 @@
+"""Errors of reports."""
+
+from __future__ import annotations
+
+from siskinshift.core.errors import ErrorKind
+from siskinshift.exceptions import SiskinshiftError
+
+
+class MetricsUnreachableError(SiskinshiftError):
+    """No process served its metrics."""
+
+    kind = ErrorKind.PEER_UNREACHABLE
+
+
+class ReportArgumentError(SiskinshiftError):
+    """An argument that the report does not know."""
+
+    kind = ErrorKind.INVALID_ARGUMENT
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -145,14 +145,12 @@
         answered_in_time: Part of requests answered within time_limit. In fraction.
         time_limit: Time within which a request counts as answered in time. In seconds.
         imbalance_limit: Work of the busiest upstream slot over the mean that still counts as balanced. In ratio.
-        balanced_time: Part of time in which a service is balanced. In fraction.
     """
 
     unbroken_flows: float
     answered_in_time: float
     time_limit: float
     imbalance_limit: float
-    balanced_time: float
 
 
 @frozen
@@ -471,15 +469,6 @@
                 default=1.25,
                 doc="Work of the busiest upstream slot over the mean that still counts as balanced.",
             ),
-            Option(
-                name="balanced_time",
-                type="float",
-                unit="fraction",
-                minimum=0.5,
-                maximum=0.999999,
-                default=0.99,
-                doc="Part of time in which a service is balanced.",
-            ),
         ),
     ),
 )
--- a/src/siskinshift/settings/loader.py
+++ b/src/siskinshift/settings/loader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import difflib
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -66,13 +67,12 @@
         for section_name in parser.sections():
             known = options_by_section.get(section_name)
             if known is None:
-                allowed = ", ".join(options_by_section)
-                self._fault(section_name, "", "", f"unknown section; known: {allowed}")
+                instead = _instead(section_name, set(options_by_section))
+                self._fault(section_name, "", "", instead)
                 continue
             for key in parser[section_name]:
                 if key not in known:
-                    allowed = ", ".join(sorted(known))
-                    self._fault(section_name, key, "", f"unknown key; known: {allowed}")
+                    self._fault(section_name, key, "", _instead(key, known))
 
     def _load_section(
         self, parser: configparser.ConfigParser, section: Section
@@ -133,6 +133,13 @@
         self._problems.append(f"{place}{shown}: {allowed}")
 
 
+def _instead(name: str, known: set[str]) -> str:
+    close = difflib.get_close_matches(name, sorted(known), n=1)
+    if close:
+        return f"not known; write {close[0]!r} instead"
+    return f"not known; allowed: {', '.join(sorted(known))}"
+
+
 def load_settings(path: Path) -> Settings:
     """Reads a settings file.
 
--- /dev/null
+++ b/src/siskinshift/settings/printer.py
@@ -0,0 +1,54 @@
+"""Writes settings in force; secrets are never printed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import orjson
+
+from siskinshift.core.endpoints import format_endpoint
+from siskinshift.messages.core import Endpoint
+from siskinshift.settings.generated import SECTIONS
+from siskinshift.settings.options import Secret
+
+
+if TYPE_CHECKING:
+    from siskinshift.settings.generated import Settings
+
+
+def print_settings(settings: Settings, *, output: str) -> str:
+    """Writes all values.
+
+    Args:
+        settings: The settings.
+        output: "json" for machines, else INI text that can be read again.
+
+    Returns:
+        The text.
+    """
+    values_by_section = {
+        section.name: {
+            option.name: _value_text(
+                getattr(getattr(settings, section.name), option.name)
+            )
+            for option in section.options
+        }
+        for section in SECTIONS
+    }
+    if output == "json":
+        return orjson.dumps(values_by_section, option=orjson.OPT_INDENT_2).decode()
+    lines: list[str] = []
+    for name, values in values_by_section.items():
+        lines += [f"[{name}]", *(f"{key} = {value}" for key, value in values.items())]
+        lines.append("")
+    return "\n".join(lines).rstrip()
+
+
+def _value_text(value: object) -> str:
+    if isinstance(value, Secret):
+        return str(value) if value.value else ""
+    if isinstance(value, Endpoint):
+        return format_endpoint(value)
+    if isinstance(value, tuple):
+        return ", ".join(_value_text(part) for part in value)
+    return str(value)
--- /dev/null
+++ b/tests/observability/test_logs.py
@@ -0,0 +1,51 @@
+"""Tests of logs."""
+
+from __future__ import annotations
+
+import io
+import json
+from typing import TYPE_CHECKING
+
+import eliot
+import pytest
+
+from siskinshift.observability import logs
+from siskinshift.observability.logs import PartLog
+from siskinshift.observability.logs import open_logs
+from siskinshift.settings.generated import LogsSettings
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@pytest.fixture
+def stream() -> Iterator[io.StringIO]:
+    stream = io.StringIO()
+    destinations = list(eliot.add_destinations.__self__._destinations)
+    yield stream
+    logs._switch.level = 0
+    for destination in list(eliot.add_destinations.__self__._destinations):
+        if destination not in destinations:
+            eliot.remove_destination(destination)
+
+
+def test_a_line_has_its_parts_prefix_and_can_be_read_by_machines(
+    stream: io.StringIO,
+) -> None:
+    open_logs(LogsSettings(level="info"), stream)
+
+    PartLog("agent").info("Flow refused.", kind="flow_limit")
+
+    line = json.loads(stream.getvalue().splitlines()[-1])
+    assert line["message"] == "agent: Flow refused."
+    assert line["kind"] == "flow_limit"
+    assert line["level"] == "info"
+
+
+def test_a_level_keeps_lesser_lines_back(stream: io.StringIO) -> None:
+    open_logs(LogsSettings(level="error"), stream)
+
+    PartLog("agent").info("Flow opened.")
+
+    assert stream.getvalue() == ""
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -131,6 +131,31 @@
     return "\n".join([*lines, ")"]) + "\n"
 
 
+def _settings_page(path: Path) -> str:
+    sections = tomllib.loads(path.read_text())["section"]
+    lines = ["# Settings", "", "Generated from schema/settings.toml; do not edit.", ""]
+    lines += ["`siskinshift check FILE` reads a file and names each fault.", ""]
+    for name, section in sections.items():
+        lines += [f"## [{name}]", "", section["doc"], ""]
+        lines += ["| Key | Type | Unit | Allowed | Default | Meaning |"]
+        lines += ["| --- | --- | --- | --- | --- | --- |"]
+        for key, option in section["options"].items():
+            default = option.get("default", "required")
+            cells = [f"`{key}`", option["type"], option.get("unit", "")]
+            cells += [_allowed_text(option), f"`{default}`" if default != "" else ""]
+            lines.append(f"| {' | '.join([*cells, option['doc']])} |")
+        lines.append("")
+    return "\n".join(lines)
+
+
+def _allowed_text(option: dict[str, Any]) -> str:
+    if "choices" in option:
+        return ", ".join(option["choices"])
+    if "minimum" in option:
+        return f"{option['minimum']} to {option['maximum']}"
+    return ""
+
+
 def _literal(value: object) -> str:
     if isinstance(value, list):
         return repr(tuple(value))
@@ -182,7 +207,9 @@
     texts[PACKAGE / "settings" / "generated.py"] = _settings_module(
         SCHEMA / "settings.toml"
     )
-    return {path: _formatted(text, path) for path, text in texts.items()}
+    formatted = {path: _formatted(text, path) for path, text in texts.items()}
+    formatted[ROOT / "docs" / "settings.md"] = _settings_page(SCHEMA / "settings.toml")
+    return formatted
 
 
 def main() -> int:
