--- /dev/null
+++ b/binary_tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests that run the built binary; `make binary` runs them."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/binary/__init__.py
@@ -0,0 +1,3 @@
+"""Builds the product as one binary."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/binary/launcher.c
@@ -0,0 +1,76 @@
+/* Starts the interpreter on the archive that is appended to this very file.
+ *
+ * Nothing is unpacked and no process is started: Python modules are read from the
+ * archive, extension modules are loaded from anonymous memory files.
+ */
+#define PY_SSIZE_T_CLEAN
+#include <Python.h>
+#include <dlfcn.h>
+
+#define SELF "/proc/self/exe"
+#define START "import siskinshift_bootstrap; siskinshift_bootstrap.start()"
+
+/* Libraries that extension modules need are matched by soname once loaded. */
+static PyObject *load_library(PyObject *module, PyObject *args)
+{
+    const char *path;
+    if (!PyArg_ParseTuple(args, "s", &path))
+        return NULL;
+    if (!dlopen(path, RTLD_NOW | RTLD_GLOBAL))
+        return PyErr_Format(PyExc_ImportError, "%s", dlerror());
+    Py_RETURN_NONE;
+}
+
+static PyMethodDef methods[] = {
+    {"load_library", load_library, METH_VARARGS, "Loads a shared library by path."},
+    {NULL, NULL, 0, NULL},
+};
+
+static struct PyModuleDef definition = {
+    PyModuleDef_HEAD_INIT, "_siskinshift_launcher", NULL, -1, methods,
+};
+
+static PyObject *make_module(void)
+{
+    return PyModule_Create(&definition);
+}
+
+static int configure(PyConfig *config, int argc, char **argv)
+{
+    PyStatus status;
+    PyConfig_InitIsolatedConfig(config);
+    config->parse_argv = 0;
+    config->write_bytecode = 0;
+    config->module_search_paths_set = 1;
+    config->buffered_stdio = 0;
+    status = PyConfig_SetBytesArgv(config, argc, argv);
+    if (PyStatus_Exception(status))
+        return -1;
+    status = PyConfig_SetBytesString(config, &config->executable, SELF);
+    if (PyStatus_Exception(status))
+        return -1;
+    status = PyWideStringList_Append(&config->module_search_paths, L"" SELF);
+    return PyStatus_Exception(status) ? -1 : 0;
+}
+
+int main(int argc, char **argv)
+{
+    PyConfig config;
+    PyStatus status;
+    PyPreConfig preconfig;
+    PyPreConfig_InitIsolatedConfig(&preconfig);
+    preconfig.utf8_mode = 1;
+    status = Py_PreInitialize(&preconfig);
+    if (PyStatus_Exception(status))
+        Py_ExitStatusException(status);
+    PyImport_AppendInittab("_siskinshift_launcher", make_module);
+    if (configure(&config, argc, argv) != 0)
+        return 1;
+    status = Py_InitializeFromConfig(&config);
+    PyConfig_Clear(&config);
+    if (PyStatus_Exception(status))
+        Py_ExitStatusException(status);
+    if (PyRun_SimpleString(START) != 0)
+        return 1;
+    return Py_FinalizeEx() < 0 ? 120 : 0;
+}
