--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -6,20 +6,31 @@
 from typing import TYPE_CHECKING
 
 from siskinshift.agent.datagram_flows import DatagramFlows
+from siskinshift.agent.note_sender import NOTES_PATH
+from siskinshift.agent.note_sender import NoteSender
+from siskinshift.agent.ramp import weight_after
+from siskinshift.agent.request_flows import RequestFlows
+from siskinshift.agent.request_runner import RequestRunner
+from siskinshift.agent.slot_gate import SlotGate
+from siskinshift.agent.upstream_connections import UpstreamConnections
 from siskinshift.control.server import ControlRoutes
 from siskinshift.control.server import ControlServer
 from siskinshift.core.clocks import monotonic_clock
 from siskinshift.core.clocks import unix_milliseconds
+from siskinshift.core.errors import ErrorKind
 from siskinshift.core.keyring import KeyRing
 from siskinshift.core.packets import Packet
 from siskinshift.flows.actions import DeliverToFlow
 from siskinshift.flows.actions import DropEnvelope
 from siskinshift.flows.actions import ForwardToAgent
+from siskinshift.flows.actions import SendNotes
 from siskinshift.flows.router import FlowRouter
 from siskinshift.membership.node import MembershipNode
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
+from siskinshift.messages.core import ServiceMode
+from siskinshift.messages.flows import FlowNotes
 from siskinshift.runtime.application import Application
 from siskinshift.runtime.counters import Counters
 from siskinshift.runtime.datagrams import DatagramSocket
@@ -33,8 +44,10 @@
     from siskinshift.settings.generated import Settings
 
 
-FULL_WEIGHT = 1000
 TICK_SECONDS = 0.05
+# Peers hear of the drain before callers do: a caller that comes back at once would
+# else be sent here again.
+GOAWAY_DELAY_SECONDS = 0.5
 
 
 class AgentApplication(Application):
@@ -56,6 +69,9 @@
         self._router = FlowRouter(
             member_id=node.node_id, incarnation=incarnation, settings=settings.flows
         )
+        self._weight = 0
+        self._ready_since: float | None = None
+        self._draining_since: float | None = None
         self._socket = DatagramSocket(node.data_endpoint)
         self._flows = DatagramFlows(
             upstream=settings.agent.upstream_endpoint,
@@ -64,7 +80,31 @@
             send_answer=self._send_answer,
             on_flow_end=self._on_flow_end,
         )
+        self._connections = UpstreamConnections(settings.agent.upstream_endpoint)
+        self._runner = RequestRunner(
+            gate=SlotGate(
+                slots=settings.agent.slots, queue_maximum=settings.agent.queue_maximum
+            ),
+            connections=self._connections,
+            held_maximum=settings.agent.connections,
+            spawn=self.spawn,
+            clock=monotonic_clock,
+            counters=self.counters,
+        )
+        self._request_flows = RequestFlows(
+            settings=settings.agent,
+            runner=self._runner,
+            spawn=self.spawn,
+            clock=monotonic_clock,
+            counters=self.counters,
+            send_answer=self._send_answer,
+            on_flow_end=self._on_flow_end,
+        )
+        self._notes = NoteSender(
+            application=self, key_ring=key_ring, counters=self.counters
+        )
         routes = ControlRoutes()
+        routes.handles(NOTES_PATH, FlowNotes)(self._on_notes)
         self._server = ControlServer(
             endpoint=node.control_endpoint,
             routes=routes,
@@ -76,13 +116,13 @@
             role=Role.AGENT,
             incarnation=incarnation,
             version=1,
-            state=MemberState.READY,
+            state=MemberState.JOINING,
             region=node.region,
             failure_domain=node.failure_domain,
             control=node.control_endpoint,
             data=self._socket.endpoint,
             upstream_class=settings.agent.upstream_class,
-            weight=FULL_WEIGHT,
+            weight=0,
             slots=settings.agent.slots,
         )
         self.membership = MembershipNode(
@@ -97,6 +137,7 @@
         """Opens the control server and starts to take flows."""
         self.owns(self._socket.close)
         self.owns(self._flows.close)
+        self.owns(self._connections.close)
         self.owns(self._server.server_close)
         self.owns(self._server.close_connections)
         self.owns(self._server.shutdown)
@@ -107,10 +148,62 @@
         self.spawn(self._flows.relay_until, self.stopping)
         self.every(TICK_SECONDS, self._tick)
 
+    def on_stop(self) -> None:
+        """Says good-bye to callers and ends exchanges with the upstream."""
+        self._request_flows.close()
+        self._runner.cancel_all()
+
     def drain(self) -> None:
         """Takes no new flows; owned flows go on."""
+        with self._lock:
+            if self._draining_since is not None:
+                return
+            self._draining_since = monotonic_clock()
         self.membership.change_own(state=MemberState.DRAINING, weight=0)
 
+    def leave(self, at_once: threading.Event) -> None:
+        """Drains and waits until nothing would be cut, or the time allowed is over.
+
+        Args:
+            at_once: Ends the wait when set.
+        """
+        self.drain()
+        until = monotonic_clock() + self.settings.agent.drain_timeout
+        while not self._is_idle() and monotonic_clock() < until:
+            if at_once.wait(TICK_SECONDS):
+                return
+
+    def _is_idle(self) -> bool:
+        held = len(self._flows) + len(self._request_flows) + len(self._runner)
+        return held == 0
+
+    def _step_life(self) -> None:
+        now = monotonic_clock()
+        if self._draining_since is not None:
+            if now >= self._draining_since + GOAWAY_DELAY_SECONDS:
+                self._request_flows.drain()
+            return
+        if self._ready_since is None:
+            if not self._knows_its_service():
+                return
+            self._ready_since = now
+        weight = weight_after(
+            now - self._ready_since, ramp_time=self.settings.agent.ramp_time
+        )
+        if weight != self._weight:
+            self._weight = weight
+            self.membership.change_own(state=MemberState.READY, weight=weight)
+
+    def _knows_its_service(self) -> bool:
+        # Guards against an agent that takes flows blind: without configuration and
+        # peers it would make new flows for packets whose owner is another agent.
+        view = self.membership.views.current
+        own_class = self.settings.agent.upstream_class
+        return any(
+            service.upstream_class == own_class
+            for service in view.services_by_id.values()
+        )
+
     def _on_view(self, view: View) -> None:
         with self._lock:
             actions = self._router.update(view, now=monotonic_clock())
@@ -130,24 +223,47 @@
         with self._lock:
             actions = self._router.tick(now=monotonic_clock())
         self._carry_out(actions)
+        self._runner.tick()
         self._flows.close_idle()
+        self._step_life()
 
     def _on_flow_end(self, digest: int) -> None:
         with self._lock:
-            self._router.flow_ended(digest, now=monotonic_clock())
+            actions = self._router.flow_ended(digest, now=monotonic_clock())
+        self._carry_out(actions)
+
+    def _on_notes(self, notes: FlowNotes) -> FlowNotes:
+        with self._lock:
+            actions = self._router.on_notes(notes, now=monotonic_clock())
+        self._carry_out(actions)
+        return FlowNotes(
+            service_id=notes.service_id, sender_id=self.settings.node.node_id, notes=()
+        )
 
     def _carry_out(self, actions: list[FlowAction]) -> None:
         for action in actions:
             if isinstance(action, DeliverToFlow):
                 self.counters.add("flows.opened", int(action.is_new))
-                self._flows.deliver(action.flow_hash, action.packet)
+                self._deliver(action)
             elif isinstance(action, ForwardToAgent):
                 self.counters.add("forwarded")
                 datagram = self._codec.pack_envelope(action.envelope)
                 self._socket.send(datagram, action.agent.data)
+            elif isinstance(action, SendNotes):
+                self._notes.send(action.agent, action.notes)
             elif isinstance(action, DropEnvelope):
                 self.counters.add(f"dropped.{action.error.value}")
 
+    def _deliver(self, action: DeliverToFlow) -> None:
+        view = self.membership.views.current
+        service = view.services_by_id.get(action.service_id)
+        if service is None:
+            self.counters.add(f"dropped.{ErrorKind.UNKNOWN_ADDRESS.value}")
+        elif service.mode is ServiceMode.REQUEST:
+            self._request_flows.deliver(action.flow_hash, service, action.packet)
+        else:
+            self._flows.deliver(action.flow_hash, action.packet)
+
     def _send_answer(self, packet: Packet) -> None:
         answer = Packet(
             caller=packet.service_address,
--- /dev/null
+++ b/src/siskinshift/agent/request_connection.py
@@ -0,0 +1,372 @@
+"""One caller's HTTP/3 connection: one task, fed with datagrams, written straight down.
+
+Source: RFC 9000 (QUIC) and RFC 9114 (HTTP/3), both through aioquic without its I/O.
+"""
+
+from __future__ import annotations
+
+import itertools
+import queue
+from typing import TYPE_CHECKING
+
+from aioquic.buffer import encode_uint_var
+from aioquic.h3.connection import ErrorCode
+from aioquic.h3.connection import FrameType
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.connection import encode_frame
+from aioquic.h3.events import DataReceived
+from aioquic.h3.events import H3Event
+from aioquic.h3.events import HeadersReceived
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import ConnectionIdIssued
+from aioquic.quic.events import ConnectionIdRetired
+from aioquic.quic.events import ConnectionTerminated
+from aioquic.quic.events import QuicEvent
+from aioquic.quic.events import StopSendingReceived
+from aioquic.quic.events import StreamReset
+from attrs import define
+from attrs import field
+
+from siskinshift.agent.answers import failure_fields
+from siskinshift.agent.calls import Call
+from siskinshift.agent.connection_commands import AbortAnswer
+from siskinshift.agent.connection_commands import CloseConnection
+from siskinshift.agent.connection_commands import Command
+from siskinshift.agent.connection_commands import ConnectionReply
+from siskinshift.agent.connection_commands import EndAnswer
+from siskinshift.agent.connection_commands import FailAnswer
+from siskinshift.agent.connection_commands import GoAway
+from siskinshift.agent.connection_commands import SendData
+from siskinshift.agent.connection_commands import StartAnswer
+from siskinshift.agent.connection_commands import TakeDatagram
+from siskinshift.agent.credentials import group_of
+from siskinshift.agent.request_heads import RequestHead
+from siskinshift.agent.request_heads import read_head
+from siskinshift.core.errors import ErrorKind
+from siskinshift.core.requests import Request
+from siskinshift.exceptions import SiskinshiftError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aioquic.quic.configuration import QuicConfiguration
+
+    from siskinshift.agent.request_runner import RequestRunner
+    from siskinshift.core.clocks import Clock
+    from siskinshift.messages.core import Endpoint
+    from siskinshift.messages.core import Service
+    from siskinshift.runtime.counters import Counters
+    from siskinshift.settings.generated import AgentSettings
+
+
+# RFC 9114, 5.2: a first GOAWAY with the largest id stops new requests without refusing
+# those on their way; the second one, a round trip later, names the last one taken.
+GOAWAY_FIRST_STREAM_ID = (1 << 62) - 4
+GOAWAY_NOTICE_SECONDS = 1.0
+# A caller that did not hear either still gets its own answer, "not run", until then.
+GOAWAY_GRACE_SECONDS = 2.0
+BATCH_MAXIMUM = 64
+
+request_numbers = itertools.count(1)
+
+
+@define(eq=False)
+class _Stream:
+    stream_id: int
+    head: RequestHead | None = None
+    body: bytearray = field(factory=bytearray)
+    request_id: int = 0
+    is_answered: bool = False
+
+
+class RequestConnection:
+    """Ends one HTTP/3 connection and hands its requests to the runner."""
+
+    def __init__(
+        self,
+        *,
+        configuration: QuicConfiguration,
+        original_connection_id: bytes,
+        caller: Endpoint,
+        service: Service,
+        settings: AgentSettings,
+        runner: RequestRunner,
+        clock: Clock,
+        counters: Counters,
+        send: Callable[[bytes], None],
+        on_connection_id: Callable[[bytes, bool], None],
+    ) -> None:
+        """Prepares the connection; `run` is its task.
+
+        Args:
+            configuration: TLS and limits of the server side.
+            original_connection_id: Connection id of the caller's first packet.
+            caller: The caller's endpoint.
+            service: The service that the flow belongs to.
+            settings: Settings of the agent.
+            runner: Takes requests.
+            clock: Clock of the process.
+            counters: Counters of the process.
+            send: Takes a datagram for the caller.
+            on_connection_id: Called with each own connection id and whether it is
+                issued (True) or retired (False).
+        """
+        self.service = service
+        self._quic = QuicConnection(
+            configuration=configuration,
+            original_destination_connection_id=original_connection_id,
+        )
+        self._http = H3Connection(self._quic)
+        self._caller = caller
+        self._peer_address = (caller.host, caller.port)
+        self._settings = settings
+        self._runner = runner
+        self._clock = clock
+        self._counters = counters
+        self._send = send
+        self._on_connection_id = on_connection_id
+        self._inbox: queue.SimpleQueue[Command] = queue.SimpleQueue()
+        self._streams_by_id: dict[int, _Stream] = {}
+        self._next_stream_id = 0
+        self._goaway_at: float | None = None
+        self._goaway_stream_id = GOAWAY_FIRST_STREAM_ID
+        self._is_closing = False
+        self._is_terminated = False
+
+    @property
+    def connection_id(self) -> bytes:
+        """The first connection id that this side chose."""
+        return bytes(self._quic.host_cid)
+
+    def post(self, command: Command) -> None:
+        """Hands a command to the connection's task; safe from any thread.
+
+        Args:
+            command: The command.
+        """
+        self._inbox.put(command)
+
+    def run(self) -> None:
+        """Serves the connection until it is terminated."""
+        try:
+            while not self._is_terminated:
+                self._step()
+        finally:
+            for stream in self._streams_by_id.values():
+                if stream.request_id:
+                    self._runner.abandon(stream.request_id)
+            self._streams_by_id.clear()
+
+    def _step(self) -> None:
+        timeout = self._seconds_to_timer()
+        try:
+            command = self._inbox.get(timeout=timeout)
+        except queue.Empty:
+            self._quic.handle_timer(self._clock())
+        else:
+            self._take(command)
+            for _ in range(BATCH_MAXIMUM):
+                if self._inbox.empty():
+                    break
+                self._take(self._inbox.get())
+        self._take_events()
+        self._go_further_away()
+        self._flush()
+
+    def _seconds_to_timer(self) -> float | None:
+        timer = self._quic.get_timer()
+        due = self._goaway_step_due()
+        if due is not None:
+            timer = due if timer is None else min(timer, due)
+        if timer is None:
+            return None
+        return max(timer - self._clock(), 0.001)
+
+    def _take(self, command: Command) -> None:
+        if isinstance(command, TakeDatagram):
+            self._quic.receive_datagram(
+                command.payload, self._peer_address, self._clock()
+            )
+            # At once: an answer must not go to a stream that this datagram cancels.
+            self._take_events()
+        elif isinstance(command, GoAway):
+            self._go_away()
+        elif isinstance(command, CloseConnection):
+            self._close()
+            self._flush()
+            self._is_terminated = True
+        else:
+            self._answer(command)
+
+    def _answer(
+        self, command: StartAnswer | SendData | EndAnswer | AbortAnswer | FailAnswer
+    ) -> None:
+        stream = self._streams_by_id.get(command.stream_id)
+        if stream is None or self._is_terminated:
+            # The caller cancelled, or has this answer: nobody waits for this one.
+            self._counters.add("answers.late")
+            return
+        if isinstance(command, StartAnswer):
+            fields = [(b":status", str(command.status).encode())]
+            fields += [(k.encode(), v.encode("latin-1")) for k, v in command.headers]
+            self._http.send_headers(stream.stream_id, fields)
+        elif isinstance(command, SendData):
+            self._http.send_data(stream.stream_id, command.chunk, end_stream=False)
+        elif isinstance(command, FailAnswer):
+            self._refuse(stream, command.error, command.retry_after)
+        else:
+            if isinstance(command, EndAnswer):
+                self._http.send_data(stream.stream_id, b"", end_stream=True)
+            else:
+                self._quic.reset_stream(stream.stream_id, ErrorCode.H3_INTERNAL_ERROR)
+            self._forget(stream)
+
+    def _refuse(
+        self, stream: _Stream, error: ErrorKind, retry_after: float | None
+    ) -> None:
+        fields = failure_fields(error, retry_after=retry_after)
+        self._counters.add(f"requests.failed.{error.value}")
+        self._http.send_headers(stream.stream_id, fields, end_stream=True)
+        self._forget(stream)
+
+    def _forget(self, stream: _Stream) -> None:
+        stream.is_answered = True
+        self._streams_by_id.pop(stream.stream_id, None)
+
+    def _take_events(self) -> None:
+        while (event := self._quic.next_event()) is not None:
+            self._take_event(event)
+
+    def _take_event(self, event: QuicEvent) -> None:
+        if isinstance(event, ConnectionTerminated):
+            self._is_terminated = True
+        elif isinstance(event, ConnectionIdIssued):
+            self._on_connection_id(event.connection_id, True)
+        elif isinstance(event, ConnectionIdRetired):
+            self._on_connection_id(event.connection_id, False)
+        elif isinstance(event, (StreamReset, StopSendingReceived)):
+            self._on_cancel(event.stream_id)
+        for http_event in self._http.handle_event(event):
+            self._take_http_event(http_event)
+
+    def _on_cancel(self, stream_id: int) -> None:
+        stream = self._streams_by_id.pop(stream_id, None)
+        if stream is None:
+            return
+        self._counters.add("requests.cancelled")
+        if stream.request_id:
+            self._runner.cancel(stream.request_id)
+        self._quic.reset_stream(stream_id, ErrorCode.H3_REQUEST_CANCELLED)
+
+    def _take_http_event(self, event: H3Event) -> None:
+        if isinstance(event, HeadersReceived):
+            stream = self._stream_of(event.stream_id)
+            if stream.head is None and not stream.is_answered:
+                self._take_head(stream, event)
+        elif isinstance(event, DataReceived):
+            stream = self._stream_of(event.stream_id)
+            if not stream.is_answered:
+                self._take_body(stream, event.data)
+        else:
+            return
+        if event.stream_ended and not stream.is_answered and not stream.request_id:
+            self._submit(stream)
+
+    def _stream_of(self, stream_id: int) -> _Stream:
+        if stream_id < self._next_stream_id:
+            # One that is not known any more was answered or cancelled.
+            known = self._streams_by_id.get(stream_id)
+            return known or _Stream(stream_id, is_answered=True)
+        self._next_stream_id = stream_id + 4
+        stream = self._streams_by_id[stream_id] = _Stream(stream_id)
+        return stream
+
+    def _take_head(self, stream: _Stream, event: HeadersReceived) -> None:
+        try:
+            stream.head = read_head(
+                event.headers, timeout=self._settings.request_timeout
+            )
+        except SiskinshiftError as error:
+            self._refuse(stream, error.kind, None)
+
+    def _take_body(self, stream: _Stream, data: bytes) -> None:
+        stream.body += data
+        if len(stream.body) > self._settings.body_maximum:
+            self._refuse(stream, ErrorKind.TOO_LARGE, None)
+
+    def _submit(self, stream: _Stream) -> None:
+        head = stream.head
+        if head is None:
+            self._refuse(stream, ErrorKind.INVALID_ARGUMENT, None)
+            return
+        if stream.stream_id >= self._goaway_stream_id:
+            self._refuse(stream, ErrorKind.DRAINING, 0.0)
+            return
+        try:
+            group_id = group_of(self.service, head.authorization)
+        except SiskinshiftError as error:
+            self._refuse(stream, error.kind, None)
+            return
+        now = self._clock()
+        stream.request_id = next(request_numbers)
+        request = Request(
+            request_id=stream.request_id,
+            service_id=self.service.service_id,
+            group_id=group_id,
+            caller=self._caller.host,
+            key=head.key,
+            repeatable=head.is_repeatable,
+            arrived_at=now,
+            deadline=now + head.timeout,
+        )
+        call = Call(
+            request=request,
+            method=head.method,
+            path=head.path,
+            headers=head.headers,
+            body=bytes(stream.body),
+            reply=ConnectionReply(stream.stream_id, self.post),
+        )
+        stream.body.clear()
+        self._runner.submit(call)
+
+    def _go_away(self) -> None:
+        if self._goaway_at is not None or self._is_terminated:
+            return
+        self._goaway_at = self._clock()
+        self._send_goaway()
+
+    def _send_goaway(self) -> None:
+        # aioquic has no call for GOAWAY: it is one frame on the control stream.
+        frame = encode_frame(FrameType.GOAWAY, encode_uint_var(self._goaway_stream_id))
+        control_stream_id = self._http._local_control_stream_id
+        if control_stream_id is not None:
+            self._quic.send_stream_data(control_stream_id, frame)
+
+    def _goaway_step_due(self) -> float | None:
+        if self._goaway_at is None:
+            return None
+        if self._goaway_stream_id == GOAWAY_FIRST_STREAM_ID:
+            return self._goaway_at + GOAWAY_NOTICE_SECONDS
+        if self._streams_by_id or self._is_closing:
+            return None
+        return self._goaway_at + GOAWAY_GRACE_SECONDS
+
+    def _go_further_away(self) -> None:
+        due = self._goaway_step_due()
+        if due is None or self._clock() < due:
+            return
+        if self._goaway_stream_id == GOAWAY_FIRST_STREAM_ID:
+            self._goaway_stream_id = self._next_stream_id
+            self._send_goaway()
+        else:
+            self._close()
+
+    def _close(self) -> None:
+        self._is_closing = True
+        self._quic.close(error_code=ErrorCode.H3_NO_ERROR)
+
+    def _flush(self) -> None:
+        for datagram, _ in self._quic.datagrams_to_send(self._clock()):
+            self._send(datagram)
--- a/src/siskinshift/core/errors.py
+++ b/src/siskinshift/core/errors.py
@@ -46,6 +46,7 @@
     NO_MEMBER = "no_member"
     HELD_TOO_LONG = "held_too_long"
     FLOW_LIMIT = "flow_limit"
+    UNKNOWN_CONNECTION = "unknown_connection"
     # Processes among themselves.
     PEER_UNREACHABLE = "peer_unreachable"
     BAD_MESSAGE = "bad_message"
@@ -105,6 +106,7 @@
     ErrorKind.NO_MEMBER: Answer(_NOT_RUN, 503, "UNAVAILABLE", 8, True),
     ErrorKind.HELD_TOO_LONG: Answer(_NOT_RUN, 503, "UNAVAILABLE", 8, True),
     ErrorKind.FLOW_LIMIT: Answer(_NOT_RUN, 503, "RESOURCE_EXHAUSTED", 8, True),
+    ErrorKind.UNKNOWN_CONNECTION: Answer(_NOT_RUN, 503, "UNAVAILABLE", 8, True),
     ErrorKind.PEER_UNREACHABLE: Answer(_NOT_RUN, 503, "UNAVAILABLE", 8, True),
     ErrorKind.BAD_MESSAGE: Answer(_NOT_RUN, 400, "INVALID_ARGUMENT", 2, False),
     ErrorKind.INTERNAL: Answer(_UNKNOWN, 500, "INTERNAL", 1, False),
--- a/src/siskinshift/demo/deployment.py
+++ b/src/siskinshift/demo/deployment.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import socket
+import tempfile
+from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 from attrs import frozen
 
@@ -11,6 +14,7 @@
 from siskinshift.balancer.application import BalancerApplication
 from siskinshift.configuration.store import ConfigurationStore
 from siskinshift.core.endpoints import format_endpoint
+from siskinshift.demo.certificates import write_certificate
 from siskinshift.kv.etcd import EtcdStore
 from siskinshift.messages.core import Endpoint
 from siskinshift.messages.core import Group
@@ -18,6 +22,7 @@
 from siskinshift.messages.core import ServiceMode
 from siskinshift.settings.loader import SettingsLoader
 from siskinshift.standins.fabric import FabricStandIn
+from siskinshift.standins.http_upstream import HttpUpstreamStandIn
 from siskinshift.standins.kv import KvStandIn
 from siskinshift.standins.upstream import DatagramUpstreamStandIn
 
@@ -28,6 +33,9 @@
 
 LOOPBACK = "127.0.0.1"
 FABRIC_SEED = 7
+RAMP_SECONDS = 1.0
+
+UpstreamStandIn: TypeAlias = DatagramUpstreamStandIn | HttpUpstreamStandIn
 
 
 @frozen
@@ -38,11 +46,13 @@
         service_id: Name of the service; the upstream class as well.
         upstreams: Number of upstreams.
         slots: Slots of each upstream.
+        mode: How callers speak to it.
     """
 
     service_id: str
     upstreams: int
     slots: int
+    mode: ServiceMode = ServiceMode.REQUEST
 
 
 def free_endpoint(kind: socket.SocketKind = socket.SOCK_STREAM) -> Endpoint:
@@ -96,7 +106,9 @@
         )
         self.balancers_by_id: dict[str, BalancerApplication] = {}
         self.agents_by_id: dict[str, AgentApplication] = {}
-        self.upstreams_by_id: dict[str, DatagramUpstreamStandIn] = {}
+        self.upstreams_by_id: dict[str, UpstreamStandIn] = {}
+        self._directory = tempfile.TemporaryDirectory(prefix="siskinshift-")
+        self._certificate, self._key = write_certificate(Path(self._directory.name))
 
     def start(self) -> None:
         """Starts stand-ins, writes the configuration, starts all processes."""
@@ -146,13 +158,16 @@
             The running agent.
         """
         node_id = f"{plan.service_id}-{index}"
-        upstream = DatagramUpstreamStandIn(name=node_id, endpoint=Endpoint(LOOPBACK, 0))
+        upstream = _upstream(plan, node_id)
         upstream.start()
         agent_lines = [
             "[agent]",
             f"upstream_class = {plan.service_id}",
             f"upstream_endpoint = {format_endpoint(upstream.endpoint)}",
             f"slots = {plan.slots}",
+            f"certificate_file = {self._certificate}",
+            f"private_key_file = {self._key}",
+            f"ramp_time = {RAMP_SECONDS}",
             f"fabric_return = {format_endpoint(self.fabric.return_endpoint)}",
         ]
         agent = AgentApplication(self._settings(node_id, extra=agent_lines))
@@ -172,6 +187,7 @@
             upstream.stop()
         self.fabric.stop()
         self.kv.stop()
+        self._directory.cleanup()
 
     def _settings(
         self,
@@ -199,11 +215,18 @@
         return SettingsLoader(source=node_id).load("\n".join(lines))
 
 
+def _upstream(plan: ServicePlan, name: str) -> UpstreamStandIn:
+    endpoint = Endpoint(LOOPBACK, 0)
+    if plan.mode is ServiceMode.DATAGRAM:
+        return DatagramUpstreamStandIn(name=name, endpoint=endpoint)
+    return HttpUpstreamStandIn(name=name, endpoint=endpoint, slots=plan.slots)
+
+
 def _service(plan: ServicePlan) -> Service:
     return Service(
         service_id=plan.service_id,
         addresses=(free_endpoint(socket.SOCK_DGRAM),),
-        mode=ServiceMode.DATAGRAM,
+        mode=plan.mode,
         upstream_class=plan.service_id,
         groups=(Group(group_id="default", share=1),),
     )
--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -9,13 +9,23 @@
 from attrs import asdict
 from attrs import frozen
 
+from siskinshift.agent.ramp import FULL_WEIGHT
 from siskinshift.demo.callers import DatagramCaller
 from siskinshift.demo.deployment import Deployment
 from siskinshift.demo.deployment import ServicePlan
-
-
-GRANTOWO = (ServicePlan("editor", 7, 1), ServicePlan("dossiers", 3, 1))
-SUBLOCAR = (ServicePlan("marketplace", 7, 3), ServicePlan("plans", 4, 3))
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import Role
+from siskinshift.messages.core import ServiceMode
+
+
+GRANTOWO = (
+    ServicePlan("editor", 7, 1, ServiceMode.DATAGRAM),
+    ServicePlan("dossiers", 3, 1, ServiceMode.DATAGRAM),
+)
+SUBLOCAR = (
+    ServicePlan("marketplace", 7, 3, ServiceMode.DATAGRAM),
+    ServicePlan("plans", 4, 3, ServiceMode.DATAGRAM),
+)
 BALANCERS = 3
 CALLERS_PER_SERVICE = 20
 EXCHANGES = 20
@@ -110,7 +120,7 @@
         views = [membership.views.current for membership in memberships]
         if all(
             len(view.services_by_id) == services
-            and sum(len(a) for a in view.agents_by_class.values()) == agents
+            and sum(_is_full(m) for m in view.members_by_id.values()) == agents
             for view in views
         ):
             return
@@ -118,6 +128,10 @@
     raise TimeoutError("the deployment did not become ready")
 
 
+def _is_full(member: Member) -> bool:
+    return member.role is Role.AGENT and member.weight == FULL_WEIGHT
+
+
 def _exchange_all(callers_by_service: dict[str, list[DatagramCaller]]) -> None:
     callers = [caller for group in callers_by_service.values() for caller in group]
 
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -83,6 +83,14 @@
         fabric_return: Endpoint of the fabric that takes answers (UDP).
         flow_idle_timeout: Silence after which a datagram flow is closed. In seconds.
         drain_timeout: Time flows are given to end when the agent drains. In seconds.
+        ramp_time: Time in which a new agent reaches its full weight. In seconds.
+        certificate_file: Certificate chain in PEM for callers of mode request; empty when none is served.
+        private_key_file: Private key in PEM that belongs to the certificate.
+        caller_idle_timeout: Silence after which a caller's HTTP/3 connection is closed. In seconds.
+        request_timeout: Deadline of a request that names none, and the longest one may ask for. In seconds.
+        body_maximum: Largest request body taken. In bytes.
+        queue_maximum: Requests that may wait for a slot.
+        connections: Requests and streams the upstream holds at once.
     """
 
     upstream_class: str
@@ -91,6 +99,14 @@
     fabric_return: Endpoint
     flow_idle_timeout: float
     drain_timeout: float
+    ramp_time: float
+    certificate_file: str
+    private_key_file: str
+    caller_idle_timeout: float
+    request_timeout: float
+    body_maximum: int
+    queue_maximum: int
+    connections: int
 
 
 @frozen
@@ -293,6 +309,70 @@
                 default=14400.0,
                 doc="Time flows are given to end when the agent drains.",
             ),
+            Option(
+                name="ramp_time",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=3600.0,
+                default=10.0,
+                doc="Time in which a new agent reaches its full weight.",
+            ),
+            Option(
+                name="certificate_file",
+                type="str",
+                default="",
+                doc="Certificate chain in PEM for callers of mode request; empty when none is served.",
+            ),
+            Option(
+                name="private_key_file",
+                type="str",
+                default="",
+                doc="Private key in PEM that belongs to the certificate.",
+            ),
+            Option(
+                name="caller_idle_timeout",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=3600.0,
+                default=60.0,
+                doc="Silence after which a caller's HTTP/3 connection is closed.",
+            ),
+            Option(
+                name="request_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=3600.0,
+                default=30.0,
+                doc="Deadline of a request that names none, and the longest one may ask for.",
+            ),
+            Option(
+                name="body_maximum",
+                type="int",
+                unit="bytes",
+                minimum=1,
+                maximum=1073741824,
+                default=4194304,
+                doc="Largest request body taken.",
+            ),
+            Option(
+                name="queue_maximum",
+                type="int",
+                minimum=0,
+                maximum=100000,
+                default=64,
+                doc="Requests that may wait for a slot.",
+            ),
+            Option(
+                name="connections",
+                type="int",
+                minimum=1,
+                maximum=100000,
+                default=2000,
+                doc="Requests and streams the upstream holds at once.",
+            ),
         ),
     ),
     Section(
--- /dev/null
+++ b/tests/agent/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the package siskinshift.agent."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/runtime/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the package siskinshift.runtime."""
+
+from __future__ import annotations
