--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -34,6 +34,7 @@
 from siskinshift.runtime.application import Application
 from siskinshift.runtime.counters import Counters
 from siskinshift.runtime.datagrams import DatagramSocket
+from siskinshift.runtime.drops import DropRecorder
 from siskinshift.wire.codec import EnvelopeCodec
 from siskinshift.wire.exceptions import WireError
 
@@ -69,6 +70,7 @@
         self._router = FlowRouter(
             member_id=node.node_id, incarnation=incarnation, settings=settings.flows
         )
+        self._drops = DropRecorder(part="agent", counters=self.counters)
         self._weight = 0
         self._ready_since: float | None = None
         self._draining_since: float | None = None
@@ -172,6 +174,9 @@
         while not self._is_idle() and monotonic_clock() < until:
             if at_once.wait(TICK_SECONDS):
                 return
+        # Peers need not wait for the silence of a process that went as planned.
+        self.membership.change_own(state=MemberState.GONE, weight=0)
+        at_once.wait(2 * self.settings.membership.heartbeat_interval)
 
     def _is_idle(self) -> bool:
         held = len(self._flows) + len(self._request_flows) + len(self._runner)
@@ -193,6 +198,18 @@
         if weight != self._weight:
             self._weight = weight
             self.membership.change_own(state=MemberState.READY, weight=weight)
+        if self._is_drained_by_operators():
+            self._request_flows.drain()
+        else:
+            self._request_flows.resume()
+
+    def _is_drained_by_operators(self) -> bool:
+        settings = self.settings
+        return any(
+            settings.node.node_id in service.drained
+            for service in self.membership.views.current.services_by_id.values()
+            if service.upstream_class == settings.agent.upstream_class
+        )
 
     def _knows_its_service(self) -> bool:
         # Guards against an agent that takes flows blind: without configuration and
@@ -209,11 +226,14 @@
             actions = self._router.update(view, now=monotonic_clock())
         self._carry_out(actions)
 
-    def _on_datagram(self, datagram: bytes, _source: tuple[str, int]) -> None:
+    def _on_datagram(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
             envelope = self._codec.unpack_envelope(datagram)
         except WireError as error:
-            self.counters.add(f"dropped.{error.code}")
+            self._drops.dropped(error.kind, host=source[0], port=source[1])
+            return
+        if envelope.hop_count > self.settings.flows.max_hops:
+            self._drops.dropped(ErrorKind.HOP_LIMIT, host=source[0], port=source[1])
             return
         with self._lock:
             actions = self._router.on_envelope(envelope, now=monotonic_clock())
@@ -252,13 +272,13 @@
             elif isinstance(action, SendNotes):
                 self._notes.send(action.agent, action.notes)
             elif isinstance(action, DropEnvelope):
-                self.counters.add(f"dropped.{action.error.value}")
+                self._drops.dropped(action.error)
 
     def _deliver(self, action: DeliverToFlow) -> None:
         view = self.membership.views.current
         service = view.services_by_id.get(action.service_id)
         if service is None:
-            self.counters.add(f"dropped.{ErrorKind.UNKNOWN_ADDRESS.value}")
+            self._drops.dropped(ErrorKind.UNKNOWN_ADDRESS)
         elif service.mode is ServiceMode.REQUEST:
             self._request_flows.deliver(action.flow_hash, service, action.packet)
         else:
--- a/src/siskinshift/balancer/application.py
+++ b/src/siskinshift/balancer/application.py
@@ -22,15 +22,23 @@
 from siskinshift.runtime.application import Application
 from siskinshift.runtime.counters import Counters
 from siskinshift.runtime.datagrams import DatagramSocket
+from siskinshift.runtime.drops import DropRecorder
 from siskinshift.wire.codec import EnvelopeCodec
 from siskinshift.wire.exceptions import WireError
 
 
 if TYPE_CHECKING:
+    import threading
+
     from siskinshift.core.views import View
     from siskinshift.settings.generated import Settings
 
 
+# A fabric that still knows this balancer sends within a second under any load.
+QUIET_SECONDS = 1.0
+LEAVE_SECONDS_MAXIMUM = 30.0
+
+
 class BalancerApplication(Application):
     """One entry instance.
 
@@ -47,6 +55,8 @@
         self._codec = EnvelopeCodec(key_ring)
         self._chooser = AgentChooser()
         self._view_version = 0
+        self._received_at = monotonic_clock()
+        self._drops = DropRecorder(part="balancer", counters=self.counters)
         self._store = ConfigurationStore(EtcdStore(settings.kv))
         self._socket = DatagramSocket(node.data_endpoint)
         routes = ControlRoutes()
@@ -87,6 +97,20 @@
         self.every(self.settings.kv.poll_interval, self._read_configuration)
         self.spawn(self._socket.receive_until, self.stopping, self._on_datagram)
 
+    def leave(self, at_once: threading.Event) -> None:
+        """Goes on forwarding until the fabric has stopped to send.
+
+        No flow depends on a balancer; only datagrams on their way here would be cut.
+
+        Args:
+            at_once: Ends the wait when set.
+        """
+        self.membership.change_own(state=MemberState.DRAINING, weight=0)
+        until = monotonic_clock() + LEAVE_SECONDS_MAXIMUM
+        while monotonic_clock() < min(until, self._received_at + QUIET_SECONDS):
+            if at_once.wait(QUIET_SECONDS / 10):
+                return
+
     def _on_view(self, view: View) -> None:
         self._chooser.update(view)
         self._view_version = view.version
@@ -103,15 +127,16 @@
             self.membership.services.merge(service)
         self.membership.services_changed()
 
-    def _on_datagram(self, datagram: bytes, _source: tuple[str, int]) -> None:
+    def _on_datagram(self, datagram: bytes, source: tuple[str, int]) -> None:
+        self._received_at = monotonic_clock()
         try:
             packet = self._codec.unpack(datagram)
         except WireError as error:
-            self.counters.add(f"dropped.{error.code}")
+            self._drops.dropped(error.kind, host=source[0], port=source[1])
             return
         choice = self._chooser.choose(packet)
         if isinstance(choice, DropPacket):
-            self.counters.add(f"dropped.{choice.error.value}")
+            self._drops.dropped(choice.error, caller=packet.caller.host)
             return
         envelope = Envelope(packet=packet, view_version=self._view_version)
         self._socket.send(self._codec.pack_envelope(envelope), choice.agent.data)
--- a/src/siskinshift/console/processes.py
+++ b/src/siskinshift/console/processes.py
@@ -5,6 +5,7 @@
 import signal
 import threading
 from typing import Protocol
+from typing import runtime_checkable
 
 
 class Startable(Protocol):
@@ -17,15 +18,32 @@
         """Stops."""
 
 
+@runtime_checkable
+class Leaving(Protocol):
+    """Something that can leave without cutting what is in progress."""
+
+    def leave(self, at_once: threading.Event) -> None:
+        """Leaves; returns early when the event is set."""
+
+
 def run_until_signal(application: Startable) -> None:
-    """Starts the application and stops it on SIGTERM or SIGINT.
+    """Runs the application; the first signal lets it leave, the second ends it.
 
     Args:
         application: What to run.
     """
-    ending = threading.Event()
+    leaving = threading.Event()
+    at_once = threading.Event()
+
+    def on_signal(*_: object) -> None:
+        if leaving.is_set():
+            at_once.set()
+        leaving.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ending.set())
+        signal.signal(number, on_signal)
     application.start()
-    ending.wait()
+    leaving.wait()
+    if isinstance(application, Leaving):
+        application.leave(at_once)
     application.stop()
--- a/src/siskinshift/runtime/application.py
+++ b/src/siskinshift/runtime/application.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from siskinshift.observability.logs import PartLog
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,6 +33,7 @@
         self.settings = settings
         self.stopping = threading.Event()
         self._clean_ups = ExitStack()
+        self._log = PartLog("runtime")
         self.executor = ThreadPoolExecutor(
             max_workers=THREADS_MAXIMUM, thread_name_prefix=settings.node.node_id
         )
@@ -50,6 +53,13 @@
         self._clean_ups.close()
         self.executor.shutdown(wait=True)
 
+    def leave(self, at_once: threading.Event) -> None:
+        """Hook: leaves in the planned way; returns when nothing would be cut.
+
+        Args:
+            at_once: Ends the wait when set; `stop` follows either way.
+        """
+
     def owns(self, clean_up: Callable[[], object]) -> None:
         """Registers a clean-up; the last one registered runs first.
 
@@ -68,7 +78,9 @@
         Returns:
             The future of the task.
         """
-        return self.executor.submit(task, *args)
+        future = self.executor.submit(task, *args)
+        future.add_done_callback(self._report)
+        return future
 
     def every(self, interval: float, step: Callable[[], object]) -> None:
         """Runs a step again and again until the application stops.
@@ -80,10 +92,19 @@
 
         def loop() -> None:
             while not self.stopping.wait(interval):
-                step()
+                try:
+                    step()
+                except Exception as error:
+                    # Guards against a fault in one step that ends all later ones: a
+                    # process without its ticks looks alive and does nothing.
+                    self._log.repeated("step", "A step failed.", error=repr(error))
 
         self.spawn(loop)
 
+    def _report(self, future: Future[Any]) -> None:
+        if not future.cancelled() and (error := future.exception()) is not None:
+            self._log.repeated("task", "A task failed.", error=repr(error))
+
     def on_start(self) -> None:
         """Hook: opens sockets and starts tasks."""
 
--- a/src/siskinshift/runtime/datagrams.py
+++ b/src/siskinshift/runtime/datagrams.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from siskinshift.messages.core import Endpoint
+from siskinshift.observability.logs import PartLog
 
 
 if TYPE_CHECKING:
@@ -17,9 +18,15 @@
 RECEIVE_BUFFER_BYTES = 4 << 20
 POLL_SECONDS = 0.2
 
+_log = PartLog("datagrams")
+
 
 class DatagramSocket:
-    """Receives until told to stop; sending is safe from any thread."""
+    """Receives until told to stop; sending is safe from any thread.
+
+    Attributes:
+        failures: Datagrams whose handler raised an error.
+    """
 
     def __init__(self, endpoint: Endpoint) -> None:
         """Binds the socket.
@@ -27,6 +34,7 @@
         Args:
             endpoint: Where to bind; port 0 takes a free one.
         """
+        self.failures = 0
         family = socket.AF_INET6 if ":" in endpoint.host else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
         self._socket.setsockopt(
@@ -62,7 +70,13 @@
                 if self._socket.fileno() < 0:
                     return
                 continue
-            handle(datagram, source[:2])
+            try:
+                handle(datagram, source[:2])
+            except Exception as error:
+                # Guards against one bad datagram that ends the loop: the process
+                # would look alive while all its flows are silent.
+                self.failures += 1
+                _log.repeated("handler", "A handler failed.", error=repr(error))
 
     def send(self, datagram: bytes, endpoint: Endpoint) -> None:
         """Sends a datagram; one that can't be sent counts as lost on the way.
