--- a/src/siskinshift/console/processes.py
+++ b/src/siskinshift/console/processes.py
@@ -4,10 +4,16 @@
 
 import signal
 import threading
+from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol
 from typing import runtime_checkable
 
 
+ENDING_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+# How soon the end of leaving is seen; nobody waits for less.
+POLL_SECONDS = 0.1
+
+
 class Startable(Protocol):
     """Something with a life cycle."""
 
@@ -29,21 +35,27 @@
 def run_until_signal(application: Startable) -> None:
     """Runs the application; the first signal lets it leave, the second ends it.
 
+    The signals are blocked and waited for. A handler that sets an event would hang
+    the process for ever when the signal comes while the main thread, on its way
+    into the wait, holds the event's lock: the handler runs on that same thread.
+
     Args:
         application: What to run.
     """
-    leaving = threading.Event()
-    at_once = threading.Event()
-
-    def on_signal(*_: object) -> None:
-        if leaving.is_set():
-            at_once.set()
-        leaving.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, on_signal)
+    # Threads inherit the mask, so it is set before any of them starts.
+    signal.pthread_sigmask(signal.SIG_BLOCK, ENDING_SIGNALS)
     application.start()
-    leaving.wait()
+    signal.sigwait(ENDING_SIGNALS)
     if isinstance(application, Leaving):
-        application.leave(at_once)
+        _leave(application)
     application.stop()
+
+
+def _leave(application: Leaving) -> None:
+    at_once = threading.Event()
+    with ThreadPoolExecutor(1, "leave") as executor:
+        left = executor.submit(application.leave, at_once)
+        while not left.done():
+            if signal.sigtimedwait(ENDING_SIGNALS, POLL_SECONDS) is not None:
+                at_once.set()
+    left.result()
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -15,6 +15,7 @@
 import tomllib
 import zipfile
 from pathlib import Path
+from pathlib import PurePosixPath
 
 from attrs import Factory
 from attrs import define
@@ -28,18 +29,24 @@
 # A fixed time keeps the binary the same for the same input.
 ENTRY_TIME = (2020, 1, 1, 0, 0, 0)
 # Part of every system that runs linked programs; the rest travels with the binary.
-SYSTEM_LIBRARIES = ("linux-vdso", "libc.", "libm.", "libdl.", "libpthread.", "ld-linux")
-SYSTEM_LIBRARIES += ("libutil.", "librt.", "libpython")
+SYSTEM_LIBRARIES: tuple[str, ...] = (
+    *("linux-vdso", "ld-linux", "libc.", "libm.", "libdl.", "libpthread."),
+    *("libutil.", "librt.", "libpython"),
+)
 LEFT_OUT_FOLDERS = frozenset(
     {"test", "tests", "idlelib", "tkinter", "ensurepip", "lib2to3", "turtledemo"}
     | {"site-packages", "lib-dynload", "__pycache__", "distutils", "pydoc_data"}
 )
 # Extensions of the standard library that the product has no use for.
-LEFT_OUT_EXTENSIONS = ("_test", "_xx", "xx", "_tkinter", "_curses", "_dbm", "_gdbm")
-LEFT_OUT_EXTENSIONS += ("readline", "_sqlite3", "nis", "ossaudiodev", "_crypt")
+LEFT_OUT_EXTENSIONS: tuple[str, ...] = (
+    *("_test", "_xx", "xx", "_tkinter", "_curses", "_dbm", "_gdbm"),
+    *("readline", "_sqlite3", "nis", "ossaudiodev", "_crypt"),
+)
 # The interpreter reads these before it can decompress.
-STORED_PREFIXES = ("encodings/", "zlib", "__future__", "siskinshift_bootstrap")
-STORED_PREFIXES += ("siskinshift_libraries/libz", INDEX_ENTRY)
+STORED_PREFIXES: tuple[str, ...] = (
+    *("encodings/", "zlib", "__future__", "siskinshift_bootstrap"),
+    *("siskinshift_libraries/libz", INDEX_ENTRY),
+)
 
 
 @define
@@ -108,11 +115,22 @@
         }
         self.data_by_entry[INDEX_ENTRY] = marshal.dumps(index)
         with zipfile.ZipFile(path, "w") as archive:
+            # Without entries of their own, folders are no namespace packages.
+            for folder in sorted(self._folders()):
+                archive.writestr(zipfile.ZipInfo(f"{folder}/", ENTRY_TIME), b"")
             for entry, data in sorted(self.data_by_entry.items()):
                 info = zipfile.ZipInfo(entry, ENTRY_TIME)
                 info.compress_type = _compression(entry)
                 archive.writestr(info, data, compresslevel=6)
 
+    def _folders(self) -> set[str]:
+        return {
+            parent.as_posix()
+            for entry in self.data_by_entry
+            for parent in PurePosixPath(entry).parents
+            if parent.name
+        }
+
 
 def _compression(entry: str) -> int:
     is_early = entry.startswith(STORED_PREFIXES)
