--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -15,6 +15,8 @@
 from siskinshift.flows.actions import DeliverToFlow
 from siskinshift.flows.actions import DropEnvelope
 from siskinshift.flows.actions import ForwardToAgent
+from siskinshift.flows.actions import SendNotes
+from siskinshift.flows.courier import NotesCourier
 from siskinshift.flows.router import FlowRouter
 from siskinshift.membership.node import MembershipNode
 from siskinshift.messages.core import Member
@@ -30,6 +32,7 @@
 if TYPE_CHECKING:
     from siskinshift.core.views import View
     from siskinshift.flows.actions import FlowAction
+    from siskinshift.messages.flows import FlowNotes
     from siskinshift.settings.generated import Settings
 
 
@@ -65,6 +68,13 @@
             on_flow_end=self._on_flow_end,
         )
         routes = ControlRoutes()
+        self._courier = NotesCourier(
+            application=self,
+            routes=routes,
+            key_ring=key_ring,
+            clock=monotonic_clock,
+            on_notes=self._on_notes,
+        )
         self._server = ControlServer(
             endpoint=node.control_endpoint,
             routes=routes,
@@ -132,9 +142,15 @@
         self._carry_out(actions)
         self._flows.close_idle()
 
+    def _on_notes(self, notes: FlowNotes) -> None:
+        with self._lock:
+            actions = self._router.on_notes(notes, now=monotonic_clock())
+        self._carry_out(actions)
+
     def _on_flow_end(self, digest: int) -> None:
         with self._lock:
-            self._router.flow_ended(digest, now=monotonic_clock())
+            actions = self._router.flow_ended(digest, now=monotonic_clock())
+        self._carry_out(actions)
 
     def _carry_out(self, actions: list[FlowAction]) -> None:
         for action in actions:
@@ -145,6 +161,8 @@
                 self.counters.add("forwarded")
                 datagram = self._codec.pack_envelope(action.envelope)
                 self._socket.send(datagram, action.agent.data)
+            elif isinstance(action, SendNotes):
+                self._courier.send(action)
             elif isinstance(action, DropEnvelope):
                 self.counters.add(f"dropped.{action.error.value}")
 
--- a/src/siskinshift/core/packets.py
+++ b/src/siskinshift/core/packets.py
@@ -30,8 +30,11 @@
         packet: The caller's datagram.
         hop_count: Times it was passed on between agents; 0 from a balancer.
         view_version: The sender's view, for diagnosis.
-        asker_id: Agent that is looking for the flow's owner; empty if none is.
-        exhausted: Whether all previous primaries said that they don't own the flow.
+        asker_id: Agent that is looking for the flow's owner; empty if none is. In an
+            answer to the asker, the agent that answers.
+        exhausted: Answer: nobody owns the flow, and the asker may create it.
+        disclaimed: Answer: the agent that was asked does not own the flow and can't
+            say who does.
     """
 
     packet: Packet
@@ -39,3 +42,4 @@
     view_version: int = 0
     asker_id: str = ""
     exhausted: bool = False
+    disclaimed: bool = False
--- /dev/null
+++ b/src/siskinshift/flows/claims.py
@@ -0,0 +1,87 @@
+"""What an agent knows of one bucket that it is, or was, primary of."""
+
+from __future__ import annotations
+
+from attrs import Factory
+from attrs import define
+
+
+@define(eq=False)
+class Claim:
+    """An agent's claim to be the one that creates flows in a bucket.
+
+    A settled claim is the right to create flows. At most one agent holds it: a
+    claim settles once each peer has confirmed it, and a peer that confirms gives
+    up its own claim in the same step.
+
+    Attributes:
+        version: Version of the agent's view when the claim began.
+        started_at: Clock reading when the claim began, seconds.
+        previous_id: Agent that was primary before; empty when unknown.
+        pending: Peers that have not confirmed yet.
+        settled: Whether the agent may create flows.
+        left_at: When the agent's own view named another primary, or None.
+        owners_by_flow: Notes: member ids of owners by flow hash.
+        versions_by_flow: For notes about flows that this agent, or a peer that
+            said so, let the owner create: version of the owner's view when it asked.
+    """
+
+    version: int
+    started_at: float
+    previous_id: str
+    pending: set[str]
+    settled: bool = False
+    left_at: float | None = None
+    owners_by_flow: dict[int, str] = Factory(dict)
+    versions_by_flow: dict[int, int] = Factory(dict)
+
+    def note(self, digest: int, owner_id: str, version: int | None = None) -> None:
+        """Records the owner of a flow.
+
+        Args:
+            digest: Hash of the flow.
+            owner_id: Its owner.
+            version: Version of the owner's view when it asked for the flow; None
+                when the owner itself said that it owns the flow.
+        """
+        self.owners_by_flow[digest] = owner_id
+        if version is None:
+            self.versions_by_flow.pop(digest, None)
+        else:
+            self.versions_by_flow[digest] = version
+
+    def forget(self, digest: int) -> None:
+        """Drops a note.
+
+        Args:
+            digest: Hash of the flow.
+        """
+        self.owners_by_flow.pop(digest, None)
+        self.versions_by_flow.pop(digest, None)
+
+    def replace_list(self, owner_id: str, flows: set[int], version: int) -> None:
+        """Takes an owner's complete list of its flows in the bucket.
+
+        Args:
+            owner_id: The owner.
+            flows: Hashes of all its flows in the bucket.
+            version: Version of the owner's view when it made the list.
+        """
+        for digest, known_id in tuple(self.owners_by_flow.items()):
+            if known_id != owner_id or digest in flows:
+                continue
+            # A list made before the owner asked for the flow says nothing of it.
+            if self.versions_by_flow.get(digest, -1) <= version:
+                self.forget(digest)
+        for digest in flows:
+            self.note(digest, owner_id)
+
+    def forget_owner(self, owner_id: str) -> None:
+        """Drops all notes about an owner that is gone.
+
+        Args:
+            owner_id: The owner.
+        """
+        for digest, known_id in tuple(self.owners_by_flow.items()):
+            if known_id == owner_id:
+                self.forget(digest)
--- /dev/null
+++ b/src/siskinshift/flows/held_packets.py
@@ -0,0 +1,124 @@
+"""Envelopes that wait until their bucket settles, bounded in count and time."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from attrs import define
+
+from siskinshift.core.packets import Envelope
+
+
+@define(eq=False)
+class _HeldEnvelope:
+    service_id: str
+    bucket: int
+    digest: int
+    envelope: Envelope
+    held_at: float
+
+
+class HeldPackets:
+    """Holds envelopes of flows whose owner is not known yet.
+
+    Pattern of load: an agent dies, and all callers of its buckets send on. Without
+    the hold their flows would break although their owners live, because the notes
+    died with the agent. The bounds keep a flood of new flows from taking memory;
+    callers of datagrams send again what was dropped.
+    """
+
+    def __init__(self, *, limit: int, timeout: float) -> None:
+        """Prepares an empty store.
+
+        Args:
+            limit: Envelopes held at most.
+            timeout: Seconds an envelope waits at most.
+        """
+        self._limit = limit
+        self._timeout = timeout
+        self._numbers = 0
+        self._held_by_number: OrderedDict[int, _HeldEnvelope] = OrderedDict()
+        self._numbers_by_bucket: dict[tuple[str, int], list[int]] = {}
+
+    def __len__(self) -> int:
+        return len(self._held_by_number)
+
+    def hold(
+        self,
+        *,
+        service_id: str,
+        bucket: int,
+        digest: int,
+        envelope: Envelope,
+        now: float,
+    ) -> bool:
+        """Holds an envelope.
+
+        Args:
+            service_id: Service of the flow.
+            bucket: Bucket of the flow.
+            digest: Hash of the flow.
+            envelope: What to hold.
+            now: Clock reading, seconds.
+
+        Returns:
+            False when there is no room.
+        """
+        if len(self._held_by_number) >= self._limit:
+            return False
+        self._numbers += 1
+        held = _HeldEnvelope(service_id, bucket, digest, envelope, now)
+        self._held_by_number[self._numbers] = held
+        numbers = self._numbers_by_bucket.setdefault((service_id, bucket), [])
+        numbers.append(self._numbers)
+        return True
+
+    def release(
+        self, service_id: str, bucket: int, flows: set[int] | None = None
+    ) -> list[Envelope]:
+        """Takes out the envelopes of a bucket, in the order they came.
+
+        Args:
+            service_id: Service of the bucket.
+            bucket: The bucket.
+            flows: Only the envelopes of these flows; None for all.
+
+        Returns:
+            The envelopes.
+        """
+        numbers = self._numbers_by_bucket.get((service_id, bucket))
+        if numbers is None:
+            return []
+        released = []
+        for number in tuple(numbers):
+            held = self._held_by_number[number]
+            if flows is None or held.digest in flows:
+                released.append(held.envelope)
+                self._remove(number, held)
+        return released
+
+    def expire(self, *, now: float) -> int:
+        """Drops envelopes that waited too long.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            How many were dropped.
+        """
+        dropped = 0
+        while self._held_by_number:
+            number, held = next(iter(self._held_by_number.items()))
+            if now - held.held_at < self._timeout:
+                break
+            self._remove(number, held)
+            dropped += 1
+        return dropped
+
+    def _remove(self, number: int, held: _HeldEnvelope) -> None:
+        del self._held_by_number[number]
+        key = (held.service_id, held.bucket)
+        numbers = self._numbers_by_bucket[key]
+        numbers.remove(number)
+        if not numbers:
+            del self._numbers_by_bucket[key]
--- a/src/siskinshift/messages/flows.py
+++ b/src/siskinshift/messages/flows.py
@@ -7,31 +7,64 @@
 
 @frozen
 class FlowNote:
-    """Says that an agent owns a flow whose bucket's primary is a peer.
+    """Says that the sender let a peer create a flow.
 
     Attributes:
         flow_hash: 64-bit flow hash.
-        owner_id: Member id of the agent that owns the flow.
-        owner_incarnation: Incarnation of the owner.
+        owner_id: Member id of the agent that may create the flow.
+        owner_incarnation: Incarnation of that agent.
+        owner_version: Version of that agent's view when it asked.
     """
 
     flow_hash: int
     owner_id: str
     owner_incarnation: int
+    owner_version: int = 0
 
 
 @frozen
 class FlowNotes:
-    """A batch of notes from one agent to the primary of the buckets.
+    """One message of a hand-over: a claim of buckets, a list of flows in buckets, or an acceptance of a list.
 
     Attributes:
         service_id: Service the flows belong to.
         sender_id: Member id of the sender.
-        notes: The notes.
-        confirmed_buckets: Buckets whose notes are complete with this batch: the sender knows the receiver as primary and makes no flow there.
+        sender_incarnation: Incarnation of the sender.
+        sender_version: Version of the sender's view.
+        sequence: Number of the message at the sender; an older list never replaces a newer one.
+        claimed_buckets: Claim: buckets whose primary the sender believes to be.
+        claim_version: Claim: version of the sender's view when the claim began.
+        listed_buckets: List: buckets it covers. The sender knows the receiver as primary and creates no flow there.
+        flows: List: hashes of all flows that the sender owns in the listed buckets.
+        notes: List: flows in the listed buckets that the sender let others create.
+        receiver_incarnation: List: incarnation of the receiver whose claim it answers.
+        confirmed_version: List: claim_version of the claim it answers; 0 when it answers none.
+        accepted_buckets: Acceptance: buckets of the list that the sender has taken in.
+        accepted_sequence: Acceptance: sequence of that list.
     """
 
     service_id: str
     sender_id: str
-    notes: tuple[FlowNote, ...]
-    confirmed_buckets: tuple[int, ...] = ()
+    sender_incarnation: int = 0
+    sender_version: int = 0
+    sequence: int = 0
+    claimed_buckets: tuple[int, ...] = ()
+    claim_version: int = 0
+    listed_buckets: tuple[int, ...] = ()
+    flows: tuple[int, ...] = ()
+    notes: tuple[FlowNote, ...] = ()
+    receiver_incarnation: int = 0
+    confirmed_version: int = 0
+    accepted_buckets: tuple[int, ...] = ()
+    accepted_sequence: int = 0
+
+
+@frozen
+class FlowNotesReceipt:
+    """Says that a hand-over message has arrived; its answer is a message of its own.
+
+    Attributes:
+        service_id: Service of the message.
+    """
+
+    service_id: str
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -98,14 +98,28 @@
     """How flows outlive change.
 
     Attributes:
-        settle_delay: Least time a bucket stays unsettled after its primary changed. In seconds.
-        settle_timeout: Time after which a bucket settles though a peer did not confirm. In seconds.
+        settle_delay: Least time after its start before an agent creates flows of its own accord; peers it has not heard of yet become known. In seconds.
+        settle_timeout: Time after which a bucket settles though a silent peer did not confirm. In seconds.
         max_hops: Times a datagram may be passed on.
+        flow_limit: Flows that an agent owns at most.
+        note_limit: Notes that an agent holds at most.
+        held_limit: Datagrams held at most while their bucket settles.
+        held_timeout: Time after which a held datagram is dropped. In seconds.
+        notes_bytes_per_second: Bytes of hand-over messages that an agent sends a second; a part of its control budget. In bytes.
+        shift_duration: Time over which a draining agent gives its buckets away. In seconds.
+        ramp_duration: Time over which a started agent takes its full weight. In seconds.
     """
 
     settle_delay: float
     settle_timeout: float
     max_hops: int
+    flow_limit: int
+    note_limit: int
+    held_limit: int
+    held_timeout: float
+    notes_bytes_per_second: int
+    shift_duration: float
+    ramp_duration: float
 
 
 @frozen
@@ -355,10 +369,10 @@
                 name="settle_delay",
                 type="float",
                 unit="seconds",
-                minimum=0.1,
+                minimum=0.0,
                 maximum=60.0,
-                default=3.0,
-                doc="Least time a bucket stays unsettled after its primary changed.",
+                default=1.5,
+                doc="Least time after its start before an agent creates flows of its own accord; peers it has not heard of yet become known.",
             ),
             Option(
                 name="settle_timeout",
@@ -367,7 +381,7 @@
                 minimum=0.1,
                 maximum=120.0,
                 default=10.0,
-                doc="Time after which a bucket settles though a peer did not confirm.",
+                doc="Time after which a bucket settles though a silent peer did not confirm.",
             ),
             Option(
                 name="max_hops",
@@ -377,6 +391,66 @@
                 default=6,
                 doc="Times a datagram may be passed on.",
             ),
+            Option(
+                name="flow_limit",
+                type="int",
+                minimum=1,
+                maximum=1000000,
+                default=100000,
+                doc="Flows that an agent owns at most.",
+            ),
+            Option(
+                name="note_limit",
+                type="int",
+                minimum=1,
+                maximum=1000000,
+                default=200000,
+                doc="Notes that an agent holds at most.",
+            ),
+            Option(
+                name="held_limit",
+                type="int",
+                minimum=0,
+                maximum=100000,
+                default=1024,
+                doc="Datagrams held at most while their bucket settles.",
+            ),
+            Option(
+                name="held_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=60.0,
+                default=5.0,
+                doc="Time after which a held datagram is dropped.",
+            ),
+            Option(
+                name="notes_bytes_per_second",
+                type="int",
+                unit="bytes",
+                minimum=1000,
+                maximum=1000000000,
+                default=12000,
+                doc="Bytes of hand-over messages that an agent sends a second; a part of its control budget.",
+            ),
+            Option(
+                name="shift_duration",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=3.0,
+                default=1.5,
+                doc="Time over which a draining agent gives its buckets away.",
+            ),
+            Option(
+                name="ramp_duration",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=600.0,
+                default=10.0,
+                doc="Time over which a started agent takes its full weight.",
+            ),
         ),
     ),
     Section(
--- a/src/siskinshift/wire/codec.py
+++ b/src/siskinshift/wire/codec.py
@@ -32,6 +32,7 @@
 ENVELOPE_TLV = 0xE0
 AUTHENTICATOR_TLV = 0xE1
 FLAG_EXHAUSTED = 0x01
+FLAG_DISCLAIMED = 0x02
 
 _LENGTH = struct.Struct("!H")
 _ENVELOPE = struct.Struct("!BBQ")
@@ -132,6 +133,7 @@
             Header and payload.
         """
         flags = FLAG_EXHAUSTED if envelope.exhausted else 0
+        flags |= FLAG_DISCLAIMED if envelope.disclaimed else 0
         fields = _ENVELOPE.pack(envelope.hop_count, flags, envelope.view_version)
         fields += envelope.asker_id.encode()
         signed = _signed_bytes(envelope.packet, fields)
@@ -171,6 +173,7 @@
             view_version=view_version,
             asker_id=fields[_ENVELOPE.size :].decode(errors="replace"),
             exhausted=bool(flags & FLAG_EXHAUSTED),
+            disclaimed=bool(flags & FLAG_DISCLAIMED),
         )
 
 
