--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -6,9 +6,7 @@
 from typing import TYPE_CHECKING
 
 from siskinshift.agent.datagram_flows import DatagramFlows
-from siskinshift.agent.note_sender import NOTES_PATH
-from siskinshift.agent.note_sender import NoteSender
-from siskinshift.agent.ramp import weight_after
+from siskinshift.agent.life import AgentLife
 from siskinshift.agent.request_flows import RequestFlows
 from siskinshift.agent.request_runner import RequestRunner
 from siskinshift.agent.slot_gate import SlotGate
@@ -24,13 +22,13 @@
 from siskinshift.flows.actions import DropEnvelope
 from siskinshift.flows.actions import ForwardToAgent
 from siskinshift.flows.actions import SendNotes
+from siskinshift.flows.courier import NotesCourier
 from siskinshift.flows.router import FlowRouter
 from siskinshift.membership.node import MembershipNode
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.messages.core import ServiceMode
-from siskinshift.messages.flows import FlowNotes
 from siskinshift.runtime.application import Application
 from siskinshift.runtime.counters import Counters
 from siskinshift.runtime.datagrams import DatagramSocket
@@ -42,13 +40,11 @@
 if TYPE_CHECKING:
     from siskinshift.core.views import View
     from siskinshift.flows.actions import FlowAction
+    from siskinshift.messages.flows import FlowNotes
     from siskinshift.settings.generated import Settings
 
 
 TICK_SECONDS = 0.05
-# Peers hear of the drain before callers do: a caller that comes back at once would
-# else be sent here again.
-GOAWAY_DELAY_SECONDS = 0.5
 
 
 class AgentApplication(Application):
@@ -71,9 +67,7 @@
             member_id=node.node_id, incarnation=incarnation, settings=settings.flows
         )
         self._drops = DropRecorder(part="agent", counters=self.counters)
-        self._weight = 0
-        self._ready_since: float | None = None
-        self._draining_since: float | None = None
+        self._life = AgentLife(settings.flows)
         self._socket = DatagramSocket(node.data_endpoint)
         self._flows = DatagramFlows(
             upstream=settings.agent.upstream_endpoint,
@@ -102,11 +96,14 @@
             send_answer=self._send_answer,
             on_flow_end=self._on_flow_end,
         )
-        self._notes = NoteSender(
-            application=self, key_ring=key_ring, counters=self.counters
-        )
         routes = ControlRoutes()
-        routes.handles(NOTES_PATH, FlowNotes)(self._on_notes)
+        self._courier = NotesCourier(
+            application=self,
+            routes=routes,
+            key_ring=key_ring,
+            clock=monotonic_clock,
+            on_notes=self._on_notes,
+        )
         self._server = ControlServer(
             endpoint=node.control_endpoint,
             routes=routes,
@@ -156,12 +153,8 @@
         self._runner.cancel_all()
 
     def drain(self) -> None:
-        """Takes no new flows; owned flows go on."""
-        with self._lock:
-            if self._draining_since is not None:
-                return
-            self._draining_since = monotonic_clock()
-        self.membership.change_own(state=MemberState.DRAINING, weight=0)
+        """Gives buckets away and takes no new flows; owned flows go on."""
+        self._life.drain(now=monotonic_clock())
 
     def leave(self, at_once: threading.Event) -> None:
         """Drains and waits until nothing would be cut, or the time allowed is over.
@@ -171,56 +164,46 @@
         """
         self.drain()
         until = monotonic_clock() + self.settings.agent.drain_timeout
-        while not self._is_idle() and monotonic_clock() < until:
+        while not self._has_left() and monotonic_clock() < until:
             if at_once.wait(TICK_SECONDS):
                 return
-        # Peers need not wait for the silence of a process that went as planned.
-        self.membership.change_own(state=MemberState.GONE, weight=0)
-        at_once.wait(2 * self.settings.membership.heartbeat_interval)
 
-    def _is_idle(self) -> bool:
+    def _has_left(self) -> bool:
         held = len(self._flows) + len(self._request_flows) + len(self._runner)
-        return held == 0
+        return held == 0 and self._life.is_announced_draining
 
     def _step_life(self) -> None:
-        now = monotonic_clock()
-        if self._draining_since is not None:
-            if now >= self._draining_since + GOAWAY_DELAY_SECONDS:
-                self._request_flows.drain()
-            return
-        if self._ready_since is None:
-            if not self._knows_its_service():
-                return
-            self._ready_since = now
-        weight = weight_after(
-            now - self._ready_since, ramp_time=self.settings.agent.ramp_time
+        step = self._life.step(
+            now=monotonic_clock(), knows_service=self._knows_its_service()
         )
-        if weight != self._weight:
-            self._weight = weight
-            self.membership.change_own(state=MemberState.READY, weight=weight)
-        if self._is_drained_by_operators():
+        if step is not None:
+            self.membership.change_own(state=step.state, weight=step.weight)
+        if self._life.sends_callers_away(now=monotonic_clock()):
+            self._request_flows.drain()
+            self._runner.drain()
+        elif self._is_drained_by_operators():
             self._request_flows.drain()
         else:
             self._request_flows.resume()
 
-    def _is_drained_by_operators(self) -> bool:
-        settings = self.settings
-        return any(
-            settings.node.node_id in service.drained
-            for service in self.membership.views.current.services_by_id.values()
-            if service.upstream_class == settings.agent.upstream_class
-        )
-
     def _knows_its_service(self) -> bool:
         # Guards against an agent that takes flows blind: without configuration and
         # peers it would make new flows for packets whose owner is another agent.
-        view = self.membership.views.current
         own_class = self.settings.agent.upstream_class
+        view = self.membership.views.current
         return any(
             service.upstream_class == own_class
             for service in view.services_by_id.values()
         )
 
+    def _is_drained_by_operators(self) -> bool:
+        settings = self.settings
+        return any(
+            settings.node.node_id in service.drained
+            for service in self.membership.views.current.services_by_id.values()
+            if service.upstream_class == settings.agent.upstream_class
+        )
+
     def _on_view(self, view: View) -> None:
         with self._lock:
             actions = self._router.update(view, now=monotonic_clock())
@@ -247,18 +230,15 @@
         self._flows.close_idle()
         self._step_life()
 
-    def _on_flow_end(self, digest: int) -> None:
+    def _on_notes(self, notes: FlowNotes) -> None:
         with self._lock:
-            actions = self._router.flow_ended(digest, now=monotonic_clock())
+            actions = self._router.on_notes(notes, now=monotonic_clock())
         self._carry_out(actions)
 
-    def _on_notes(self, notes: FlowNotes) -> FlowNotes:
+    def _on_flow_end(self, digest: int) -> None:
         with self._lock:
-            actions = self._router.on_notes(notes, now=monotonic_clock())
+            actions = self._router.flow_ended(digest, now=monotonic_clock())
         self._carry_out(actions)
-        return FlowNotes(
-            service_id=notes.service_id, sender_id=self.settings.node.node_id, notes=()
-        )
 
     def _carry_out(self, actions: list[FlowAction]) -> None:
         for action in actions:
@@ -270,7 +250,7 @@
                 datagram = self._codec.pack_envelope(action.envelope)
                 self._socket.send(datagram, action.agent.data)
             elif isinstance(action, SendNotes):
-                self._notes.send(action.agent, action.notes)
+                self._courier.send(action)
             elif isinstance(action, DropEnvelope):
                 self._drops.dropped(action.error)
 
--- a/src/siskinshift/agent/request_runner.py
+++ b/src/siskinshift/agent/request_runner.py
@@ -81,6 +81,7 @@
         self._calls_by_id: dict[int, Call] = {}
         self._exchanges_by_id: dict[int, UpstreamExchange] = {}
         self._streaming: set[int] = set()
+        self._is_draining = False
 
     def __len__(self) -> int:
         return len(self._calls_by_id)
@@ -135,6 +136,9 @@
     def drain(self) -> None:
         """Stops to admit; queued and running requests go on."""
         with self._lock:
+            if self._is_draining:
+                return
+            self._is_draining = True
             actions = self._gate.drain(now=self._clock())
         self.carry_out(actions)
 
--- a/src/siskinshift/demo/deployment.py
+++ b/src/siskinshift/demo/deployment.py
@@ -167,7 +167,6 @@
             f"slots = {plan.slots}",
             f"certificate_file = {self._certificate}",
             f"private_key_file = {self._key}",
-            f"ramp_time = {RAMP_SECONDS}",
             f"fabric_return = {format_endpoint(self.fabric.return_endpoint)}",
         ]
         agent = AgentApplication(self._settings(node_id, extra=agent_lines))
@@ -208,6 +207,8 @@
             "current = demo-key-of-sixteen-or-more",
             "[kv]",
             f"endpoints = {format_endpoint(self.kv.endpoint)}",
+            "[flows]",
+            f"ramp_duration = {RAMP_SECONDS}",
             "[membership]",
             f"seeds = {seeds}",
             *(extra or []),
--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -9,7 +9,7 @@
 from attrs import asdict
 from attrs import frozen
 
-from siskinshift.agent.ramp import FULL_WEIGHT
+from siskinshift.agent.life import FULL_WEIGHT
 from siskinshift.demo.callers import DatagramCaller
 from siskinshift.demo.deployment import Deployment
 from siskinshift.demo.deployment import ServicePlan
--- a/src/siskinshift/wire/codec.py
+++ b/src/siskinshift/wire/codec.py
@@ -31,6 +31,7 @@
 ENVELOPE_TLV = 0xE0
 AUTHENTICATOR_TLV = 0xE1
 FLAG_EXHAUSTED = 0x01
+FLAG_DISCLAIMED = 0x02
 
 _ENVELOPE = struct.Struct("!BBQ")
 _SIGNED_HEAD = struct.Struct("!H")
@@ -91,6 +92,7 @@
         """
         packet = envelope.packet
         flags = FLAG_EXHAUSTED if envelope.exhausted else 0
+        flags |= FLAG_DISCLAIMED if envelope.disclaimed else 0
         fields = _ENVELOPE.pack(envelope.hop_count, flags, envelope.view_version)
         fields += envelope.asker_id.encode()
         addresses = pack_addresses(packet.caller, packet.service_address)
@@ -137,6 +139,7 @@
             view_version=view_version,
             asker_id=fields[_ENVELOPE.size :].decode(errors="replace"),
             exhausted=bool(flags & FLAG_EXHAUSTED),
+            disclaimed=bool(flags & FLAG_DISCLAIMED),
         )
 
 
