--- /dev/null
+++ b/src/siskinshift/api/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' gRPC API."""
+
+from __future__ import annotations
--- a/src/siskinshift/balancer/application.py
+++ b/src/siskinshift/balancer/application.py
@@ -13,6 +13,7 @@
 from siskinshift.core.packets import Envelope
 from siskinshift.kv.etcd import EtcdStore
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.guard import CallClass
 from siskinshift.membership.node import MembershipNode
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
@@ -27,6 +28,7 @@
 
 
 if TYPE_CHECKING:
+    from siskinshift.api.server import OperatorsServer
     from siskinshift.core.views import View
     from siskinshift.settings.generated import Settings
 
@@ -48,6 +50,7 @@
         self._chooser = AgentChooser()
         self._view_version = 0
         self._store = ConfigurationStore(EtcdStore(settings.kv))
+        self._operators: OperatorsServer | None = None
         self._socket = DatagramSocket(node.data_endpoint)
         routes = ControlRoutes()
         self._server = ControlServer(
@@ -84,8 +87,33 @@
         self.spawn(self._server.serve_forever, 0.1)
         self.membership.views.subscribe(self._on_view)
         self.membership.start()
-        self.every(self.settings.kv.poll_interval, self._read_configuration)
+        self.every(self.settings.kv.check_interval, self._read_configuration)
         self.spawn(self._socket.receive_until, self.stopping, self._on_datagram)
+        self._start_operators_api()
+
+    @property
+    def operators_ports(self) -> list[int]:
+        """Ports of the operators' API; empty while it is not served."""
+        return self._operators.ports if self._operators else []
+
+    def _start_operators_api(self) -> None:
+        if not self.settings.api.endpoints:
+            return
+        # Imported here: the library costs tens of megabytes resident, and only the
+        # balancers that serve the API need it.
+        from siskinshift.api.server import OperatorsServer
+        from siskinshift.api.service import OperatorsService
+
+        store = EtcdStore(self.settings.kv, call_class=CallClass.OPERATOR)
+        service = OperatorsService(
+            settings=self.settings,
+            store=ConfigurationStore(store),
+            membership=self.membership,
+            store_available=lambda: store.available,
+        )
+        self._operators = OperatorsServer(self.settings.api, service)
+        self.owns(self._operators.stop)
+        self._operators.start()
 
     def _on_view(self, view: View) -> None:
         self._chooser.update(view)
@@ -99,8 +127,7 @@
         except StoreUnavailableError:
             self.counters.add("kv.unavailable")
             return
-        for service in services:
-            self.membership.services.merge(service)
+        self.membership.services.merge_all(services)
         self.membership.services_changed()
 
     def _on_datagram(self, datagram: bytes, _source: tuple[str, int]) -> None:
--- a/src/siskinshift/core/views.py
+++ b/src/siskinshift/core/views.py
@@ -90,14 +90,15 @@
 
     Args:
         version: Version of the view in this process.
-        services: Configured services.
+        services: Configured services; tombstones of deleted ones are left out.
         members: Known members.
 
     Returns:
         The view.
     """
+    live = {s.service_id: s for s in services if not s.deleted}
     return View(
         version=version,
-        services_by_id=MappingProxyType({s.service_id: s for s in services}),
+        services_by_id=MappingProxyType(live),
         members_by_id=MappingProxyType({m.member_id: m for m in members}),
     )
--- a/src/siskinshift/exceptions.py
+++ b/src/siskinshift/exceptions.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import ClassVar
-
 from siskinshift.core.errors import ErrorKind
 
 
@@ -14,7 +12,7 @@
         kind: Entry of the closed list; gives the code and the answers.
     """
 
-    kind: ClassVar[ErrorKind] = ErrorKind.INTERNAL
+    kind: ErrorKind = ErrorKind.INTERNAL
 
     @property
     def code(self) -> str:
--- a/src/siskinshift/kv/etcd.py
+++ b/src/siskinshift/kv/etcd.py
@@ -1,121 +1,380 @@
 """Adapter to the etcd v3 JSON-over-HTTP protocol.
 
-Source: the published etcd v3 API (KV service) with its JSON mapping: bytes are
-base64, 64-bit integers are strings.
+Source: the published etcd v3 API (KV, Lease and Watch services) with its JSON
+mapping: bytes are base64, 64-bit integers are strings, default values are left out,
+streamed answers are one JSON document a line with the message under "result".
 """
 
 from __future__ import annotations
 
 import base64
-import http.client
+import binascii
+import threading
 from http import HTTPStatus
+from random import Random
 from typing import TYPE_CHECKING
 from typing import Any
 
 import orjson
 
+from siskinshift.core.clocks import monotonic_clock
+from siskinshift.kv.exceptions import StoreCompactedError
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.guard import Admission
+from siskinshift.kv.guard import CallClass
+from siskinshift.kv.guard import CallGuard
 from siskinshift.kv.port import Entry
+from siskinshift.kv.port import Lease
+from siskinshift.kv.port import Put
+from siskinshift.kv.port import Snapshot
+from siskinshift.kv.port import TransactionResult
+from siskinshift.kv.port import WatchBatch
+from siskinshift.kv.transport import HttpTransport
 
 
 if TYPE_CHECKING:
-    from siskinshift.settings.generated import KvSettings
+    from collections.abc import Iterator
 
+    from siskinshift.core.clocks import Clock
+    from siskinshift.kv.port import Compare
+    from siskinshift.kv.port import Operation
+    from siskinshift.kv.transport import EtcdTransport
+    from siskinshift.kv.transport import LineStream
+    from siskinshift.settings.generated import KvSettings
 
-def _encode(data: bytes) -> str:
-    return base64.b64encode(data).decode()
 
+RANGE_PATH = "/v3/kv/range"
+TRANSACTION_PATH = "/v3/kv/txn"
+LEASE_GRANT_PATH = "/v3/lease/grant"
+LEASE_KEEP_ALIVE_PATH = "/v3/lease/keepalive"
+LEASE_REVOKE_PATH = "/v3/lease/revoke"
+WATCH_PATH = "/v3/watch"
 
-def _range_end(prefix: bytes) -> bytes:
-    return prefix[:-1] + bytes([prefix[-1] + 1])
+# What a document of the wrong shape raises while it is taken apart.
+MALFORMED = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+    binascii.Error,
+)
 
 
 class EtcdStore:
-    """Talks to one of the configured endpoints, the next one after a failure."""
+    """KeyValueStore over etcd's JSON gateway, behind a call guard."""
+
+    def __init__(
+        self,
+        settings: KvSettings,
+        *,
+        call_class: CallClass = CallClass.BACKGROUND,
+        guard: CallGuard | None = None,
+        transport: EtcdTransport | None = None,
+        clock: Clock = monotonic_clock,
+    ) -> None:
+        """Prepares the adapter; connects with each call.
+
+        Args:
+            settings: Endpoints, time-outs, rates.
+            call_class: Who waits for its calls.
+            guard: Shared by all adapters of the process; None for an own one.
+            transport: Carries the calls; None for HTTP.
+            clock: Clock of the process.
+        """
+        self._call_class = call_class
+        self._guard = guard or CallGuard(settings, random=Random())
+        self._guard_lock = threading.Lock()
+        self._transport = transport or HttpTransport(settings)
+        self._clock = clock
+
+    @property
+    def available(self) -> bool:
+        """Whether the last call was answered well; True before the first one."""
+        with self._guard_lock:
+            return self._guard.healthy
+
+    def get(self, key: str) -> Entry | None:
+        """Reads one entry.
+
+        Args:
+            key: The key.
+
+        Returns:
+            The entry, or None when the key is absent.
 
-    def __init__(self, settings: KvSettings) -> None:
-        self._settings = settings
-        self._next = 0
+        Raises:
+            StoreUnavailableError: No good answer in time.
+        """
+        answer = self._read(RANGE_PATH, {"key": _encode(key.encode())})
+        entries = _snapshot_of(answer).entries
+        return entries[0] if entries else None
 
-    def list_prefix(self, prefix: str) -> list[Entry]:
+    def list_prefix(self, prefix: str) -> Snapshot:
         """Reads all entries whose key begins with a prefix.
 
         Args:
             prefix: The prefix, not empty.
 
         Returns:
-            The entries.
+            The entries as they were together.
 
         Raises:
-            StoreUnavailableError: No answer in time.
+            StoreUnavailableError: No good answer in time.
         """
-        key = prefix.encode()
-        body = {"key": _encode(key), "range_end": _encode(_range_end(key))}
-        try:
-            answer = self._call("/v3/kv/range", body)
-        except StoreOutcomeUnknownError as error:
-            raise StoreUnavailableError(str(error)) from error
-        return [_entry(item) for item in answer.get("kvs", [])]
+        return _snapshot_of(self._read(RANGE_PATH, _prefix_range(prefix)))
 
-    def compare_and_put(self, key: str, value: bytes, *, revision: int) -> int | None:
-        """Writes when the key is still at a revision.
+    def transact(
+        self, compares: tuple[Compare, ...], operations: tuple[Operation, ...]
+    ) -> TransactionResult:
+        """Does all operations in one step if all conditions hold, else none.
 
         Args:
-            key: The key.
-            value: The new value.
-            revision: Expected mod revision; 0 for a key that is absent.
+            compares: Conditions.
+            operations: What to do.
 
         Returns:
-            The new revision, or None when the key was at another one.
+            Whether it was done, and the revision.
 
         Raises:
             StoreUnavailableError: It did not take effect.
             StoreOutcomeUnknownError: It may have taken effect.
         """
-        encoded = _encode(key.encode())
-        compare = {
-            "key": encoded,
-            "target": "MOD",
-            "result": "EQUAL",
-            "mod_revision": str(revision),
+        body = {
+            "compare": [_compare_body(compare) for compare in compares],
+            "success": [_operation_body(operation) for operation in operations],
         }
-        put = {"request_put": {"key": encoded, "value": _encode(value)}}
-        answer = self._call("/v3/kv/txn", {"compare": [compare], "success": [put]})
-        if not answer.get("succeeded"):
-            return None
-        return int(answer["header"]["revision"])
-
-    def _call(self, path: str, body: object) -> dict[str, Any]:
-        if not self._settings.endpoints:
-            raise StoreUnavailableError("no endpoint in the settings")
-        endpoint = self._settings.endpoints[self._next % len(self._settings.endpoints)]
-        connection = http.client.HTTPConnection(
-            endpoint.host, endpoint.port, timeout=self._settings.timeout
-        )
+        answer = self._write(TRANSACTION_PATH, body)
+        try:
+            succeeded = answer.get("succeeded", False)
+            if not isinstance(succeeded, bool):
+                raise TypeError("succeeded")
+            return TransactionResult(succeeded, _revision_of(answer))
+        except MALFORMED as error:
+            raise StoreOutcomeUnknownError("answer can't be read") from error
+
+    def grant_lease(self, ttl: float) -> Lease:
+        """Makes a lease.
+
+        Args:
+            ttl: Life without a keep-alive, seconds; whole ones in the protocol.
+
+        Returns:
+            The lease.
+
+        Raises:
+            StoreUnavailableError: No good answer; an unknown lease lapses by itself.
+        """
+        answer = self._read(LEASE_GRANT_PATH, {"TTL": str(max(1, round(ttl)))})
+        try:
+            return Lease(int(answer["ID"]), float(int(answer["TTL"])))
+        except MALFORMED as error:
+            raise StoreUnavailableError("answer can't be read") from error
+
+    def keep_alive(self, lease_id: int) -> float:
+        """Prolongs a lease.
+
+        Args:
+            lease_id: The lease.
+
+        Returns:
+            Seconds it has left from the call on; 0 when it lapsed.
+
+        Raises:
+            StoreUnavailableError: No good answer in time.
+        """
+        answer = self._read(LEASE_KEEP_ALIVE_PATH, {"ID": str(lease_id)})
+        try:
+            return float(int(answer["result"].get("TTL", "0")))
+        except MALFORMED as error:
+            raise StoreUnavailableError("answer can't be read") from error
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """Ends a lease and removes its keys.
+
+        Args:
+            lease_id: The lease.
+
+        Raises:
+            StoreUnavailableError: No good answer; the lease lapses by itself.
+        """
+        self._read(LEASE_REVOKE_PATH, {"ID": str(lease_id)})
+
+    def watch(self, prefix: str, start_revision: int) -> EtcdWatch:
+        """Opens a watch.
+
+        Args:
+            prefix: Prefix of the keys, not empty.
+            start_revision: First revision to see.
+
+        Returns:
+            The watch.
+
+        Raises:
+            StoreUnavailableError: It could not be opened.
+        """
+        create = _prefix_range(prefix) | {"start_revision": str(start_revision)}
+        self._admit()
+        try:
+            body = orjson.dumps({"create_request": create})
+            stream = self._transport.stream(WATCH_PATH, body)
+        except StoreUnavailableError:
+            self._failed()
+            raise
+        self._succeeded()
+        return EtcdWatch(stream)
+
+    def _read(self, path: str, body: object) -> dict[str, Any]:
+        # A call that can't change the configuration has no unknown outcome.
         try:
-            connection.connect()
-        except OSError as error:
-            self._next += 1
+            return self._write(path, body)
+        except StoreOutcomeUnknownError as error:
             raise StoreUnavailableError(str(error)) from error
+
+    def _write(self, path: str, body: object) -> dict[str, Any]:
+        self._admit()
         try:
-            connection.request("POST", path, body=orjson.dumps(body))
-            response = connection.getresponse()
-            data = response.read()
-        except (OSError, http.client.HTTPException) as error:
-            self._next += 1
-            raise StoreOutcomeUnknownError(str(error)) from error
+            answer = self._transport.post(path, orjson.dumps(body))
+        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            self._failed()
+            raise
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            # etcd answers so also when a write timed out after it was proposed.
+            self._failed()
+            raise StoreOutcomeUnknownError(f"status {answer.status}")
+        if answer.status == HTTPStatus.TOO_MANY_REQUESTS:
+            self._failed()
+            raise StoreUnavailableError("the store limits its rate")
+        if answer.status != HTTPStatus.OK:
+            raise StoreUnavailableError(f"refused with status {answer.status}")
+        try:
+            document = orjson.loads(answer.body)
+        except orjson.JSONDecodeError as error:
+            self._failed()
+            raise StoreOutcomeUnknownError("answer is no JSON") from error
+        if not isinstance(document, dict):
+            self._failed()
+            raise StoreOutcomeUnknownError("answer is no JSON object")
+        self._succeeded()
+        return document
+
+    def _admit(self) -> None:
+        with self._guard_lock:
+            admission = self._guard.admit(self._call_class, now=self._clock())
+        if admission is not Admission.ADMITTED:
+            raise StoreUnavailableError(admission.value)
+
+    def _succeeded(self) -> None:
+        with self._guard_lock:
+            self._guard.succeeded()
+
+    def _failed(self) -> None:
+        with self._guard_lock:
+            self._guard.failed(now=self._clock())
+
+
+class EtcdWatch:
+    """An open watch of the adapter."""
+
+    def __init__(self, stream: LineStream) -> None:
+        self._stream = stream
+
+    def __iter__(self) -> Iterator[WatchBatch]:
+        """Waits for changes until the stream ends.
+
+        Yields:
+            Each batch; those without a change carry the revision alone.
+
+        Raises:
+            StoreCompactedError: The start revision is no longer kept.
+            StoreUnavailableError: The store ended the watch or sent nonsense.
+        """
+        try:
+            for line in self._stream:
+                yield _batch_of(line)
         finally:
-            connection.close()
-        if response.status != HTTPStatus.OK:
-            raise StoreUnavailableError(f"status {response.status}")
-        answer: dict[str, Any] = orjson.loads(data)
-        return answer
+            self.close()
+
+    def close(self) -> None:
+        """Ends the watch, also one that waits in another thread."""
+        self._stream.close()
+
+
+def _encode(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text, validate=True)
+
+
+def _prefix_range(prefix: str) -> dict[str, str]:
+    key = prefix.encode()
+    range_end = key[:-1] + bytes([key[-1] + 1])
+    return {"key": _encode(key), "range_end": _encode(range_end)}
+
+
+def _compare_body(compare: Compare) -> dict[str, str]:
+    return {
+        "key": _encode(compare.key.encode()),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(compare.revision),
+    }
 
 
-def _entry(item: dict[str, str]) -> Entry:
+def _operation_body(operation: Operation) -> dict[str, Any]:
+    key = _encode(operation.key.encode())
+    if not isinstance(operation, Put):
+        return {"request_delete_range": {"key": key}}
+    put = {"key": key, "value": _encode(operation.value)}
+    if operation.lease_id:
+        put["lease"] = str(operation.lease_id)
+    return {"request_put": put}
+
+
+def _revision_of(answer: dict[str, Any]) -> int:
+    revision = int(answer["header"]["revision"])
+    if revision <= 0:
+        raise ValueError("revision")
+    return revision
+
+
+def _snapshot_of(answer: dict[str, Any]) -> Snapshot:
+    try:
+        entries = tuple(_entry_of(item) for item in answer.get("kvs") or ())
+        return Snapshot(entries, _revision_of(answer))
+    except MALFORMED as error:
+        raise StoreUnavailableError("answer can't be read") from error
+
+
+def _entry_of(item: dict[str, str]) -> Entry:
     return Entry(
-        key=base64.b64decode(item["key"]).decode(),
-        value=base64.b64decode(item["value"]),
+        key=_decode(item["key"]).decode(),
+        value=_decode(item.get("value", "")),
         revision=int(item["mod_revision"]),
     )
+
+
+def _batch_of(line: bytes) -> WatchBatch:
+    try:
+        result = orjson.loads(line)["result"]
+        if int(result.get("compact_revision", "0")):
+            raise StoreCompactedError("the start revision was compacted")
+        if result.get("canceled"):
+            raise StoreUnavailableError("the store ended the watch")
+        events = result.get("events") or ()
+        return WatchBatch(
+            entries=tuple(_entry_of(e["kv"]) for e in events if not _is_delete(e)),
+            deleted_keys=tuple(
+                _decode(e["kv"]["key"]).decode() for e in events if _is_delete(e)
+            ),
+            revision=_revision_of(result),
+        )
+    except MALFORMED as error:
+        raise StoreUnavailableError("watch can't be read") from error
+
+
+def _is_delete(event: dict[str, Any]) -> bool:
+    return bool(event.get("type", "PUT") == "DELETE")
--- a/src/siskinshift/kv/exceptions.py
+++ b/src/siskinshift/kv/exceptions.py
@@ -12,6 +12,10 @@
     kind = ErrorKind.STORE_UNAVAILABLE
 
 
+class StoreCompactedError(StoreUnavailableError):
+    """A watch asked for revisions that the store no longer keeps; read anew."""
+
+
 class StoreOutcomeUnknownError(SiskinshiftError):
     """The answer to a write was lost; it may have taken effect."""
 
--- a/src/siskinshift/messages/core.py
+++ b/src/siskinshift/messages/core.py
@@ -82,6 +82,7 @@
         drained: Member ids of agents that operators drain.
         revision: Revision of the record in the key-value service.
         change_id: Id of the change that wrote the record.
+        deleted: Tombstone: keeps an older record from coming back.
     """
 
     service_id: str
@@ -94,6 +95,7 @@
     drained: tuple[str, ...] = ()
     revision: int = 0
     change_id: str = ""
+    deleted: bool = False
 
 
 @frozen
@@ -113,6 +115,7 @@
         upstream_class: Class of upstream an agent stands beside.
         weight: Share of new flows in thousandths of a full agent, 0 to 1000.
         slots: Requests the upstream runs at once.
+        entry_slot: Revision at which the balancer took an entry slot; 0 when it holds none.
     """
 
     member_id: str
@@ -127,3 +130,4 @@
     upstream_class: str = ""
     weight: int = 1000
     slots: int = 1
+    entry_slot: int = 0
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -49,12 +49,22 @@
     Attributes:
         endpoints: Endpoints, comma-separated; empty when none is used.
         timeout: Time allowed for one call. In seconds.
-        poll_interval: Pause between two reads of the configuration. In seconds.
+        call_rate: Calls this process may make on average. In calls a second.
+        call_burst: Calls this process may make at once. In calls.
+        check_interval: Pause between two reads of the root record by a holder of an entry slot. In seconds.
+        watch_interval: Silence after which a holder of an entry slot opens its watch again. In seconds.
+        entry_slots: Balancers of each failure domain that read the configuration.
+        lease_ttl: Life of an entry slot's lease without a keep-alive. In seconds.
     """
 
     endpoints: tuple[Endpoint, ...]
     timeout: float
-    poll_interval: float
+    call_rate: float
+    call_burst: int
+    check_interval: float
+    watch_interval: float
+    entry_slots: int
+    lease_ttl: float
 
 
 @frozen
@@ -108,6 +118,27 @@
     max_hops: int
 
 
+@frozen
+class ApiSettings:
+    """The operators' API of a balancer.
+
+    Attributes:
+        endpoints: Endpoints to serve the API at, comma-separated; empty when it is not served.
+        certificate_file: Certificate chain in PEM for TLS.
+        private_key_file: Private key of the certificate in PEM.
+        operator_tokens: Bearer tokens that may change the configuration, comma-separated.
+        viewer_tokens: Bearer tokens that may only read, comma-separated.
+        watchers: Watch calls served at once.
+    """
+
+    endpoints: tuple[Endpoint, ...]
+    certificate_file: str
+    private_key_file: str
+    operator_tokens: tuple[Secret, ...]
+    viewer_tokens: tuple[Secret, ...]
+    watchers: int
+
+
 @frozen
 class Settings:
     """All settings of a process.
@@ -119,6 +150,7 @@
         membership: How members find and watch each other.
         agent: The agent beside an upstream.
         flows: How flows outlive change.
+        api: The operators' API of a balancer.
     """
 
     node: NodeSettings
@@ -127,6 +159,7 @@
     membership: MembershipSettings
     agent: AgentSettings
     flows: FlowsSettings
+    api: ApiSettings
 
 
 SECTIONS: tuple[Section, ...] = (
@@ -203,13 +236,57 @@
                 doc="Time allowed for one call.",
             ),
             Option(
-                name="poll_interval",
+                name="call_rate",
+                type="float",
+                unit="calls a second",
+                minimum=0.1,
+                maximum=1000.0,
+                default=10.0,
+                doc="Calls this process may make on average.",
+            ),
+            Option(
+                name="call_burst",
+                type="int",
+                unit="calls",
+                minimum=1,
+                maximum=1000,
+                default=40,
+                doc="Calls this process may make at once.",
+            ),
+            Option(
+                name="check_interval",
                 type="float",
                 unit="seconds",
                 minimum=0.05,
                 maximum=60.0,
-                default=0.25,
-                doc="Pause between two reads of the configuration.",
+                default=2.0,
+                doc="Pause between two reads of the root record by a holder of an entry slot.",
+            ),
+            Option(
+                name="watch_interval",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=600.0,
+                default=10.0,
+                doc="Silence after which a holder of an entry slot opens its watch again.",
+            ),
+            Option(
+                name="entry_slots",
+                type="int",
+                minimum=1,
+                maximum=16,
+                default=2,
+                doc="Balancers of each failure domain that read the configuration.",
+            ),
+            Option(
+                name="lease_ttl",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=300.0,
+                default=6.0,
+                doc="Life of an entry slot's lease without a keep-alive.",
             ),
         ),
     ),
@@ -328,4 +405,49 @@
             ),
         ),
     ),
+    Section(
+        name="api",
+        doc="The operators' API of a balancer.",
+        settings_class=ApiSettings,
+        options=(
+            Option(
+                name="endpoints",
+                type="endpoints",
+                default="",
+                doc="Endpoints to serve the API at, comma-separated; empty when it is not served.",
+            ),
+            Option(
+                name="certificate_file",
+                type="str",
+                default="",
+                doc="Certificate chain in PEM for TLS.",
+            ),
+            Option(
+                name="private_key_file",
+                type="str",
+                default="",
+                doc="Private key of the certificate in PEM.",
+            ),
+            Option(
+                name="operator_tokens",
+                type="secrets",
+                default="",
+                doc="Bearer tokens that may change the configuration, comma-separated.",
+            ),
+            Option(
+                name="viewer_tokens",
+                type="secrets",
+                default="",
+                doc="Bearer tokens that may only read, comma-separated.",
+            ),
+            Option(
+                name="watchers",
+                type="int",
+                minimum=1,
+                maximum=256,
+                default=8,
+                doc="Watch calls served at once.",
+            ),
+        ),
+    ),
 )
--- a/src/siskinshift/settings/loader.py
+++ b/src/siskinshift/settings/loader.py
@@ -92,7 +92,7 @@
         try:
             return self._convert(option, text.strip())
         except ValueError as error:
-            shown = "(secret)" if option.type == "secret" else text
+            shown = "(secret)" if option.type.startswith("secret") else text
             self._fault(section, option.name, shown, str(error))
             return None
 
@@ -103,6 +103,9 @@
             raise ValueError(f"allowed: {', '.join(option.choices)}")
         if option.type == "secret":
             return self._convert_secret(text)
+        if option.type == "secrets":
+            parts = [part.strip() for part in text.split(",") if part.strip()]
+            return tuple(self._convert_secret(part) for part in parts)
         if option.type == "endpoint":
             return parse_endpoint(text)
         if option.type == "endpoints":
--- /dev/null
+++ b/src/siskinshift/standins/kv_state.py
@@ -0,0 +1,310 @@
+"""Content and faults of the key-value stand-in: the etcd v3 JSON subset used.
+
+No sockets and no threads: the clock is injected, so that tests can call it straight.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections import Counter
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeAlias
+
+from attrs import define
+from attrs import frozen
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinshift.core.clocks import Clock
+
+
+Document: TypeAlias = dict[str, Any]
+
+VALUE_SIZE_MAXIMUM = 1 << 20
+FIRST_LEASE_ID = 7000
+
+
+class AnswerLost(Exception):
+    """The call took effect; its answer is not to be sent."""
+
+
+@define
+class KvFaults:
+    """What goes wrong; set the fields while it runs.
+
+    Attributes:
+        down: Refuse every call.
+        latency: Pause before each answer, seconds.
+        lose_write_answers: Answers to the next writes to lose after their effect.
+        lose_writes: Next writes to lose before their effect, without an answer.
+        calls_per_second: Calls answered in each second; 0 for no limit.
+        garbage: Sent in place of each answer while set.
+    """
+
+    down: bool = False
+    latency: float = 0.0
+    lose_write_answers: int = 0
+    lose_writes: int = 0
+    calls_per_second: int = 0
+    garbage: bytes | None = None
+
+
+@frozen
+class _Stored:
+    value: str
+    mod_revision: int
+    lease_id: int = 0
+
+
+@frozen
+class _Event:
+    key: bytes
+    stored: _Stored | None
+    revision: int
+
+
+@define
+class _LeaseState:
+    ttl: int
+    ends_at: float
+
+
+class KvState:
+    """Keys, leases and history of the stand-in.
+
+    Attributes:
+        faults: What goes wrong.
+        calls_by_path: Calls taken so far by path; a watch counts as one.
+        revision: Current revision of the store.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Starts empty.
+
+        Args:
+            clock: For leases and the rate limit, seconds.
+        """
+        self.faults = KvFaults()
+        self.calls_by_path: Counter[str] = Counter()
+        self.revision = 1
+        self._clock = clock
+        self._stored_by_key: dict[bytes, _Stored] = {}
+        self._leases_by_id: dict[int, _LeaseState] = {}
+        self._next_lease_id = FIRST_LEASE_ID
+        self._history: list[_Event] = []
+        self._compacted = 0
+        self._second = (0, 0)
+        self._answers_by_path: dict[str, Callable[[Document], Document]] = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/put": self._put,
+            "/v3/kv/deleterange": self._delete_range,
+            "/v3/kv/txn": self._transaction,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep_alive,
+            "/v3/lease/revoke": self._revoke,
+        }
+
+    def answer(self, path: str, body: Document) -> tuple[HTTPStatus, Document]:
+        """Answers one call.
+
+        Args:
+            path: Path of the URL.
+            body: Decoded JSON.
+
+        Returns:
+            Status and JSON of the answer.
+
+        Raises:
+            AnswerLost: It took effect, but the caller is not to hear of it.
+        """
+        refused = self.count(path)
+        if refused is not None:
+            return refused, {"error": refused.phrase}
+        handler = self._answers_by_path.get(path)
+        if handler is None:
+            return HTTPStatus.NOT_FOUND, {"error": "not found"}
+        if _value_size(body) > VALUE_SIZE_MAXIMUM:
+            return HTTPStatus.BAD_REQUEST, {"error": "request is too large"}
+        is_write = "put" in path or "txn" in path or "delete" in path
+        if is_write and self.faults.lose_writes:
+            self.faults.lose_writes -= 1
+            raise AnswerLost
+        answer = handler(body)
+        if is_write and self.faults.lose_write_answers:
+            self.faults.lose_write_answers -= 1
+            raise AnswerLost
+        return HTTPStatus.OK, {"header": {"revision": str(self.revision)}} | answer
+
+    def count(self, path: str) -> HTTPStatus | None:
+        """Counts a call and checks whether it may be answered.
+
+        Args:
+            path: Path of the URL.
+
+        Returns:
+            None, or the status to refuse it with.
+        """
+        self.calls_by_path[path] += 1
+        self._expire_leases()
+        if self.faults.down:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        second = int(self._clock())
+        count = self._second[1] + 1 if self._second[0] == second else 1
+        self._second = (second, count)
+        if 0 < self.faults.calls_per_second < count:
+            return HTTPStatus.TOO_MANY_REQUESTS
+        return None
+
+    def events_from(self, body: Document) -> tuple[Document, int]:
+        """Collects what a watch has not seen.
+
+        Args:
+            body: The create request of the watch with its start revision.
+
+        Returns:
+            The "result" of one line, and the start revision that follows.
+        """
+        self._expire_leases()
+        first, last = _range_of(body)
+        start = int(body.get("start_revision", "0")) or self.revision + 1
+        header = {"header": {"revision": str(self.revision)}}
+        if start <= self._compacted:
+            compacted = {"canceled": True, "compact_revision": str(self._compacted)}
+            return header | compacted, start
+        events = [
+            _event_document(event)
+            for event in self._history
+            if event.revision >= start and first <= event.key < last
+        ]
+        return header | ({"events": events} if events else {}), self.revision + 1
+
+    def compact(self) -> None:
+        """Forgets the history up to now, as operators of the store do."""
+        self._compacted = self.revision
+        self._history.clear()
+
+    def lapse_leases(self) -> None:
+        """Ends all leases at once, as after a pause of the store."""
+        for lease_id in tuple(self._leases_by_id):
+            self._end_lease(lease_id)
+
+    def keys(self) -> list[str]:
+        """Lists the keys held.
+
+        Returns:
+            The keys, ordered.
+        """
+        self._expire_leases()
+        return [key.decode() for key in sorted(self._stored_by_key)]
+
+    def _range(self, body: Document) -> Document:
+        first, last = _range_of(body)
+        kvs = [
+            _kv_document(key, stored)
+            for key, stored in sorted(self._stored_by_key.items())
+            if first <= key < last
+        ]
+        return {"kvs": kvs, "count": str(len(kvs))} if kvs else {}
+
+    def _put(self, body: Document) -> Document:
+        self.revision += 1
+        self._write(body)
+        return {}
+
+    def _delete_range(self, body: Document) -> Document:
+        self.revision += 1
+        return {"deleted": str(self._remove(body))}
+
+    def _transaction(self, body: Document) -> Document:
+        if not all(self._holds(compare) for compare in body.get("compare", [])):
+            return {}
+        self.revision += 1
+        for operation in body.get("success", []):
+            if "request_put" in operation:
+                self._write(operation["request_put"])
+            else:
+                self._remove(operation["request_delete_range"])
+        return {"succeeded": True}
+
+    def _grant(self, body: Document) -> Document:
+        self._next_lease_id += 1
+        ttl = int(body["TTL"])
+        self._leases_by_id[self._next_lease_id] = _LeaseState(ttl, self._clock() + ttl)
+        return {"ID": str(self._next_lease_id), "TTL": str(ttl)}
+
+    def _keep_alive(self, body: Document) -> Document:
+        lease = self._leases_by_id.get(int(body["ID"]))
+        header = {"header": {"revision": str(self.revision)}}
+        if lease is None:
+            return {"result": header | {"ID": body["ID"]}}
+        lease.ends_at = self._clock() + lease.ttl
+        return {"result": header | {"ID": body["ID"], "TTL": str(lease.ttl)}}
+
+    def _revoke(self, body: Document) -> Document:
+        self._end_lease(int(body["ID"]))
+        return {}
+
+    def _holds(self, compare: Document) -> bool:
+        stored = self._stored_by_key.get(base64.b64decode(compare["key"]))
+        mod_revision = stored.mod_revision if stored else 0
+        return mod_revision == int(compare.get("mod_revision", "0"))
+
+    def _write(self, put: Document) -> None:
+        key = base64.b64decode(put["key"])
+        lease_id = int(put.get("lease", "0"))
+        stored = _Stored(put.get("value", ""), self.revision, lease_id)
+        self._stored_by_key[key] = stored
+        self._history.append(_Event(key, stored, self.revision))
+
+    def _remove(self, body: Document) -> int:
+        first, last = _range_of(body)
+        keys = [key for key in self._stored_by_key if first <= key < last]
+        for key in keys:
+            del self._stored_by_key[key]
+            self._history.append(_Event(key, None, self.revision))
+        return len(keys)
+
+    def _expire_leases(self) -> None:
+        now = self._clock()
+        for lease_id, lease in tuple(self._leases_by_id.items()):
+            if lease.ends_at <= now:
+                self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: int) -> None:
+        if self._leases_by_id.pop(lease_id, None) is None:
+            return
+        keys = [k for k, s in self._stored_by_key.items() if s.lease_id == lease_id]
+        self.revision += 1 if keys else 0
+        for key in keys:
+            del self._stored_by_key[key]
+            self._history.append(_Event(key, None, self.revision))
+
+
+def _range_of(body: Document) -> tuple[bytes, bytes]:
+    first = base64.b64decode(body["key"])
+    return first, base64.b64decode(body.get("range_end", "")) or first + b"\0"
+
+
+def _kv_document(key: bytes, stored: _Stored) -> Document:
+    return {
+        "key": base64.b64encode(key).decode(),
+        "value": stored.value,
+        "mod_revision": str(stored.mod_revision),
+    }
+
+
+def _event_document(event: _Event) -> Document:
+    if event.stored is not None:
+        return {"kv": _kv_document(event.key, event.stored)}
+    key = base64.b64encode(event.key).decode()
+    return {"type": "DELETE", "kv": {"key": key, "mod_revision": str(event.revision)}}
+
+
+def _value_size(body: Document) -> int:
+    puts = [body, *(o.get("request_put", {}) for o in body.get("success", []))]
+    # base64 writes 3 bytes as 4 characters.
+    return max(len(put.get("value", "")) * 3 // 4 for put in puts)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,9 +1,14 @@
-"""Generates attrs classes for messages and settings from schema/*.toml."""
+"""Generates code from the schema.
+
+attrs classes for messages and settings from schema/*.toml, and the classes of the
+operators' API from schema/operators.proto.
+"""
 
 from __future__ import annotations
 
 import subprocess
 import sys
+import tempfile
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -12,6 +17,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SCHEMA = ROOT / "schema"
 PACKAGE = ROOT / "src" / "siskinshift"
+API_PATH = "siskinshift/api/generated"
 SCALARS = {"str", "int", "float", "bool", "bytes"}
 PYTHON_TYPES_BY_OPTION_TYPE = {
     "str": "str",
@@ -19,6 +25,7 @@
     "float": "float",
     "choice": "str",
     "secret": "Secret",
+    "secrets": "tuple[Secret, ...]",
     "endpoint": "Endpoint",
     "endpoints": "tuple[Endpoint, ...]",
 }
@@ -167,6 +174,31 @@
     return modules
 
 
+def _api_modules() -> dict[Path, str]:
+    # The schema is mapped into the package's path, so that imports between the
+    # generated modules are absolute.
+    with tempfile.TemporaryDirectory() as folder:
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "grpc_tools.protoc",
+                f"-I{API_PATH}={SCHEMA}",
+                f"--python_out={folder}",
+                f"--pyi_out={folder}",
+                f"--grpc_python_out={folder}",
+                f"{API_PATH}/operators.proto",
+            ],
+            check=True,
+            cwd=ROOT,
+        )
+        target = PACKAGE.parent
+        return {
+            target / path.relative_to(folder): path.read_text()
+            for path in sorted(Path(folder).rglob("*.py*"))
+        }
+
+
 def generated_files() -> dict[Path, str]:
     """Generates all modules.
 
@@ -182,7 +214,8 @@
     texts[PACKAGE / "settings" / "generated.py"] = _settings_module(
         SCHEMA / "settings.toml"
     )
-    return {path: _formatted(text, path) for path, text in texts.items()}
+    formatted = {path: _formatted(text, path) for path, text in texts.items()}
+    return formatted | _api_modules()
 
 
 def main() -> int:
@@ -192,16 +225,17 @@
         1 when a module on disk is not current under --check, else 0.
     """
     check = "--check" in sys.argv[1:]
+    texts = generated_files()
     stale = [
         path
-        for path, text in generated_files().items()
+        for path, text in texts.items()
         if not path.exists() or path.read_text() != text
     ]
     if check:
         for path in stale:
             print(f"not current: {path.relative_to(ROOT)}; run `make generate`")
         return 1 if stale else 0
-    for path, text in generated_files().items():
+    for path, text in texts.items():
         path.write_text(text)
     return 0
 
