--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -139,6 +139,51 @@
     watchers: int
 
 
+@frozen
+class LogsSettings:
+    """Logs as JSON lines on standard error.
+
+    Attributes:
+        level: Most detailed level that is written.
+    """
+
+    level: str
+
+
+@frozen
+class MetricsSettings:
+    """Metrics by OpenTelemetry; off costs nothing.
+
+    Attributes:
+        exporter: How metrics leave the process.
+        prometheus_endpoint: Where metrics are served for exporter prometheus.
+        otlp_url: Collector for exporter otlp (HTTP).
+        interval: Pause between two exports to the collector. In seconds.
+    """
+
+    exporter: str
+    prometheus_endpoint: Endpoint
+    otlp_url: str
+    interval: float
+
+
+@frozen
+class ObjectivesSettings:
+    """Service-level objectives that `report burn` measures against.
+
+    Attributes:
+        unbroken_flows: Part of flows that end unbroken. In fraction.
+        answered_in_time: Part of requests answered within time_limit. In fraction.
+        time_limit: Time within which a request counts as answered in time. In seconds.
+        imbalance_limit: Work of the busiest upstream slot over the mean that still counts as balanced. In ratio.
+    """
+
+    unbroken_flows: float
+    answered_in_time: float
+    time_limit: float
+    imbalance_limit: float
+
+
 @frozen
 class Settings:
     """All settings of a process.
@@ -151,6 +196,9 @@
         agent: The agent beside an upstream.
         flows: How flows outlive change.
         api: The operators' API of a balancer.
+        logs: Logs as JSON lines on standard error.
+        metrics: Metrics by OpenTelemetry; off costs nothing.
+        objectives: Service-level objectives that `report burn` measures against.
     """
 
     node: NodeSettings
@@ -160,6 +208,9 @@
     agent: AgentSettings
     flows: FlowsSettings
     api: ApiSettings
+    logs: LogsSettings
+    metrics: MetricsSettings
+    objectives: ObjectivesSettings
 
 
 SECTIONS: tuple[Section, ...] = (
@@ -450,4 +501,96 @@
             ),
         ),
     ),
+    Section(
+        name="logs",
+        doc="Logs as JSON lines on standard error.",
+        settings_class=LogsSettings,
+        options=(
+            Option(
+                name="level",
+                type="choice",
+                choices=("off", "error", "info", "debug"),
+                default="info",
+                doc="Most detailed level that is written.",
+            ),
+        ),
+    ),
+    Section(
+        name="metrics",
+        doc="Metrics by OpenTelemetry; off costs nothing.",
+        settings_class=MetricsSettings,
+        options=(
+            Option(
+                name="exporter",
+                type="choice",
+                choices=("off", "prometheus", "otlp"),
+                default="off",
+                doc="How metrics leave the process.",
+            ),
+            Option(
+                name="prometheus_endpoint",
+                type="endpoint",
+                default="127.0.0.1:9464",
+                doc="Where metrics are served for exporter prometheus.",
+            ),
+            Option(
+                name="otlp_url",
+                type="str",
+                default="http://127.0.0.1:4318/v1/metrics",
+                doc="Collector for exporter otlp (HTTP).",
+            ),
+            Option(
+                name="interval",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=600.0,
+                default=15.0,
+                doc="Pause between two exports to the collector.",
+            ),
+        ),
+    ),
+    Section(
+        name="objectives",
+        doc="Service-level objectives that `report burn` measures against.",
+        settings_class=ObjectivesSettings,
+        options=(
+            Option(
+                name="unbroken_flows",
+                type="float",
+                unit="fraction",
+                minimum=0.5,
+                maximum=0.999999,
+                default=0.9999,
+                doc="Part of flows that end unbroken.",
+            ),
+            Option(
+                name="answered_in_time",
+                type="float",
+                unit="fraction",
+                minimum=0.5,
+                maximum=0.999999,
+                default=0.999,
+                doc="Part of requests answered within time_limit.",
+            ),
+            Option(
+                name="time_limit",
+                type="float",
+                unit="seconds",
+                minimum=0.001,
+                maximum=3600.0,
+                default=1.0,
+                doc="Time within which a request counts as answered in time.",
+            ),
+            Option(
+                name="imbalance_limit",
+                type="float",
+                unit="ratio",
+                minimum=1.0,
+                maximum=100.0,
+                default=1.25,
+                doc="Work of the busiest upstream slot over the mean that still counts as balanced.",
+            ),
+        ),
+    ),
 )
