--- a/src/siskinshift/api/service.py
+++ b/src/siskinshift/api/service.py
@@ -153,12 +153,13 @@
 
     @_call(Permission.READ)
     def ListServices(self, request: Any, _context: Any) -> Any:
-        """Lists the services in force."""
-        services = self._membership.views.current.services_by_id
+        """Lists the services held; their view is published within a moment."""
+        services = self._membership.services.services_by_id
         wanted = [
             services[service_id]
             for service_id in sorted(services)
             if request.service_id in ("", service_id)
+            and not services[service_id].deleted
         ]
         return pb.ListServicesReply(services=[service_message(s) for s in wanted])
 
@@ -167,12 +168,13 @@
         """Shows the nodes."""
         view = self._membership.views.current
         members = view.members_by_id
+        held = self._membership.services.services_by_id.values()
         return pb.GetStatusReply(
             member_id=self._member_id,
             view_version=view.version,
             configuration_revision=self._membership.services.revision,
             store_available=self._store_available(),
-            services=len(view.services_by_id),
+            services=sum(not service.deleted for service in held),
             nodes=[node_message(members[member_id]) for member_id in sorted(members)],
         )
 
--- a/src/siskinshift/balancer/application.py
+++ b/src/siskinshift/balancer/application.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from siskinshift.configuration.reader import ConfigurationReader
 from siskinshift.configuration.store import ConfigurationStore
 from siskinshift.control.server import ControlRoutes
 from siskinshift.control.server import ControlServer
@@ -12,7 +13,6 @@
 from siskinshift.core.keyring import KeyRing
 from siskinshift.core.packets import Envelope
 from siskinshift.kv.etcd import EtcdStore
-from siskinshift.kv.exceptions import StoreUnavailableError
 from siskinshift.kv.guard import CallClass
 from siskinshift.membership.node import MembershipNode
 from siskinshift.messages.core import Member
@@ -33,6 +33,7 @@
 
     from siskinshift.api.server import OperatorsServer
     from siskinshift.core.views import View
+    from siskinshift.messages.core import Service
     from siskinshift.settings.generated import Settings
 
 
@@ -59,7 +60,6 @@
         self._view_version = 0
         self._received_at = monotonic_clock()
         self._drops = DropRecorder(part="balancer", counters=self.counters)
-        self._store = ConfigurationStore(EtcdStore(settings.kv))
         self._operators: OperatorsServer | None = None
         self._socket = DatagramSocket(node.data_endpoint)
         routes = ControlRoutes()
@@ -80,6 +80,15 @@
             control=node.control_endpoint,
             data=self._socket.endpoint,
         )
+        self._store = EtcdStore(settings.kv)
+        self._reader = ConfigurationReader(
+            settings=settings.kv,
+            store=self._store,
+            member=member,
+            on_services=self._take_services,
+            on_entry_slot=self._announce_entry_slot,
+            spawn=self.spawn,
+        )
         self.membership = MembershipNode(
             application=self,
             member=member,
@@ -97,10 +106,17 @@
         self.spawn(self._server.serve_forever, 0.1)
         self.membership.views.subscribe(self._on_view)
         self.membership.start()
-        self.every(self.settings.kv.check_interval, self._read_configuration)
+        self._start_reader()
         self.spawn(self._socket.receive_until, self.stopping, self._on_datagram)
         self._start_operators_api()
 
+    def _start_reader(self) -> None:
+        if not self.settings.kv.endpoints:
+            return
+        self.membership.views.subscribe(self._reader.update)
+        self.owns(self._reader.stop)
+        self.spawn(self._reader.run_until, self.stopping)
+
     @property
     def operators_ports(self) -> list[int]:
         """Ports of the operators' API; empty while it is not served."""
@@ -114,7 +130,7 @@
         from siskinshift.api.server import OperatorsServer
         from siskinshift.api.service import OperatorsService
 
-        store = EtcdStore(self.settings.kv, call_class=CallClass.OPERATOR)
+        store = self._store.shared_with(CallClass.OPERATOR)
         service = OperatorsService(
             settings=self.settings,
             store=ConfigurationStore(store),
@@ -143,16 +159,12 @@
         self._chooser.update(view)
         self._view_version = view.version
 
-    def _read_configuration(self) -> None:
-        if not self.settings.kv.endpoints:
-            return
-        try:
-            services = self._store.read_all()
-        except StoreUnavailableError:
-            self.counters.add("kv.unavailable")
-            return
-        self.membership.services.merge_all(services)
-        self.membership.services_changed()
+    def _announce_entry_slot(self, revision: int) -> None:
+        self.counters.add("kv.entry_slot_taken" if revision else "kv.entry_slot_lost")
+
+    def _take_services(self, services: list[Service]) -> None:
+        if self.membership.services.merge_all(services):
+            self.membership.services_changed()
 
     def _on_datagram(self, datagram: bytes, source: tuple[str, int]) -> None:
         self._received_at = monotonic_clock()
--- a/src/siskinshift/kv/etcd.py
+++ b/src/siskinshift/kv/etcd.py
@@ -9,6 +9,7 @@
 
 import base64
 import binascii
+import copy
 import threading
 from http import HTTPStatus
 from random import Random
@@ -70,7 +71,6 @@
         settings: KvSettings,
         *,
         call_class: CallClass = CallClass.BACKGROUND,
-        guard: CallGuard | None = None,
         transport: EtcdTransport | None = None,
         clock: Clock = monotonic_clock,
     ) -> None:
@@ -79,16 +79,28 @@
         Args:
             settings: Endpoints, time-outs, rates.
             call_class: Who waits for its calls.
-            guard: Shared by all adapters of the process; None for an own one.
             transport: Carries the calls; None for HTTP.
             clock: Clock of the process.
         """
         self._call_class = call_class
-        self._guard = guard or CallGuard(settings, random=Random())
+        self._guard = CallGuard(settings, random=Random())
         self._guard_lock = threading.Lock()
         self._transport = transport or HttpTransport(settings)
         self._clock = clock
 
+    def shared_with(self, call_class: CallClass) -> EtcdStore:
+        """Makes an adapter that shares this one's budget and circuit breaker.
+
+        Args:
+            call_class: Who waits for its calls.
+
+        Returns:
+            The adapter.
+        """
+        shared = copy.copy(self)
+        shared._call_class = call_class
+        return shared
+
     @property
     def available(self) -> bool:
         """Whether the last call was answered well; True before the first one."""
@@ -111,6 +123,22 @@
         entries = _snapshot_of(answer).entries
         return entries[0] if entries else None
 
+    def revision_of(self, key: str) -> int:
+        """Reads the revision of one entry without its value.
+
+        Args:
+            key: The key.
+
+        Returns:
+            The revision, 0 when the key is absent.
+
+        Raises:
+            StoreUnavailableError: No good answer in time.
+        """
+        body = {"key": _encode(key.encode()), "keys_only": True}
+        entries = _snapshot_of(self._read(RANGE_PATH, body)).entries
+        return entries[0].revision if entries else 0
+
     def list_prefix(self, prefix: str) -> Snapshot:
         """Reads all entries whose key begins with a prefix.
 
--- a/src/siskinshift/kv/port.py
+++ b/src/siskinshift/kv/port.py
@@ -149,6 +149,9 @@
     def get(self, key: str) -> Entry | None:
         """Reads one entry, or None when the key is absent."""
 
+    def revision_of(self, key: str) -> int:
+        """Reads the revision of one entry without its value; 0 when it is absent."""
+
     def list_prefix(self, prefix: str) -> Snapshot:
         """Reads all entries whose key begins with a prefix, not empty."""
 
--- a/src/siskinshift/kv/transport.py
+++ b/src/siskinshift/kv/transport.py
@@ -155,14 +155,14 @@
             # one ended, so nothing is missed.
             return
         finally:
-            self.close()
+            self._connection.close()
 
     def close(self) -> None:
         """Ends the stream; see LineStream."""
-        # The other end may have closed it already.
+        # Only woken up here: the library's objects are closed by the thread that
+        # reads them. The other end may have closed the socket already.
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
-        self._connection.close()
 
 
 def _read_whole(response: http.client.HTTPResponse, until: float) -> bytes:
--- a/src/siskinshift/standins/kv_state.py
+++ b/src/siskinshift/standins/kv_state.py
@@ -208,6 +208,8 @@
             for key, stored in sorted(self._stored_by_key.items())
             if first <= key < last
         ]
+        if body.get("keys_only"):
+            kvs = [kv | {"value": ""} for kv in kvs]
         return {"kvs": kvs, "count": str(len(kvs))} if kvs else {}
 
     def _put(self, body: Document) -> Document:
