--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -101,23 +101,48 @@
     Raises:
         TimeoutError: It took too long.
     """
-    agents = len(deployment.agents_by_id)
-    services = len(deployment.services_by_id)
     until = time.monotonic() + READY_TIMEOUT_SECONDS
-    memberships = [b.membership for b in deployment.balancers_by_id.values()]
-    memberships += [a.membership for a in deployment.agents_by_id.values()]
     while time.monotonic() < until:
-        views = [membership.views.current for membership in memberships]
-        if all(
-            len(view.services_by_id) == services
-            and sum(len(a) for a in view.agents_by_class.values()) == agents
-            for view in views
-        ):
+        if _all_balancers_are_ready(deployment) and _all_agents_are_ready(deployment):
             return
         time.sleep(0.05)
     raise TimeoutError("the deployment did not become ready")
 
 
+def _all_balancers_are_ready(deployment: Deployment) -> bool:
+    agents = set(deployment.agents_by_id)
+    services = set(deployment.services_by_id)
+    views = [
+        one.membership.views.current for one in deployment.balancers_by_id.values()
+    ]
+    return all(
+        set(view.services_by_id) == services and agents <= set(view.members_by_id)
+        for view in views
+    )
+
+
+def _all_agents_are_ready(deployment: Deployment) -> bool:
+    """Tells whether each agent knows all peers and services of its class."""
+    for agent in deployment.agents_by_id.values():
+        upstream_class = agent.settings.agent.upstream_class
+        peers = {
+            node_id
+            for node_id, peer in deployment.agents_by_id.items()
+            if peer.settings.agent.upstream_class == upstream_class
+        }
+        services = {
+            service_id
+            for service_id, service in deployment.services_by_id.items()
+            if service.upstream_class == upstream_class
+        }
+        view = agent.membership.views.current
+        if not peers <= set(view.members_by_id):
+            return False
+        if not services <= set(view.services_by_id):
+            return False
+    return True
+
+
 def _exchange_all(callers_by_service: dict[str, list[DatagramCaller]]) -> None:
     callers = [caller for group in callers_by_service.values() for caller in group]
 
--- /dev/null
+++ b/src/siskinshift/membership/announcer.py
@@ -0,0 +1,273 @@
+"""Announces a process to its watchers; the same for agents and balancers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import xxhash
+from attrs import define
+
+from siskinshift.core.endpoints import format_endpoint
+from siskinshift.membership.actions import Call
+from siskinshift.membership.ordering import own_version_above
+from siskinshift.membership.table import hash_text
+from siskinshift.membership.table import stamp_of
+from siskinshift.messages.membership import Heartbeat
+from siskinshift.messages.membership import Stamp
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from siskinshift.messages.core import Endpoint
+    from siskinshift.messages.core import Member
+    from siskinshift.messages.core import MemberState
+    from siskinshift.settings.generated import MembershipSettings
+
+
+# A lost heartbeat is sent again soon: three tries fit into the silence allowed.
+RETRY_SECONDS = 0.05
+QUICK_RETRIES = 2
+BACKOFF_MAXIMUM_SECONDS = 4.0
+# Shortens pauses at random, so that members that started together drift apart.
+INTERVAL_JITTER = 0.1
+
+
+@define(eq=False)
+class _Target:
+    next_at: float
+    failures: int = 0
+    in_flight: bool = False
+    acknowledged: Stamp | None = None
+
+
+def hash_of_watchers(endpoints: Iterable[Endpoint]) -> str:
+    """Hashes a set of watchers whatever its order.
+
+    Args:
+        endpoints: Their control endpoints.
+
+    Returns:
+        The hash as text.
+    """
+    text = "\n".join(sorted(format_endpoint(endpoint) for endpoint in endpoints))
+    return hash_text(xxhash.xxh3_64_intdigest(text.encode()))
+
+
+class Announcer:
+    """Decides when to send a heartbeat to whom.
+
+    Attributes:
+        own: What the process says of itself.
+    """
+
+    def __init__(
+        self, *, own: Member, settings: MembershipSettings, random: random.Random
+    ) -> None:
+        """Prepares an announcer without watchers; seeds will name them.
+
+        Args:
+            own: State of the process.
+            settings: Intervals and seeds.
+            random: Source of jitter.
+        """
+        self.own = attrs.evolve(own, version=own_version_above(0))
+        self._settings = settings
+        self._random = random
+        self._seeds = tuple(seed for seed in settings.seeds if seed != own.control)
+        self._targets_by_endpoint: dict[Endpoint, _Target] = {}
+        self._watchers_hash = ""
+        self._seed_at: float | None = None
+        self._seed_failures = 0
+        self._seed_call: Endpoint | None = None
+
+    @property
+    def watchers(self) -> tuple[Endpoint, ...]:
+        """Watchers announced to."""
+        return tuple(self._targets_by_endpoint)
+
+    def change(self, *, state: MemberState, weight: int, now: float) -> None:
+        """Changes the own state and makes every watcher due at once.
+
+        Args:
+            state: New state.
+            weight: New weight, 0 to 1000.
+            now: Clock reading, seconds.
+        """
+        version = own_version_above(self.own.version)
+        self.own = attrs.evolve(self.own, state=state, weight=weight, version=version)
+        self._hurry(now)
+
+    def refute(self, known: Stamp, *, now: float) -> bool:
+        """Answers a state that others hold of this process.
+
+        Failure: a live member was expelled, or an earlier process of the same name
+        had a clock that ran ahead; peers would pass over all it says. The guard
+        raises the own state above what they hold.
+
+        Args:
+            known: What others hold.
+            now: Clock reading, seconds.
+
+        Returns:
+            Whether the own state had to change.
+        """
+        held = (known.incarnation, known.version)
+        if held <= (self.own.incarnation, self.own.version):
+            return False
+        if known.incarnation == self.own.incarnation:
+            version = own_version_above(known.version)
+            self.own = attrs.evolve(self.own, version=version)
+        else:
+            self.own = attrs.evolve(self.own, incarnation=known.incarnation + 1)
+        self._hurry(now)
+        return True
+
+    def watched_by(self, endpoints: Iterable[Endpoint], *, now: float) -> None:
+        """Takes the watchers to announce to.
+
+        Args:
+            endpoints: Their control endpoints.
+            now: Clock reading, seconds.
+        """
+        wanted = [endpoint for endpoint in endpoints if endpoint != self.own.control]
+        targets = self._targets_by_endpoint
+        interval = self._settings.heartbeat_interval
+        kept = {endpoint: targets.get(endpoint) for endpoint in wanted}
+        # New ones are spread over a short while: the change is the same for many
+        # members when a balancer dies, and the successor would hear all at once.
+        self._targets_by_endpoint = {
+            endpoint: target
+            or _Target(next_at=now + self._random.uniform(0, interval / 4))
+            for endpoint, target in kept.items()
+        }
+        self._watchers_hash = hash_of_watchers(self._targets_by_endpoint)
+
+    def due(self, now: float, view_hash: str) -> list[Call]:
+        """Lists the heartbeats to send now.
+
+        Args:
+            now: Clock reading, seconds.
+            view_hash: Hash of what an agent knows of its class.
+
+        Returns:
+            The calls.
+        """
+        calls = []
+        for endpoint, target in self._targets_by_endpoint.items():
+            if target.in_flight or target.next_at > now:
+                continue
+            target.in_flight = True
+            calls.append(Call(endpoint, self._heartbeat(target, view_hash)))
+        seed = self._due_seed(now)
+        if seed is not None:
+            calls.append(Call(seed, self._heartbeat(None, view_hash)))
+        return calls
+
+    def next_due(self) -> float:
+        """Tells when `due` should be called next.
+
+        Returns:
+            Clock reading, seconds; infinity when nothing is to be sent.
+        """
+        times = [
+            target.next_at
+            for target in self._targets_by_endpoint.values()
+            if not target.in_flight
+        ]
+        if self._seed_call is None and self._needs_seed():
+            times.append(self._seed_at or 0.0)
+        return min(times, default=float("inf"))
+
+    def on_reply(
+        self, endpoint: Endpoint, heartbeat: Heartbeat, *, wanted: bool, now: float
+    ) -> None:
+        """Takes note that a receiver answered.
+
+        Args:
+            endpoint: The receiver.
+            heartbeat: What it was sent.
+            wanted: Whether it asked for the whole state.
+            now: Clock reading, seconds.
+        """
+        if endpoint == self._seed_call:
+            self._seed_call = None
+            self._seed_failures = 0
+            self._seed_at = now + self._settings.heartbeat_interval
+        target = self._targets_by_endpoint.get(endpoint)
+        if target is None or not target.in_flight:
+            return
+        target.in_flight = False
+        target.failures = 0
+        target.next_at = max(now, target.next_at + self._interval())
+        if wanted:
+            target.acknowledged = None
+            target.next_at = now
+        elif heartbeat.member is not None:
+            target.acknowledged = stamp_of(heartbeat.member)
+        if target.acknowledged != stamp_of(self.own):
+            target.next_at = now
+
+    def on_failure(self, endpoint: Endpoint, *, now: float) -> None:
+        """Takes note that a receiver did not answer.
+
+        Args:
+            endpoint: The receiver.
+            now: Clock reading, seconds.
+        """
+        if endpoint == self._seed_call:
+            self._seed_call = None
+            self._seed_failures += 1
+            self._seed_at = now + self._backoff(self._seed_failures)
+        target = self._targets_by_endpoint.get(endpoint)
+        if target is None or not target.in_flight:
+            return
+        target.in_flight = False
+        target.failures += 1
+        target.acknowledged = None
+        target.next_at = now + self._backoff(target.failures)
+
+    def _hurry(self, now: float) -> None:
+        for target in self._targets_by_endpoint.values():
+            target.next_at = now
+
+    def _heartbeat(self, target: _Target | None, view_hash: str) -> Heartbeat:
+        own = self.own
+        knows = target is not None and target.acknowledged == stamp_of(own)
+        return Heartbeat(
+            member_id=own.member_id,
+            incarnation=own.incarnation,
+            version=own.version,
+            view_hash=view_hash,
+            watchers_hash=self._watchers_hash,
+            member=None if knows else own,
+        )
+
+    def _needs_seed(self) -> bool:
+        return bool(self._seeds) and all(
+            target.failures > QUICK_RETRIES
+            for target in self._targets_by_endpoint.values()
+        )
+
+    def _due_seed(self, now: float) -> Endpoint | None:
+        if not self._needs_seed() or self._seed_call is not None:
+            return None
+        if self._seed_at is None:
+            # A rack or a fleet that starts at once spreads its first calls.
+            jitter = self._random.uniform(0, self._settings.start_jitter)
+            self._seed_at = now + jitter
+        if self._seed_at > now:
+            return None
+        self._seed_call = self._random.choice(self._seeds)
+        return self._seed_call
+
+    def _interval(self) -> float:
+        shortened = 1.0 - self._random.uniform(0, INTERVAL_JITTER)
+        return self._settings.heartbeat_interval * shortened
+
+    def _backoff(self, failures: int) -> float:
+        doublings = max(0, min(failures, 10) - QUICK_RETRIES)
+        pause = min(RETRY_SECONDS * 2.0**doublings, BACKOFF_MAXIMUM_SECONDS)
+        return pause * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/src/siskinshift/membership/class_news.py
@@ -0,0 +1,113 @@
+"""What a watcher tells the agents of a class about their peers and services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+from attrs import frozen
+
+from siskinshift.membership.table import hash_text
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import Service
+
+
+if TYPE_CHECKING:
+    from siskinshift.membership.table import MemberTable
+
+
+# Classes up to this size are told whole: that costs less than to keep book.
+WHOLE_CLASS_MAXIMUM = 16
+
+
+@define(eq=False)
+class _Told:
+    revision: int
+    was_hash: str
+
+
+@frozen
+class ClassNews:
+    """Records for one agent.
+
+    Attributes:
+        members: Agents of its class.
+        services: Services of its class.
+        complete: Whether these are all of the class.
+    """
+
+    members: tuple[Member, ...]
+    services: tuple[Service, ...]
+    complete: bool
+
+
+NOTHING_NEW = ClassNews((), (), False)
+
+
+class ClassTeller:
+    """Chooses between the last changes of a class and all of it.
+
+    An agent sends the hash of what it knows with each heartbeat. When it differs,
+    a watcher sends the changes since it last told that agent; when the same hash
+    comes again, the difference is another one, and the whole class is sent.
+    """
+
+    def __init__(self, table: MemberTable) -> None:
+        """Prepares a teller.
+
+        Args:
+            table: What the watcher knows.
+        """
+        self._table = table
+        self._told_by_id: dict[str, _Told] = {}
+
+    def forget(self, agent_id: str) -> None:
+        """Drops what is kept for an agent.
+
+        Args:
+            agent_id: The agent.
+        """
+        self._told_by_id.pop(agent_id, None)
+
+    def news_for(self, agent_id: str, upstream_class: str, view_hash: str) -> ClassNews:
+        """Lists what an agent should be told.
+
+        Args:
+            agent_id: The agent.
+            upstream_class: Its class.
+            view_hash: Hash of what it knows.
+
+        Returns:
+            The records.
+        """
+        records = self._table.class_records(upstream_class)
+        told = self._told_by_id.get(agent_id)
+        self._told_by_id[agent_id] = _Told(self._table.revision, view_hash)
+        if view_hash == hash_text(records.state_hash):
+            return NOTHING_NEW
+        size = len(records.member_ids) + len(records.service_ids)
+        repeated = told is None or told.was_hash == view_hash
+        changes = records.changes
+        if size <= WHOLE_CLASS_MAXIMUM or repeated or told is None or not changes:
+            return self._whole(upstream_class)
+        if changes[0].revision > told.revision + 1:
+            return self._whole(upstream_class)
+        fresh = [change for change in changes if change.revision > told.revision]
+        members = {change.key for change in fresh if not change.is_service}
+        services = {change.key for change in fresh if change.is_service}
+        return self._records(members, services, complete=False)
+
+    def _whole(self, upstream_class: str) -> ClassNews:
+        records = self._table.class_records(upstream_class)
+        return self._records(records.member_ids, records.service_ids, complete=True)
+
+    def _records(
+        self, member_ids: set[str], service_ids: set[str], *, complete: bool
+    ) -> ClassNews:
+        members = self._table.members_by_id
+        services = self._table.services.services_by_id
+        return ClassNews(
+            members=tuple(members[key] for key in sorted(member_ids) if key in members),
+            services=tuple(services[key] for key in sorted(service_ids)),
+            complete=complete,
+        )
--- /dev/null
+++ b/src/siskinshift/membership/comparison.py
@@ -0,0 +1,300 @@
+"""Slow comparison of the whole state with another balancer (anti-entropy).
+
+News that was lost with the process that should have passed it on, a start without
+any state, and a merge after a cut are all healed here. While two processes agree a
+comparison costs one hash; where they differ, the hashes of 64 buckets, then names
+of the records of a few buckets at a time, then only the records that differ.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from siskinshift.membership.actions import Call
+from siskinshift.membership.table import hash_text
+from siskinshift.membership.table import service_stamp_of
+from siskinshift.membership.table import stamp_of
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+from siskinshift.messages.membership import Compare
+from siskinshift.messages.membership import CompareReply
+from siskinshift.messages.membership import Digest
+from siskinshift.messages.membership import DigestReply
+from siskinshift.messages.membership import News
+
+
+if TYPE_CHECKING:
+    import random
+
+    from siskinshift.membership.table import MemberTable
+    from siskinshift.messages.core import Member
+    from siskinshift.messages.core import Service
+    from siskinshift.messages.membership import Stamp
+    from siskinshift.settings.generated import MembershipSettings
+
+
+BUCKETS_PER_CALL = 4
+# One partner in so many is taken from those gone or from the seeds: only they can
+# lead back to the other side after a cut in which both sides expelled each other.
+OUTSIDE_EVERY = 4
+RETRY_SECONDS = 0.5
+
+
+@define(eq=False)
+class _Round:
+    partner: Endpoint
+    buckets: list[int]
+
+
+def answer_digest(table: MemberTable, digest: Digest) -> DigestReply:
+    """Answers the opening of a comparison.
+
+    Args:
+        table: What this process knows.
+        digest: Hash of what the other knows.
+
+    Returns:
+        Hashes by bucket when the states differ.
+    """
+    if digest.state_hash == hash_text(table.state_hash):
+        return DigestReply()
+    return DigestReply(bucket_hashes=table.bucket_hashes)
+
+
+def answer_compare(table: MemberTable, compare: Compare) -> CompareReply:
+    """Compares some buckets record by record.
+
+    Args:
+        table: What this process knows.
+        compare: Names of what the other knows.
+
+    Returns:
+        What the other lacks, and names of what this process lacks.
+    """
+    theirs = {stamp.key: stamp for stamp in compare.members}
+    their_services = {stamp.key: stamp for stamp in compare.services}
+    members = [
+        member
+        for bucket in compare.buckets
+        for member in table.members_in(bucket)
+        if _is_news(member, theirs.get(member.member_id))
+    ]
+    services = [
+        service
+        for bucket in compare.buckets
+        for service in table.services_in(bucket)
+        if _is_service_news(service, their_services.get(service.service_id))
+    ]
+    return CompareReply(
+        members=tuple(members),
+        services=tuple(services),
+        wanted_members=tuple(
+            stamp.key for stamp in compare.members if _lacks_member(table, stamp)
+        ),
+        wanted_services=tuple(
+            stamp.key for stamp in compare.services if _lacks_service(table, stamp)
+        ),
+    )
+
+
+class Comparison:
+    """Decides when to compare with whom; one comparison at a time."""
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        table: MemberTable,
+        settings: MembershipSettings,
+        random: random.Random,
+    ) -> None:
+        """Prepares the first comparison, which is due after a short random while.
+
+        Args:
+            own: State of the process.
+            table: What the process knows.
+            settings: Interval and seeds.
+            random: Source of jitter and partners.
+        """
+        self._own_id = own.member_id
+        self._table = table
+        self._settings = settings
+        self._random = random
+        self._seeds = tuple(seed for seed in settings.seeds if seed != own.control)
+        self._next_at: float | None = None
+        self._round: _Round | None = None
+        self._is_complete = not self._seeds
+        self._partners: tuple[int, list[Endpoint], list[Endpoint]] | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a comparison with anyone has ever been finished."""
+        return self._is_complete
+
+    def due(self, now: float) -> list[Call]:
+        """Opens a comparison when it is time.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            The call, if any.
+        """
+        if self._next_at is None:
+            jitter = self._random.uniform(0, self._settings.start_jitter)
+            self._next_at = now + jitter
+        if self._round is not None or self._next_at > now:
+            return []
+        partner = self._partner()
+        self._next_at = now + self._pause()
+        if partner is None:
+            return []
+        self._round = _Round(partner, [])
+        return [Call(partner, Digest(self._own_id, hash_text(self._table.state_hash)))]
+
+    def next_due(self) -> float:
+        """Tells when `due` should be called next.
+
+        Returns:
+            Clock reading, seconds; infinity while a comparison runs.
+        """
+        if self._round is not None:
+            return float("inf")
+        return self._next_at or 0.0
+
+    def on_digest_reply(self, partner: Endpoint, reply: DigestReply) -> list[Call]:
+        """Goes on with the buckets that differ.
+
+        Args:
+            partner: Who replied.
+            reply: Hashes by bucket.
+
+        Returns:
+            The next call, if any.
+        """
+        if self._round is None or self._round.partner != partner:
+            return []
+        pairs = zip(self._table.bucket_hashes, reply.bucket_hashes, strict=False)
+        differing = [
+            bucket for bucket, (own, other) in enumerate(pairs) if own != other
+        ]
+        self._round.buckets = differing
+        return self._compare_next()
+
+    def on_compare_reply(self, partner: Endpoint, reply: CompareReply) -> list[Call]:
+        """Sends what the partner lacks and goes on with the next buckets.
+
+        Args:
+            partner: Who replied.
+            reply: What each side lacks; the caller has merged the records.
+
+        Returns:
+            The next calls, if any.
+        """
+        if self._round is None or self._round.partner != partner:
+            return []
+        calls = []
+        if reply.wanted_members or reply.wanted_services:
+            calls.append(Call(partner, self._wanted_news(reply)))
+        return [*calls, *self._compare_next()]
+
+    def on_failure(self, partner: Endpoint, *, now: float) -> None:
+        """Gives a comparison up; another partner is asked soon.
+
+        Args:
+            partner: Who did not answer.
+            now: Clock reading, seconds.
+        """
+        if self._round is None or self._round.partner != partner:
+            return
+        self._round = None
+        retry_at = now + RETRY_SECONDS * self._random.uniform(0.5, 1.5)
+        self._next_at = min(self._next_at or retry_at, retry_at)
+
+    def _compare_next(self) -> list[Call]:
+        assert self._round is not None
+        if not self._round.buckets:
+            self._round = None
+            self._is_complete = True
+            return []
+        buckets = self._round.buckets[:BUCKETS_PER_CALL]
+        del self._round.buckets[:BUCKETS_PER_CALL]
+        members = [one for bucket in buckets for one in self._table.members_in(bucket)]
+        services = [
+            one for bucket in buckets for one in self._table.services_in(bucket)
+        ]
+        compare = Compare(
+            sender_id=self._own_id,
+            buckets=tuple(buckets),
+            members=tuple(stamp_of(member) for member in members),
+            services=tuple(service_stamp_of(service) for service in services),
+        )
+        return [Call(self._round.partner, compare)]
+
+    def _wanted_news(self, reply: CompareReply) -> News:
+        members = self._table.members_by_id
+        services = self._table.services.services_by_id
+        return News(
+            sender_id=self._own_id,
+            members=tuple(
+                members[key] for key in reply.wanted_members if key in members
+            ),
+            services=tuple(
+                services[key] for key in reply.wanted_services if key in services
+            ),
+        )
+
+    def _pause(self) -> float:
+        # A process without state yet asks again soon.
+        interval = self._settings.digest_interval
+        if not self._is_complete:
+            interval = min(interval, RETRY_SECONDS)
+        return interval * self._random.uniform(0.5, 1.5)
+
+    def _partner(self) -> Endpoint | None:
+        inside, outside = self._known_partners()
+        go_outside = self._random.randrange(OUTSIDE_EVERY) == 0
+        candidates = outside if outside and (go_outside or not inside) else inside
+        return self._random.choice(candidates) if candidates else None
+
+    def _known_partners(self) -> tuple[list[Endpoint], list[Endpoint]]:
+        generation = self._table.balancer_generation
+        if self._partners is None or self._partners[0] != generation:
+            self._partners = (generation, *self._list_partners())
+        return self._partners[1], self._partners[2]
+
+    def _list_partners(self) -> tuple[list[Endpoint], list[Endpoint]]:
+        inside: list[Endpoint] = []
+        outside = list(self._seeds)
+        for member in self._table.members_by_id.values():
+            if member.role is not Role.BALANCER or member.member_id == self._own_id:
+                continue
+            is_gone = member.state is MemberState.GONE
+            (outside if is_gone else inside).append(member.control)
+        return inside, outside
+
+
+def _is_news(member: Member, stamp: Stamp | None) -> bool:
+    if stamp is None:
+        # What is gone need not be taught to one that has forgotten it.
+        return member.state is not MemberState.GONE
+    return (member.incarnation, member.version) > (stamp.incarnation, stamp.version)
+
+
+def _is_service_news(service: Service, stamp: Stamp | None) -> bool:
+    return stamp is None or service.revision > stamp.version
+
+
+def _lacks_member(table: MemberTable, stamp: Stamp) -> bool:
+    known = table.members_by_id.get(stamp.key)
+    if known is None:
+        return True
+    return (stamp.incarnation, stamp.version) > (known.incarnation, known.version)
+
+
+def _lacks_service(table: MemberTable, stamp: Stamp) -> bool:
+    known = table.services.services_by_id.get(stamp.key)
+    return known is None or stamp.version > known.revision
--- a/src/siskinshift/membership/node.py
+++ b/src/siskinshift/membership/node.py
@@ -1,32 +1,45 @@
-"""A process's part in membership: announces itself, hears others, keeps the view."""
+"""Runs membership decisions for one process: clock, threads, HTTP, views."""
 
 from __future__ import annotations
 
 import threading
+from random import Random
 from typing import TYPE_CHECKING
 
-import attrs
-
 from siskinshift.configuration.table import ServiceTable
 from siskinshift.control.client import ControlClient
-from siskinshift.control.exceptions import BadMessageError
-from siskinshift.control.exceptions import PeerUnreachableError
-from siskinshift.membership.table import MemberTable
+from siskinshift.membership.actions import PATHS_BY_MESSAGE_TYPE
+from siskinshift.membership.actions import Call
+from siskinshift.membership.agent import AgentMembership
+from siskinshift.membership.balancer import BalancerMembership
+from siskinshift.membership.peer_tasks import PeerTasks
+from siskinshift.membership.peer_tasks import send_call
 from siskinshift.membership.view_holder import ViewHolder
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
 from siskinshift.messages.membership import Heartbeat
-from siskinshift.messages.membership import HeartbeatReply
+from siskinshift.runtime.counters import Counters
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from siskinshift.control.server import ControlRoutes
     from siskinshift.core.clocks import Clock
     from siskinshift.core.keyring import KeyRing
+    from siskinshift.membership.actions import Message
+    from siskinshift.membership.actions import Reply
+    from siskinshift.membership.participant import Participant
     from siskinshift.messages.core import Member
-    from siskinshift.messages.core import MemberState
     from siskinshift.runtime.application import Application
 
 
-HEARTBEAT_PATH = "/v1/heartbeat"
+WAIT_MAXIMUM_SECONDS = 0.2
+# A view is published at once after a quiet time; in a flood of changes this pause
+# bounds what building views costs.
+VIEW_PAUSE_SECONDS = 0.25
+# A process that leaves tells its watchers, but doesn't wait for dead ones.
+LEAVE_TIMEOUT_SECONDS = 0.1
 
 
 class MembershipNode:
@@ -35,6 +48,7 @@
     Attributes:
         views: Where the current view is.
         services: Configuration held.
+        counters: Messages sent, received and failed.
     """
 
     def __init__(
@@ -57,32 +71,42 @@
         """
         self.views = ViewHolder()
         self.services = ServiceTable()
+        self.counters = Counters()
         self._application = application
         self._settings = application.settings.membership
+        self._key_ring = key_ring
         self._clock = clock
-        self._lock = threading.Lock()
-        self._own = member
-        self._table = MemberTable()
-        self._table.merge(member)
-        self._published = (-1, -1)
-        self._clients = [
-            ControlClient(
-                endpoint=seed,
-                key_ring=key_ring,
-                timeout=self._settings.heartbeat_interval,
-            )
-            for seed in self._settings.seeds
-            if seed != member.control
-        ]
-        routes.handles(HEARTBEAT_PATH, Heartbeat)(self._on_heartbeat)
+        self._wake = threading.Condition()
+        self._is_awake = False
+        self._published_revision = -1
+        self._publish_at = 0.0
+        participant_class = (
+            BalancerMembership if member.role is Role.BALANCER else AgentMembership
+        )
+        self._participant: Participant = participant_class(
+            own=member,
+            services=self.services,
+            settings=self._settings,
+            random=Random(f"{member.member_id} {member.incarnation}"),
+        )
+        self._tasks = PeerTasks(
+            application=application,
+            key_ring=key_ring,
+            timeout=self._settings.call_timeout,
+            on_result=self._on_result,
+        )
+        for message_type, path in PATHS_BY_MESSAGE_TYPE.items():
+            routes.handles(path, message_type)(self._handler(path))
+
+    @property
+    def own(self) -> Member:
+        """What this process says of itself."""
+        return self._participant.own
 
     def start(self) -> None:
-        """Starts one task for each seed and one that watches for silence."""
-        interval = self._settings.heartbeat_interval
-        for client in self._clients:
-            self._application.owns(client.close)
-            self._application.spawn(self._announce_until_stopped, client)
-        self._application.every(interval / 2, self._expire)
+        """Starts the task that acts when something is due."""
+        self._application.owns(self._leave)
+        self._application.spawn(self._run)
 
     def change_own(self, *, state: MemberState, weight: int) -> None:
         """Changes what this process says of itself.
@@ -91,68 +115,103 @@
             state: New state.
             weight: New weight, 0 to 1000.
         """
-        with self._lock:
-            version = self._own.version + 1
-            self._own = attrs.evolve(
-                self._own, state=state, weight=weight, version=version
-            )
-            self._table.merge(self._own)
-            self._publish()
+        with self._wake:
+            self._participant.change_own(state=state, weight=weight, now=self._clock())
+            self._notify()
 
     def services_changed(self) -> None:
-        """Publishes a view after the configuration changed."""
-        with self._lock:
-            self._publish()
-
-    def _announce_until_stopped(self, client: ControlClient) -> None:
+        """Passes on and publishes configuration that was merged into `services`."""
+        with self._wake:
+            self._participant.services_changed(now=self._clock())
+            self._notify()
+
+    def _handler(self, path: str) -> Callable[[Message], Reply]:
+        name = f"received{path.replace('/', '.')}"
+
+        def handle(message: Message) -> Reply:
+            self.counters.add(name)
+            with self._wake:
+                revision = self._participant.table.revision
+                reply = self._participant.handle(message, now=self._clock())
+                if self._participant.table.revision != revision:
+                    self._notify()
+            return reply
+
+        return handle
+
+    def _run(self) -> None:
         while not self._application.stopping.is_set():
-            self._announce(client)
-            self._application.stopping.wait(self._settings.heartbeat_interval)
-
-    def _announce(self, client: ControlClient) -> None:
-        with self._lock:
-            heartbeat = Heartbeat(member=self._own)
-        try:
-            reply = client.call(HEARTBEAT_PATH, heartbeat, HeartbeatReply)
-        except (PeerUnreachableError, BadMessageError):
-            return
-        with self._lock:
-            for member in reply.members:
-                self._merge(member)
-            for service in reply.services:
-                self.services.merge(service)
-            self._publish()
-
-    def _on_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatReply:
-        with self._lock:
-            self._table.heard(heartbeat.member, now=self._clock())
-            self._publish()
-            return HeartbeatReply(
-                members=tuple(self._table.members_by_id.values()),
-                services=tuple(self.services.services_by_id.values()),
+            with self._wake:
+                now = self._clock()
+                calls = self._participant.due(now)
+                due_at = self._participant.next_due()
+            for call in calls:
+                self._tasks.send(call)
+            publish_at = self._publish()
+            with self._wake:
+                pause = min(due_at, publish_at) - self._clock()
+                if not self._is_awake and pause > 0:
+                    self._wake.wait(min(pause, WAIT_MAXIMUM_SECONDS))
+                self._is_awake = False
+
+    def _notify(self) -> None:
+        self._is_awake = True
+        self._wake.notify_all()
+
+    def _on_result(self, call: Call, reply: Reply | None) -> None:
+        self.counters.add("calls.failed" if reply is None else "calls.answered")
+        with self._wake:
+            now = self._clock()
+            if reply is None:
+                self._participant.on_failure(call, now=now)
+                following = []
+            else:
+                following = self._participant.on_reply(call, reply, now=now)
+            self._notify()
+        for next_call in following:
+            self._tasks.send(next_call)
+
+    def _publish(self) -> float:
+        """Publishes a view when there is news; only the running task calls it.
+
+        Returns:
+            When to call again, clock reading in seconds.
+        """
+        with self._wake:
+            now = self._clock()
+            revision = self._participant.table.revision
+            if revision == self._published_revision:
+                return float("inf")
+            if now < self._publish_at:
+                return self._publish_at
+            members = tuple(self._participant.table.members_by_id.values())
+            services = tuple(self.services.services_by_id.values())
+        # Listeners run without the lock: they may call back.
+        self.views.publish(services, members)
+        self._published_revision = revision
+        self._publish_at = self._clock() + VIEW_PAUSE_SECONDS
+        return float("inf")
+
+    def _leave(self) -> None:
+        """Tells the watchers that this process ends, so that none has to wait."""
+        with self._wake:
+            self._participant.change_own(
+                state=MemberState.GONE, weight=0, now=self._clock()
             )
-
-    def _merge(self, member: Member) -> None:
-        if member.member_id != self._own.member_id:
-            self._table.merge(member)
-            return
-        if member.version <= self._own.version or member.state is self._own.state:
-            return
-        # A peer believes this process gone: speak up with a higher version.
-        self._own = attrs.evolve(self._own, version=member.version + 1)
-        self._table.merge(self._own)
-
-    def _expire(self) -> None:
-        with self._lock:
-            self._table.expire(silence=self._settings.gone_after, now=self._clock())
-            self._publish()
-
-    def _publish(self) -> None:
-        state = (self._table.revision, self.services.generation)
-        if state == self._published:
-            return
-        self._published = state
-        self.views.publish(
-            self.services.services_by_id.values(),
-            self._table.members_by_id.values(),
+            own = self._participant.own
+            watchers = self._participant.watchers
+        heartbeat = Heartbeat(
+            member_id=own.member_id,
+            incarnation=own.incarnation,
+            version=own.version,
+            member=own,
         )
+        for endpoint in watchers:
+            client = ControlClient(
+                endpoint=endpoint,
+                key_ring=self._key_ring,
+                timeout=LEAVE_TIMEOUT_SECONDS,
+            )
+            reply = send_call(client, Call(endpoint, heartbeat))
+            self.counters.add("leave.told" if reply is not None else "leave.failed")
+            client.close()
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -63,13 +63,25 @@
 
     Attributes:
         seeds: Control endpoints of balancers to announce to.
-        heartbeat_interval: Pause between two heartbeats. In seconds.
-        gone_after: Silence after which a member counts as gone. In seconds.
+        heartbeat_interval: Pause between two heartbeats to one watcher. In seconds.
+        suspect_after: Silence after which a member that answers no probe counts as suspect. In seconds.
+        gone_after: Silence after which a suspect counts as gone. In seconds.
+        doubt_factor: Times the silence is stretched while most members of a failure domain fall silent at once.
+        call_timeout: Time allowed for one message between processes. In seconds.
+        digest_interval: Pause between two comparisons of the whole state with another balancer. In seconds.
+        start_jitter: Greatest random delay of the first announcement. In seconds.
+        forget_after: Time a member that is gone is remembered. In seconds.
     """
 
     seeds: tuple[Endpoint, ...]
     heartbeat_interval: float
+    suspect_after: float
     gone_after: float
+    doubt_factor: float
+    call_timeout: float
+    digest_interval: float
+    start_jitter: float
+    forget_after: float
 
 
 @frozen
@@ -283,8 +295,17 @@
                 unit="seconds",
                 minimum=0.05,
                 maximum=10.0,
-                default=0.5,
-                doc="Pause between two heartbeats.",
+                default=1.0,
+                doc="Pause between two heartbeats to one watcher.",
+            ),
+            Option(
+                name="suspect_after",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=60.0,
+                default=1.6,
+                doc="Silence after which a member that answers no probe counts as suspect.",
             ),
             Option(
                 name="gone_after",
@@ -292,8 +313,52 @@
                 unit="seconds",
                 minimum=0.2,
                 maximum=60.0,
-                default=2.0,
-                doc="Silence after which a member counts as gone.",
+                default=2.2,
+                doc="Silence after which a suspect counts as gone.",
+            ),
+            Option(
+                name="doubt_factor",
+                type="float",
+                minimum=1.0,
+                maximum=100.0,
+                default=3.0,
+                doc="Times the silence is stretched while most members of a failure domain fall silent at once.",
+            ),
+            Option(
+                name="call_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.02,
+                maximum=10.0,
+                default=0.25,
+                doc="Time allowed for one message between processes.",
+            ),
+            Option(
+                name="digest_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=600.0,
+                default=5.0,
+                doc="Pause between two comparisons of the whole state with another balancer.",
+            ),
+            Option(
+                name="start_jitter",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=60.0,
+                default=0.5,
+                doc="Greatest random delay of the first announcement.",
+            ),
+            Option(
+                name="forget_after",
+                type="float",
+                unit="seconds",
+                minimum=10.0,
+                maximum=86400.0,
+                default=3600.0,
+                doc="Time a member that is gone is remembered.",
             ),
         ),
     ),
