--- a/src/siskinshift/control/server.py
+++ b/src/siskinshift/control/server.py
@@ -13,9 +13,18 @@
 
 from attrs import frozen
 
+from siskinshift.control.codec import MESSAGE_SIZE_MAXIMUM
 from siskinshift.control.codec import decode_message
 from siskinshift.control.codec import encode_message
+from siskinshift.control.codec import pack
+from siskinshift.control.codec import unpack
 from siskinshift.control.exceptions import BadMessageError
+from siskinshift.control.signatures import sign_reply
+from siskinshift.control.signatures import verifies_message
+from siskinshift.core.errors import ANSWERS_BY_KIND
+from siskinshift.core.errors import ErrorKind
+from siskinshift.exceptions import SiskinshiftError
+from siskinshift.messages.control import ErrorReply
 
 
 if TYPE_CHECKING:
@@ -26,7 +35,7 @@
 
 
 AUTHENTICATOR_HEADER = "X-Siskinshift-Authenticator"
-MESSAGE_SIZE_MAXIMUM = 4 << 20
+ENCODING_HEADER = "Content-Encoding"
 IDLE_TIMEOUT_SECONDS = 15.0
 
 MessageHandler: TypeAlias = Callable[[Any], object]
@@ -75,43 +84,68 @@
         return self._routes_by_path.get(path)
 
 
-def signed_text(path: str, body: bytes) -> bytes:
-    """Builds the bytes that a message's authenticator covers.
-
-    Args:
-        path: Path of the URL.
-        body: The JSON.
+@frozen
+class ControlAnswer:
+    """What goes back to the sender of a message.
 
-    Returns:
-        The bytes.
+    Attributes:
+        status: HTTP status.
+        body: Body as it is sent.
+        encoding: Its content encoding, "" for none.
     """
-    return path.encode() + b"\n" + body
+
+    status: int
+    body: bytes = b""
+    encoding: str = ""
+
+
+def _refusal(kind: ErrorKind, detail: str) -> ControlAnswer:
+    body = encode_message(ErrorReply(error=kind.value, detail=detail))
+    return ControlAnswer(ANSWERS_BY_KIND[kind].http_status, body)
 
 
 class _ControlHandler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     timeout = IDLE_TIMEOUT_SECONDS
     disable_nagle_algorithm = True
+    # Head and body of an answer leave in one segment.
+    wbufsize = -1
     server: ControlServer
 
     def do_POST(self) -> None:
-        size = int(self.headers.get("Content-Length", "0"))
-        if not 0 <= size <= MESSAGE_SIZE_MAXIMUM:
+        size = self._content_length()
+        if size is None:
             self.close_connection = True
-            self._answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, b"")
+            self._answer(_refusal(ErrorKind.TOO_LARGE, "content length"), "")
             return
         body = self.rfile.read(size)
-        status, answer = self.server.answer(
-            self.path, body, self.headers.get(AUTHENTICATOR_HEADER, "")
-        )
-        self._answer(status, answer)
+        if len(body) < size:
+            self.close_connection = True
+            return
+        signature = self.headers.get(AUTHENTICATOR_HEADER, "")
+        encoding = self.headers.get(ENCODING_HEADER, "")
+        answer = self.server.answer(self.path, body, signature, encoding=encoding)
+        self._answer(answer, signature)
 
-    def _answer(self, status: HTTPStatus, body: bytes) -> None:
-        self.send_response(status)
-        self.send_header("Content-Type", "application/json")
-        self.send_header("Content-Length", str(len(body)))
+    def _content_length(self) -> int | None:
+        try:
+            size = int(self.headers.get("Content-Length", "0"))
+        except ValueError:
+            return None
+        return size if 0 <= size <= MESSAGE_SIZE_MAXIMUM else None
+
+    def _answer(self, answer: ControlAnswer, signature: str) -> None:
+        # No Server and Date: they'd be a third of a heartbeat's answer.
+        self.send_response_only(answer.status)
+        self.send_header("Content-Length", str(len(answer.body)))
+        if answer.encoding:
+            self.send_header(ENCODING_HEADER, answer.encoding)
+        self.send_header(
+            AUTHENTICATOR_HEADER, self.server.sign_reply(signature, answer.body)
+        )
         self.end_headers()
-        self.wfile.write(body)
+        self.wfile.write(answer.body)
+        self.wfile.flush()
 
     def log_message(self, format: str, *args: object) -> None:
         """Keeps the library's access log silent; messages are metered instead."""
@@ -171,29 +205,46 @@
                 continue
 
     def answer(
-        self, path: str, body: bytes, authenticator_text: str
-    ) -> tuple[HTTPStatus, bytes]:
-        """Answers one message.
+        self, path: str, body: bytes, signature: str, *, encoding: str = ""
+    ) -> ControlAnswer:
+        """Answers one message; whatever arrives, nothing is raised.
 
         Args:
             path: Path of the URL.
-            body: The JSON.
-            authenticator_text: Hex digits of the authenticator.
+            body: Body as it arrived.
+            signature: Header with time and authenticator.
+            encoding: Content encoding of the body.
 
         Returns:
-            Status and JSON of the answer.
+            What goes back.
         """
-        try:
-            authenticator = bytes.fromhex(authenticator_text)
-        except ValueError:
-            return HTTPStatus.UNAUTHORIZED, b""
-        if not self._key_ring.verifies(signed_text(path, body), authenticator):
-            return HTTPStatus.UNAUTHORIZED, b""
+        if not verifies_message(self._key_ring, path, body, signature):
+            return _refusal(ErrorKind.UNAUTHENTICATED, "authenticator")
         route = self._routes.find(path)
         if route is None:
-            return HTTPStatus.NOT_FOUND, b""
+            return _refusal(ErrorKind.NOT_FOUND, "path")
         try:
-            message: object = decode_message(body, route.message_type)
-        except BadMessageError:
-            return HTTPStatus.BAD_REQUEST, b""
-        return HTTPStatus.OK, encode_message(route.handler(message))
+            message: object = decode_message(unpack(body, encoding), route.message_type)
+        except BadMessageError as error:
+            return _refusal(ErrorKind.BAD_MESSAGE, str(error))
+        try:
+            reply = route.handler(message)
+        except SiskinshiftError as error:
+            return _refusal(error.kind, str(error))
+        except Exception as error:
+            # Failure: a fault in one handler would end the connection's task and
+            # look like a dead peer. The sender gets a typed answer instead.
+            return _refusal(ErrorKind.INTERNAL, type(error).__name__)
+        return ControlAnswer(HTTPStatus.OK, *pack(encode_message(reply)))
+
+    def sign_reply(self, signature: str, body: bytes) -> str:
+        """Signs an answer together with the signature of its message.
+
+        Args:
+            signature: Signature of the message.
+            body: Body as it is sent.
+
+        Returns:
+            The header's text.
+        """
+        return sign_reply(self._key_ring, signature, body)
--- a/src/siskinshift/membership/assignment.py
+++ b/src/siskinshift/membership/assignment.py
@@ -15,6 +15,7 @@
 from attrs import define
 from attrs import field
 
+from siskinshift.membership.table import domain_of
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
@@ -88,7 +89,7 @@
         """
         key = member.member_id.encode()
         for domain, quota in self._quotas(member, key):
-            if domain.name != _domain_name(balancer):
+            if domain.name != domain_of(balancer):
                 continue
             ranked = _ranked(domain, member.member_id, key)[:quota]
             return any(one.member_id == balancer.member_id for one in ranked)
@@ -103,13 +104,13 @@
         Returns:
             A value that is equal while the part can't have changed.
         """
-        own_name = _domain_name(balancer)
+        own_name = domain_of(balancer)
         own = self._all_domains.get(own_name)
         ids = tuple(one.member_id for one in own.balancers) if own else ()
         return (tuple(sorted(self._all_domains)), ids)
 
     def _add(self, balancer: Member) -> None:
-        name = _domain_name(balancer)
+        name = domain_of(balancer)
         domains = self._domains_by_region.setdefault(balancer.region, {})
         domain = domains.get(name)
         if domain is None:
@@ -131,10 +132,6 @@
         ]
 
 
-def _domain_name(member: Member) -> str:
-    return f"{member.region}/{member.failure_domain}"
-
-
 def _ranked(domain: _Domain, own_id: str, key: bytes) -> list[Member]:
     digest = xxhash.xxh3_64_intdigest
     scored = [
--- a/src/siskinshift/membership/balancer.py
+++ b/src/siskinshift/membership/balancer.py
@@ -18,8 +18,10 @@
 from siskinshift.membership.links import neighbours_of
 from siskinshift.membership.ordering import expelled
 from siskinshift.membership.ordering import suspected
+from siskinshift.membership.silence import DOUBT_MINIMUM
 from siskinshift.membership.silence import SilenceWatch
 from siskinshift.membership.table import MemberTable
+from siskinshift.membership.table import domain_of
 from siskinshift.membership.table import stamp_of
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
@@ -255,7 +257,8 @@
         if now < self._check_at:
             return []
         self._check_at = now + CHECK_SECONDS
-        verdicts = self._watch.check(now)
+        doubted = self.table.mostly_suspect_domains(minimum=DOUBT_MINIMUM)
+        verdicts = self._watch.check(now, doubted_elsewhere=doubted)
         calls = [
             call for member_id in verdicts.probe for call in self._probes(member_id)
         ]
@@ -383,7 +386,7 @@
         if member_id in self._watch or member_id == self.own.member_id:
             return
         if self._assignment.watches(self.own, member):
-            self._watch.watch(member_id, domain=_domain_of(member), now=now)
+            self._watch.watch(member_id, domain=domain_of(member), now=now)
 
     def _watchers_of(self, member: Member) -> tuple[Member, ...]:
         watchers = self._watchers_by_id.get(member.member_id)
@@ -403,7 +406,7 @@
         self._assignment = WatcherAssignment(balancers)
         self._watchers_by_id.clear()
         neighbours = neighbours_of(self.own, balancers)
-        self._gossip.link_to(neighbour.control for neighbour in neighbours)
+        self._gossip.link_to((one.control for one in neighbours), now=now)
         watchers = self._assignment.watchers_of(self.own)
         self._announcer.watched_by((one.control for one in watchers), now=now)
         # The own part of the watching depends on the balancers of the own domain
@@ -421,7 +424,7 @@
                 self._watch.unwatch(member_id)
                 self._teller.forget(member_id)
             elif member_id not in self._watch:
-                self._watch.watch(member_id, domain=_domain_of(member), now=now)
+                self._watch.watch(member_id, domain=domain_of(member), now=now)
 
     def _news(self, keys: tuple[NewsKey, ...]) -> News:
         members = self.table.members_by_id
@@ -435,7 +438,3 @@
             ),
             services=tuple(services[news.key] for news in keys if news.is_service),
         )
-
-
-def _domain_of(member: Member) -> str:
-    return f"{member.region}/{member.failure_domain}"
--- a/src/siskinshift/membership/gossip.py
+++ b/src/siskinshift/membership/gossip.py
@@ -27,6 +27,9 @@
 RECORDS_BURST = 400.0
 RECORDS_PER_SECOND = 200.0
 RETRY_SECONDS = 0.03
+# A new neighbour is owed the news of this while: it was passed on before the link
+# was there, and the neighbour's former links may have gone with their other ends.
+RECENT_SECONDS = 10.0
 RETRY_MAXIMUM_SECONDS = 1.0
 
 
@@ -97,6 +100,7 @@
         """
         self._random = random
         self._links_by_endpoint: dict[Endpoint, _Link] = {}
+        self._recent_by_news: dict[NewsKey, float] = {}
         self._records = _Allowance(RECORDS_BURST, RECORDS_BURST, RECORDS_PER_SECOND)
 
     @property
@@ -104,15 +108,17 @@
         """Neighbours that news goes to."""
         return tuple(self._links_by_endpoint)
 
-    def link_to(self, endpoints: Iterable[Endpoint]) -> None:
+    def link_to(self, endpoints: Iterable[Endpoint], *, now: float) -> None:
         """Takes the neighbours; links that stay keep what they owe.
 
         Args:
             endpoints: Control endpoints of the neighbours.
+            now: Clock reading, seconds.
         """
+        self._forget_old(now)
         links = self._links_by_endpoint
         self._links_by_endpoint = {
-            endpoint: links.get(endpoint) or _Link() for endpoint in endpoints
+            endpoint: links.get(endpoint) or self._new_link() for endpoint in endpoints
         }
 
     def add(self, news: NewsKey, *, heard_from: Endpoint | None, now: float) -> None:
@@ -123,6 +129,8 @@
             heard_from: Where it came from, or None for this process's own.
             now: Clock reading, seconds.
         """
+        self._recent_by_news.pop(news, None)
+        self._recent_by_news[news] = now
         for endpoint, link in self._links_by_endpoint.items():
             if endpoint == heard_from:
                 # That neighbour holds it; don't tell it what it told.
@@ -153,6 +161,7 @@
             One batch for each link that may send.
         """
         self._records.refill(now)
+        self._forget_old(now)
         batches = []
         for endpoint, link in self._links_by_endpoint.items():
             if link.sending or link.next_at > now:
@@ -210,6 +219,18 @@
         pause = min(RETRY_SECONDS * 2 ** min(link.failures, 10), RETRY_MAXIMUM_SECONDS)
         link.next_at = now + pause * self._random.uniform(0.5, 1.0)
 
+    def _new_link(self) -> _Link:
+        link = _Link()
+        for news in self._recent_by_news:
+            _pending(link, news)[news.key] = None
+        return link
+
+    def _forget_old(self, now: float) -> None:
+        for news, added_at in tuple(self._recent_by_news.items()):
+            if now - added_at <= RECENT_SECONDS:
+                return
+            del self._recent_by_news[news]
+
     def _take(self, link: _Link, now: float) -> tuple[NewsKey, ...]:
         link.batches.refill(now)
         if link.batches.amount < 1.0 and not link.services:
--- a/src/siskinshift/membership/silence.py
+++ b/src/siskinshift/membership/silence.py
@@ -57,8 +57,9 @@
     domain, is cut; most members seem to die at once and would all be expelled, to
     come back as a storm. While half or more of a domain's watched members are late,
     each silence is stretched by `doubt_factor`; so it is for all when half of all
-    are late in two domains or more. A watcher that was stopped itself blames nobody
-    for the time it slept.
+    are late in two domains or more. A watcher of few members may see too few to
+    tell; it doubts as well where the suspects that others named are most of a domain.
+    A watcher that was stopped itself blames nobody for the time it slept.
     """
 
     def __init__(self, settings: MembershipSettings) -> None:
@@ -130,11 +131,14 @@
             return None
         return max(0.0, now - watched.heard_at)
 
-    def check(self, now: float) -> SilenceVerdicts:
+    def check(
+        self, now: float, *, doubted_elsewhere: frozenset[str] = frozenset()
+    ) -> SilenceVerdicts:
         """Judges all watched members.
 
         Args:
             now: Clock reading, seconds.
+            doubted_elsewhere: Domains most of whose members are suspect already.
 
         Returns:
             The verdicts; expelled members are no longer watched.
@@ -143,7 +147,7 @@
         late = self._late(now)
         if not late:
             return SilenceVerdicts((), (), ())
-        doubted = self._doubted_domains(late)
+        doubted = self._doubted_domains(late) | doubted_elsewhere
         probe = self._to_probe(late, now)
         suspect = []
         expel = []
--- a/src/siskinshift/membership/table.py
+++ b/src/siskinshift/membership/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -112,6 +113,8 @@
         self.revision = 0
         self.balancer_generation = 0
         self.classes_by_name: dict[str, ClassRecords] = {}
+        self._live_by_domain: Counter[str] = Counter()
+        self._suspect_by_domain: Counter[str] = Counter()
         self._gone_at_by_id: dict[str, float] = {}
         self._bucket_hashes = [0] * BUCKET_COUNT
         self._member_ids_by_bucket: list[set[str]] = [
@@ -154,8 +157,8 @@
         self.members_by_id[member.member_id] = member
         self.revision += 1
         if known is not None:
-            self._toggle(known)
-        self._toggle(member)
+            self._toggle(known, -1)
+        self._toggle(member, 1)
         self._index(member, known, now)
         return True
 
@@ -216,7 +219,7 @@
             member_id: The member.
         """
         member = self.members_by_id.pop(member_id)
-        self._toggle(member)
+        self._toggle(member, -1)
         self._gone_at_by_id.pop(member_id, None)
         self._member_ids_by_bucket[bucket_of(member_id)].discard(member_id)
         records = self.classes_by_name.get(member.upstream_class)
@@ -224,6 +227,21 @@
             records.member_ids.discard(member_id)
         self.revision += 1
 
+    def mostly_suspect_domains(self, *, minimum: int) -> frozenset[str]:
+        """Lists the failure domains most of whose members are suspect.
+
+        Args:
+            minimum: Suspects that it takes at least.
+
+        Returns:
+            Names as `domain_of` gives them.
+        """
+        return frozenset(
+            domain
+            for domain, count in self._suspect_by_domain.items()
+            if count >= minimum and count * 2 >= self._live_by_domain[domain]
+        )
+
     def members_in(self, bucket: int) -> list[Member]:
         """Lists a bucket's members.
 
@@ -295,9 +313,14 @@
         records.service_ids.add(service_id)
         records.changes.append(ClassChange(self.revision, service_id, True))
 
-    def _toggle(self, member: Member) -> None:
+    def _toggle(self, member: Member, step: int) -> None:
+        """Puts a state into the hashes and counts, or takes it out again."""
         if member.state is MemberState.GONE:
             return
+        domain = domain_of(member)
+        self._live_by_domain[domain] += step
+        if member.state is MemberState.SUSPECT:
+            self._suspect_by_domain[domain] += step
         value = _record_hash(member.member_id, member.incarnation, member.version)
         self._bucket_hashes[bucket_of(member.member_id)] ^= value
         if member.role is Role.AGENT:
@@ -310,6 +333,18 @@
         self.class_records(service.upstream_class).state_hash ^= value
 
 
+def domain_of(member: Member) -> str:
+    """Names a member's failure domain among all regions.
+
+    Args:
+        member: The member.
+
+    Returns:
+        Region and failure domain.
+    """
+    return f"{member.region}/{member.failure_domain}"
+
+
 def stamp_of(member: Member) -> Stamp:
     """Names a member's state.
 
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -302,7 +302,7 @@
                 unit="seconds",
                 minimum=0.1,
                 maximum=60.0,
-                default=1.6,
+                default=1.4,
                 doc="Silence after which a member that answers no probe counts as suspect.",
             ),
             Option(
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of control messages."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of membership."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/membership/test_fleet.py
@@ -0,0 +1,148 @@
+"""Members find each other, leave and come back, over a message queue."""
+
+from __future__ import annotations
+
+from siskinshift.membership.balancer import BalancerMembership
+from siskinshift.messages.core import MemberState
+from tests.membership.fleet import Fleet
+
+
+def started_fleet(*, balancers_per_domain: int = 2, seed: int = 1) -> Fleet:
+    fleet = Fleet(balancers_per_domain=balancers_per_domain, seed=seed)
+    fleet.run(8.0)
+    assert fleet.disagreements() == []
+    return fleet
+
+
+def test_a_fleet_that_starts_at_once_agrees() -> None:
+    fleet = started_fleet()
+
+    for agent_id in ("a-0", "a-1", "a-2"):
+        watching = [
+            one
+            for one in fleet.live_balancers
+            if isinstance(one.participant, BalancerMembership)
+            and agent_id in one.participant.watched_ids
+        ]
+        region = fleet.processes_by_id[agent_id].region
+        assert {one.region for one in watching} == {region}
+        assert len(watching) == 3
+        assert len({one.domain for one in watching}) == 2
+
+
+def test_a_dead_agent_leaves_every_view_within_three_seconds() -> None:
+    # A caller's new flow goes to an upstream whose instance lost power.
+    # Its heartbeats stop; nobody says good-bye; the watchers' silence is all.
+    fleet = started_fleet()
+
+    fleet.kill("a-1")
+    fleet.run(3.0)
+
+    assert {fleet.state_seen(one, "a-1") for one in fleet.live_balancers} == {
+        MemberState.GONE
+    }
+
+
+def test_a_leaving_agent_is_gone_at_once() -> None:
+    fleet = started_fleet()
+
+    fleet.change("a-1", MemberState.GONE, 0)
+    fleet.run(0.3)
+
+    assert {fleet.state_seen(one, "a-1") for one in fleet.live_balancers} == {
+        MemberState.GONE
+    }
+
+
+def test_a_restart_replaces_the_old_incarnation_at_once() -> None:
+    # An agent restarts before its silence was noticed; its old state must go, or
+    # callers' packets are sent to a data port that is closed.
+    fleet = started_fleet()
+
+    fleet.restart("a-1")
+    fleet.run(1.0)
+
+    own = fleet.processes_by_id["a-1"].participant.own
+    for one in fleet.live_balancers:
+        assert one.participant.table.members_by_id["a-1"] == own
+
+
+def test_a_wrongly_expelled_member_refutes_at_once() -> None:
+    # An upstream gets no new flows though it is well: a watcher expelled it.
+    # The verdict reaches the other watchers, the next heartbeat is answered with
+    # it, and the member raises its version above.
+    fleet = started_fleet()
+    agent = fleet.processes_by_id["a-1"]
+    fleet.queue.loss = 1.0
+    fleet.run(2.6)
+    fleet.queue.loss = 0.0
+
+    fleet.run(2.5)
+
+    assert fleet.disagreements() == []
+    assert agent.participant.own.state is MemberState.READY
+
+
+def test_two_regions_go_on_alone_and_merge() -> None:
+    # Regions lose each other for two minutes; agents come, go and drain meanwhile,
+    # and one balancer of each region restarts without having seen the other side.
+    fleet = started_fleet()
+    fleet.queue.cut.add("south")
+
+    fleet.run(30.0)
+    fleet.restart("b-south-fd-1-0")
+    fleet.restart("b-north-fd-2-1")
+    fleet.kill("a-0")
+    fleet.change("a-3", MemberState.DRAINING, 0)
+    fleet.run(90.0)
+    fleet.queue.cut.clear()
+    fleet.run(20.0)
+
+    assert fleet.disagreements() == []
+
+
+def test_a_silent_domain_is_doubted_before_it_is_expelled() -> None:
+    # A switch drops a failure domain for four seconds. Expelling all its members
+    # would move most flows twice; nobody is expelled.
+    fleet = started_fleet(balancers_per_domain=6)
+
+    fleet.queue.cut.add("north/fd-1")
+    fleet.run(4.0)
+    expelled_in_cut = sum(
+        one.participant.expelled_count
+        for one in fleet.live_balancers
+        if isinstance(one.participant, BalancerMembership)
+    )
+    fleet.queue.cut.clear()
+    fleet.run(10.0)
+
+    assert expelled_in_cut == 0
+    assert fleet.disagreements() == []
+
+
+def test_a_paused_balancer_blames_nobody() -> None:
+    # An instance is frozen for half a minute by its host. On waking it finds every
+    # member it watches silent; it must not expel them for its own sleep.
+    fleet = started_fleet(balancers_per_domain=3)
+    sleeper = fleet.processes_by_id["b-north-fd-1-0"]
+    sleeper.stopped_until = fleet.queue.now + 30.0
+
+    fleet.run(40.0)
+
+    assert isinstance(sleeper.participant, BalancerMembership)
+    assert sleeper.participant.expelled_count == 0
+    assert fleet.disagreements() == []
+
+
+def test_a_change_of_a_service_is_everywhere_soon_despite_loss() -> None:
+    fleet = started_fleet(balancers_per_domain=6)
+    fleet.queue.loss = 0.1
+
+    fleet.write_service(fleet.processes_by_id["b-south-fd-2-0"], "editor")
+    fleet.run(1.0)
+
+    revisions = {
+        one.participant.table.services.services_by_id["editor"].revision
+        for one in fleet.live_balancers
+    }
+    assert revisions == {1}
