--- a/src/siskinshift/core/requests.py
+++ b/src/siskinshift/core/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Protocol
 from typing import TypeAlias
 
@@ -11,6 +12,19 @@
 from siskinshift.messages.core import OutcomeKind
 
 
+class RunResult(StrEnum):
+    """How a request that was started came to its end."""
+
+    ANSWERED = "answered"
+    """The upstream gave a whole answer."""
+    SHED = "shed"
+    """The upstream gave a whole answer that says it has too much to do."""
+    LOST = "lost"
+    """The request was offered and no whole answer came."""
+    NOT_OFFERED = "not_offered"
+    """No byte of the request reached any upstream."""
+
+
 @frozen
 class Request:
     """A caller's request as admission sees it.
@@ -77,6 +91,19 @@
     retry_after: float
 
 
+@frozen
+class FailRequest:
+    """Action: give the caller the final answer at once; the request may have run.
+
+    Attributes:
+        request_id: The request.
+        error: Why.
+    """
+
+    request_id: int
+    error: ErrorKind
+
+
 @frozen
 class ReserveAtPeer:
     """Action: ask a peer to reserve a slot for a queued request.
@@ -84,10 +111,27 @@
     Attributes:
         request_id: The request.
         peer_id: Member id of the peer.
+        reservation_id: Name of the reservation, used once.
+        wait: Seconds the peer may let it wait for a slot.
     """
 
     request_id: int
     peer_id: str
+    reservation_id: str = ""
+    wait: float = 0.0
+
+
+@frozen
+class ReleaseAtPeer:
+    """Action: give a reservation at a peer back, granted or still waiting.
+
+    Attributes:
+        peer_id: Member id of the peer.
+        reservation_id: The reservation.
+    """
+
+    peer_id: str
+    reservation_id: str
 
 
 @frozen
@@ -97,10 +141,25 @@
     Attributes:
         request_id: The request.
         peer_id: Member id of the peer.
+        reservation_id: The reservation that it uses up.
     """
 
     request_id: int
     peer_id: str
+    reservation_id: str = ""
+
+
+@frozen
+class AnswerReservation:
+    """Action: tell a peer whether a slot is held for its request.
+
+    Attributes:
+        reservation_id: The reservation.
+        granted: Whether a slot is held.
+    """
+
+    reservation_id: str
+    granted: bool
 
 
 @frozen
@@ -115,7 +174,14 @@
 
 
 GateAction: TypeAlias = (
-    StartRequest | RefuseRequest | ReserveAtPeer | RunAtPeer | CancelAtUpstream
+    StartRequest
+    | RefuseRequest
+    | FailRequest
+    | ReserveAtPeer
+    | ReleaseAtPeer
+    | RunAtPeer
+    | AnswerReservation
+    | CancelAtUpstream
 )
 
 
@@ -126,9 +192,18 @@
         """Takes a request that arrived."""
 
     def finished(
-        self, request_id: int, *, succeeded: bool, now: float
+        self,
+        request_id: int,
+        *,
+        succeeded: bool,
+        now: float,
+        result: RunResult | None = None,
     ) -> list[GateAction]:
-        """Takes the end of a started request; frees its slot."""
+        """Takes the end of a started request; frees its slot.
+
+        With `result` given, a request that got no answer is ended by an action of
+        the gate: started again, refused or failed. Without it the driver answers.
+        """
 
     def cancel(self, request_id: int, *, now: float) -> list[GateAction]:
         """Takes a caller's cancel."""
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -108,6 +108,39 @@
     max_hops: int
 
 
+@frozen
+class LoadSettings:
+    """What is let in, what waits and where work goes under load.
+
+    Attributes:
+        queue_limit: Requests of one group that may wait at one agent.
+        queue_time_limit: Longest wait of a request before it is refused. In seconds.
+        caller_part: Part of a group's queue that one caller's IP number may fill.
+        key_limit: Requests with one idempotency key that may be waiting or running at an agent.
+        default_deadline: Time a request is given when its caller names none. In seconds.
+        retry_part: Retries allowed for each recent success.
+        ramp_time: Time over which a started upstream comes to full load. In seconds.
+        reservation_timeout: Time a slot is held for a peer that has not sent its request yet. In seconds.
+        usage_interval: Pause between two exchanges of usage sums. In seconds.
+        slow_factor: Slot time over the peers' median from which an upstream counts as slow.
+        panic_part: Part of a service's upstreams that may look sick before the detection is doubted.
+        importance_floor: Part of slot time that less important services keep while they wait.
+    """
+
+    queue_limit: int
+    queue_time_limit: float
+    caller_part: float
+    key_limit: int
+    default_deadline: float
+    retry_part: float
+    ramp_time: float
+    reservation_timeout: float
+    usage_interval: float
+    slow_factor: float
+    panic_part: float
+    importance_floor: float
+
+
 @frozen
 class Settings:
     """All settings of a process.
@@ -119,6 +152,7 @@
         membership: How members find and watch each other.
         agent: The agent beside an upstream.
         flows: How flows outlive change.
+        load: What is let in, what waits and where work goes under load.
     """
 
     node: NodeSettings
@@ -127,6 +161,7 @@
     membership: MembershipSettings
     agent: AgentSettings
     flows: FlowsSettings
+    load: LoadSettings
 
 
 SECTIONS: tuple[Section, ...] = (
@@ -328,4 +363,112 @@
             ),
         ),
     ),
+    Section(
+        name="load",
+        doc="What is let in, what waits and where work goes under load.",
+        settings_class=LoadSettings,
+        options=(
+            Option(
+                name="queue_limit",
+                type="int",
+                minimum=1,
+                maximum=100000,
+                default=64,
+                doc="Requests of one group that may wait at one agent.",
+            ),
+            Option(
+                name="queue_time_limit",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=600.0,
+                default=1.0,
+                doc="Longest wait of a request before it is refused.",
+            ),
+            Option(
+                name="caller_part",
+                type="float",
+                minimum=0.01,
+                maximum=1.0,
+                default=0.25,
+                doc="Part of a group's queue that one caller's IP number may fill.",
+            ),
+            Option(
+                name="key_limit",
+                type="int",
+                minimum=1,
+                maximum=1000,
+                default=2,
+                doc="Requests with one idempotency key that may be waiting or running at an agent.",
+            ),
+            Option(
+                name="default_deadline",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=86400.0,
+                default=30.0,
+                doc="Time a request is given when its caller names none.",
+            ),
+            Option(
+                name="retry_part",
+                type="float",
+                minimum=0.0,
+                maximum=1.0,
+                default=0.1,
+                doc="Retries allowed for each recent success.",
+            ),
+            Option(
+                name="ramp_time",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=3600.0,
+                default=10.0,
+                doc="Time over which a started upstream comes to full load.",
+            ),
+            Option(
+                name="reservation_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=10.0,
+                default=0.25,
+                doc="Time a slot is held for a peer that has not sent its request yet.",
+            ),
+            Option(
+                name="usage_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.05,
+                maximum=60.0,
+                default=0.5,
+                doc="Pause between two exchanges of usage sums.",
+            ),
+            Option(
+                name="slow_factor",
+                type="float",
+                minimum=1.5,
+                maximum=100.0,
+                default=3.0,
+                doc="Slot time over the peers' median from which an upstream counts as slow.",
+            ),
+            Option(
+                name="panic_part",
+                type="float",
+                minimum=0.1,
+                maximum=1.0,
+                default=0.5,
+                doc="Part of a service's upstreams that may look sick before the detection is doubted.",
+            ),
+            Option(
+                name="importance_floor",
+                type="float",
+                minimum=0.0,
+                maximum=0.5,
+                default=0.05,
+                doc="Part of slot time that less important services keep while they wait.",
+            ),
+        ),
+    ),
 )
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the decisions under load."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/load/builders.py
@@ -0,0 +1,119 @@
+"""Small builders that the tests of this package share."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from siskinshift.core.requests import Request
+from siskinshift.core.views import make_view
+from siskinshift.load.gate import LoadGate
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import Group
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+from siskinshift.messages.core import Service
+from siskinshift.messages.core import ServiceMode
+from siskinshift.settings.loader import SettingsLoader
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinshift.core.views import View
+    from siskinshift.settings.generated import LoadSettings
+
+SERVICE = "editor"
+NOWHERE = Endpoint("127.0.0.1", 1)
+TEXT = """
+[node]
+node_id = node-1
+control_endpoint = 127.0.0.1:0
+data_endpoint = 127.0.0.1:0
+[keys]
+current = a-key-of-sixteen-or-more
+"""
+
+
+def load_settings(**changes: float) -> LoadSettings:
+    settings = SettingsLoader(source="test").load(TEXT).load
+    return attrs.evolve(settings, **{"ramp_time": 0.0, **changes})
+
+
+def a_service(service_id: str = SERVICE, *, importance: int = 100) -> Service:
+    return Service(
+        service_id=service_id,
+        addresses=(),
+        mode=ServiceMode.REQUEST,
+        upstream_class=SERVICE,
+        groups=(Group("north", 1), Group("south", 1)),
+        importance=importance,
+    )
+
+
+def an_agent(member_id: str, *, state: MemberState = MemberState.READY) -> Member:
+    return Member(
+        member_id=member_id,
+        role=Role.AGENT,
+        incarnation=1,
+        version=1,
+        state=state,
+        region="r",
+        failure_domain="fd",
+        control=NOWHERE,
+        data=NOWHERE,
+        upstream_class=SERVICE,
+    )
+
+
+def a_view(agent_ids: Iterable[str], *services: Service) -> View:
+    members = [an_agent(agent_id) for agent_id in agent_ids]
+    return make_view(version=1, services=services or (a_service(),), members=members)
+
+
+def a_gate(
+    member_id: str = "a",
+    *,
+    peers: Iterable[str] = (),
+    slots: int = 1,
+    seed: int = 1,
+    services: tuple[Service, ...] = (),
+    **changes: float,
+) -> LoadGate:
+    gate = LoadGate(
+        member_id=member_id,
+        incarnation=1,
+        slots=slots,
+        settings=load_settings(**changes),
+        random=Random(seed),
+        now=0.0,
+    )
+    view = a_view((member_id, *peers), *services)
+    gate.update(view, upstream_class=SERVICE)
+    return gate
+
+
+def a_request(
+    request_id: int,
+    *,
+    service_id: str = SERVICE,
+    group_id: str = "north",
+    caller: str = "10.0.0.1",
+    key: str = "",
+    repeatable: bool = False,
+    now: float = 0.0,
+    deadline: float = 30.0,
+) -> Request:
+    return Request(
+        request_id=request_id,
+        service_id=service_id,
+        group_id=group_id,
+        caller=caller,
+        key=key,
+        repeatable=repeatable,
+        arrived_at=now,
+        deadline=deadline,
+    )
--- /dev/null
+++ b/tests/load/test_gate.py
@@ -0,0 +1,185 @@
+"""Outcomes of single requests at one gate."""
+
+from __future__ import annotations
+
+from siskinshift.core.errors import ErrorKind
+from siskinshift.core.requests import CancelAtUpstream
+from siskinshift.core.requests import FailRequest
+from siskinshift.core.requests import RefuseRequest
+from siskinshift.core.requests import RunResult
+from siskinshift.core.requests import StartRequest
+from tests.load.builders import a_gate
+from tests.load.builders import a_request
+from tests.load.builders import a_service
+
+
+def test_a_request_starts_when_a_slot_is_free_and_else_waits_its_turn() -> None:
+    gate = a_gate()
+
+    assert gate.submit(a_request(1), now=0.0) == [StartRequest(1)]
+    assert gate.submit(a_request(2), now=0.0) == []
+    assert gate.finished(1, succeeded=True, now=0.1) == [StartRequest(2)]
+
+
+def test_a_request_that_may_not_be_repeated_is_offered_once() -> None:
+    gate = a_gate()
+    gate.submit(a_request(1), now=0.0)
+
+    actions = gate.finished(1, succeeded=False, now=0.1, result=RunResult.LOST)
+
+    assert actions == [FailRequest(1, ErrorKind.UPSTREAM_FAILED)]
+    assert gate.known == 0
+
+
+def test_a_repeatable_request_is_retried_inside_the_budget_and_the_deadline() -> None:
+    gate = a_gate()
+    gate.submit(a_request(1, repeatable=True), now=0.0)
+
+    assert gate.finished(1, succeeded=False, now=0.1, result=RunResult.LOST) == []
+    assert gate.tick(now=1.0) == [StartRequest(1)]
+    # The budget began with one retry and no success has earned another.
+    actions = gate.finished(1, succeeded=False, now=1.1, result=RunResult.LOST)
+    assert actions == [FailRequest(1, ErrorKind.UPSTREAM_FAILED)]
+
+
+def test_a_retried_request_that_runs_out_of_time_is_unknown_not_refused() -> None:
+    """Its caller would otherwise be told "not run" of a save that may have run.
+
+    The first try was lost after it was offered; the second waits behind another
+    request when the deadline passes.
+    """
+    gate = a_gate()
+    gate.submit(a_request(1, repeatable=True, deadline=1.0), now=0.0)
+    gate.submit(a_request(2), now=0.0)
+    gate.finished(1, succeeded=False, now=0.1, result=RunResult.LOST)
+
+    actions = gate.tick(now=0.9) + gate.tick(now=1.1)
+
+    assert actions == [FailRequest(1, ErrorKind.UPSTREAM_FAILED)]
+
+
+def test_a_request_that_never_reached_the_upstream_is_refused_as_not_run() -> None:
+    gate = a_gate()
+    gate.submit(a_request(1), now=0.0)
+    actions = []
+    for step in range(1, 5):
+        actions = gate.finished(
+            1, succeeded=False, now=step, result=RunResult.NOT_OFFERED
+        )
+        if not actions:
+            assert gate.tick(now=step + 0.9) == [StartRequest(1)]
+
+    (refusal,) = actions
+    assert isinstance(refusal, RefuseRequest)
+    assert refusal.error is ErrorKind.NO_UPSTREAM
+
+
+def test_a_deadline_that_passes_in_the_queue_refuses_at_once_and_never_starts() -> None:
+    """A save that its caller has given up must not run afterwards.
+
+    It waits behind long work; the deadline passes; the slot comes free only later.
+    """
+    gate = a_gate(queue_time_limit=60.0)
+    gate.submit(a_request(1), now=0.0)
+    gate.submit(a_request(2, deadline=0.5), now=0.0)
+
+    (refusal,) = gate.tick(now=0.5)
+
+    assert isinstance(refusal, RefuseRequest)
+    assert refusal.error is ErrorKind.DEADLINE_EXCEEDED
+    assert gate.finished(1, succeeded=True, now=9.0) == []
+
+
+def test_a_deadline_that_passes_between_ticks_is_seen_when_the_slot_comes_free() -> (
+    None
+):
+    gate = a_gate()
+    gate.submit(a_request(1), now=0.0)
+    gate.submit(a_request(2, deadline=0.5), now=0.0)
+
+    (refusal,) = gate.finished(1, succeeded=True, now=0.51)
+
+    assert isinstance(refusal, RefuseRequest)
+
+
+def test_a_cancel_that_races_with_the_start_has_one_outcome() -> None:
+    """The caller must hear "not run" or "may have run", never the wrong one.
+
+    Its cancel and the start of the request reach the gate in either order.
+    """
+    cancelled_first = a_gate()
+    cancelled_first.submit(a_request(1), now=0.0)
+    cancelled_first.submit(a_request(2), now=0.0)
+    (refusal,) = cancelled_first.cancel(2, now=0.1)
+    assert isinstance(refusal, RefuseRequest)
+    assert refusal.error is ErrorKind.CANCELLED
+    assert cancelled_first.finished(1, succeeded=True, now=0.1) == []
+
+    started_first = a_gate()
+    started_first.submit(a_request(1), now=0.0)
+    started_first.submit(a_request(2), now=0.0)
+    assert started_first.finished(1, succeeded=True, now=0.1) == [StartRequest(2)]
+    assert started_first.cancel(2, now=0.1) == [CancelAtUpstream(2)]
+    # A second cancel changes nothing, and the slot stays taken until the end.
+    assert started_first.cancel(2, now=0.1) == []
+    assert started_first.slots_taken == 1
+    actions = started_first.finished(2, succeeded=False, now=0.2, result=RunResult.LOST)
+    assert actions == [FailRequest(2, ErrorKind.CANCELLED_RUNNING)]
+
+
+def test_a_draining_gate_refuses_new_requests_and_runs_queued_ones() -> None:
+    gate = a_gate()
+    gate.submit(a_request(1), now=0.0)
+    gate.submit(a_request(2), now=0.0)
+    gate.drain(now=0.0)
+
+    (refusal,) = gate.submit(a_request(3), now=0.1)
+
+    assert isinstance(refusal, RefuseRequest)
+    assert refusal.error is ErrorKind.DRAINING
+    assert gate.finished(1, succeeded=True, now=0.2) == [StartRequest(2)]
+
+
+def test_the_end_of_a_request_that_comes_twice_or_late_is_passed_over() -> None:
+    gate = a_gate()
+    gate.submit(a_request(1), now=0.0)
+    gate.submit(a_request(2), now=0.0)
+    gate.finished(1, succeeded=True, now=0.1)
+
+    assert gate.finished(1, succeeded=True, now=0.2) == []
+    assert gate.finished(77, succeeded=True, now=0.2) == []
+    assert gate.slots_taken == 1
+
+
+def test_the_more_important_service_goes_first_and_the_other_is_not_starved() -> None:
+    services = (a_service(importance=200), a_service("dossiers", importance=100))
+    gate = a_gate(services=services, queue_limit=200, queue_time_limit=600.0)
+    gate.submit(a_request(0), now=0.0)
+    for number in range(1, 61):
+        service_id = "editor" if number % 2 else "dossiers"
+        request = a_request(
+            number, service_id=service_id, deadline=900.0, caller=str(number)
+        )
+        gate.submit(request, now=0.0)
+    order = []
+    last = 0
+    for step in range(1, 31):
+        (start,) = gate.finished(last, succeeded=True, now=step * 0.05)
+        assert isinstance(start, StartRequest)
+        last = start.request_id
+        order.append("editor" if last % 2 else "dossiers")
+
+    assert order.count("dossiers") == 1
+
+
+def test_a_client_that_repeats_one_key_in_a_loop_is_limited() -> None:
+    gate = a_gate(slots=8)
+    gate.submit(a_request(1, key="save-1"), now=0.0)
+    gate.submit(a_request(2, key="save-1"), now=0.0)
+
+    (refusal,) = gate.submit(a_request(3, key="save-1"), now=0.0)
+
+    assert isinstance(refusal, RefuseRequest)
+    assert refusal.error is ErrorKind.CALLER_LIMITED
+    gate.finished(1, succeeded=True, now=0.1)
+    assert gate.submit(a_request(4, key="save-1"), now=0.1) == [StartRequest(4)]
