--- a/src/siskinshift/load/gate.py
+++ b/src/siskinshift/load/gate.py
@@ -87,6 +87,7 @@
         member_id: str,
         incarnation: int,
         slots: int,
+        ramp_time: float,
         settings: LoadSettings,
         random: Random,
         now: float,
@@ -97,6 +98,7 @@
             member_id: The agent's member id.
             incarnation: The agent's incarnation; goes into names of reservations.
             slots: Configured slots of the upstream.
+            ramp_time: Seconds in which the upstream comes to full load.
             settings: Thresholds.
             random: Source of all random choices.
             now: Clock reading, seconds.
@@ -118,7 +120,7 @@
         )
         self._parts = PartLimit(settings)
         self._budget = RetryBudget(part=settings.retry_part)
-        self._ramp = ColdStartRamp(started_at=now, ramp_time=settings.ramp_time)
+        self._ramp = ColdStartRamp(started_at=now, ramp_time=ramp_time)
         self._watch = UpstreamWatch(settings)
         self._peers = PeerChoice(random=random)
         self._reservations = Reservations()
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -117,9 +117,7 @@
         queue_time_limit: Longest wait of a request before it is refused. In seconds.
         caller_part: Part of a group's queue that one caller's IP number may fill.
         key_limit: Requests with one idempotency key that may be waiting or running at an agent.
-        default_deadline: Time a request is given when its caller names none. In seconds.
         retry_part: Retries allowed for each recent success.
-        ramp_time: Time over which a started upstream comes to full load. In seconds.
         reservation_timeout: Time a slot is held for a peer that has not sent its request yet. In seconds.
         usage_interval: Pause between two exchanges of usage sums. In seconds.
         slow_factor: Slot time over the peers' median from which an upstream counts as slow.
@@ -131,9 +129,7 @@
     queue_time_limit: float
     caller_part: float
     key_limit: int
-    default_deadline: float
     retry_part: float
-    ramp_time: float
     reservation_timeout: float
     usage_interval: float
     slow_factor: float
@@ -141,6 +137,51 @@
     importance_floor: float
 
 
+@frozen
+class LogsSettings:
+    """Logs as JSON lines on standard error.
+
+    Attributes:
+        level: Most detailed level that is written.
+    """
+
+    level: str
+
+
+@frozen
+class MetricsSettings:
+    """Metrics by OpenTelemetry; off costs nothing.
+
+    Attributes:
+        exporter: How metrics leave the process.
+        prometheus_endpoint: Where metrics are served for exporter prometheus.
+        otlp_url: Collector for exporter otlp (HTTP).
+        interval: Pause between two exports to the collector. In seconds.
+    """
+
+    exporter: str
+    prometheus_endpoint: Endpoint
+    otlp_url: str
+    interval: float
+
+
+@frozen
+class ObjectivesSettings:
+    """Service-level objectives that `report burn` measures against.
+
+    Attributes:
+        unbroken_flows: Part of flows that end unbroken. In fraction.
+        answered_in_time: Part of requests answered within time_limit. In fraction.
+        time_limit: Time within which a request counts as answered in time. In seconds.
+        imbalance_limit: Work of the busiest upstream slot over the mean that still counts as balanced. In ratio.
+    """
+
+    unbroken_flows: float
+    answered_in_time: float
+    time_limit: float
+    imbalance_limit: float
+
+
 @frozen
 class Settings:
     """All settings of a process.
@@ -153,6 +194,9 @@
         agent: The agent beside an upstream.
         flows: How flows outlive change.
         load: What is let in, what waits and where work goes under load.
+        logs: Logs as JSON lines on standard error.
+        metrics: Metrics by OpenTelemetry; off costs nothing.
+        objectives: Service-level objectives that `report burn` measures against.
     """
 
     node: NodeSettings
@@ -162,6 +206,9 @@
     agent: AgentSettings
     flows: FlowsSettings
     load: LoadSettings
+    logs: LogsSettings
+    metrics: MetricsSettings
+    objectives: ObjectivesSettings
 
 
 SECTIONS: tuple[Section, ...] = (
@@ -401,15 +448,6 @@
                 default=2,
                 doc="Requests with one idempotency key that may be waiting or running at an agent.",
             ),
-            Option(
-                name="default_deadline",
-                type="float",
-                unit="seconds",
-                minimum=0.1,
-                maximum=86400.0,
-                default=30.0,
-                doc="Time a request is given when its caller names none.",
-            ),
             Option(
                 name="retry_part",
                 type="float",
@@ -418,15 +456,6 @@
                 default=0.1,
                 doc="Retries allowed for each recent success.",
             ),
-            Option(
-                name="ramp_time",
-                type="float",
-                unit="seconds",
-                minimum=0.0,
-                maximum=3600.0,
-                default=10.0,
-                doc="Time over which a started upstream comes to full load.",
-            ),
             Option(
                 name="reservation_timeout",
                 type="float",
@@ -471,4 +500,96 @@
             ),
         ),
     ),
+    Section(
+        name="logs",
+        doc="Logs as JSON lines on standard error.",
+        settings_class=LogsSettings,
+        options=(
+            Option(
+                name="level",
+                type="choice",
+                choices=("off", "error", "info", "debug"),
+                default="info",
+                doc="Most detailed level that is written.",
+            ),
+        ),
+    ),
+    Section(
+        name="metrics",
+        doc="Metrics by OpenTelemetry; off costs nothing.",
+        settings_class=MetricsSettings,
+        options=(
+            Option(
+                name="exporter",
+                type="choice",
+                choices=("off", "prometheus", "otlp"),
+                default="off",
+                doc="How metrics leave the process.",
+            ),
+            Option(
+                name="prometheus_endpoint",
+                type="endpoint",
+                default="127.0.0.1:9464",
+                doc="Where metrics are served for exporter prometheus.",
+            ),
+            Option(
+                name="otlp_url",
+                type="str",
+                default="http://127.0.0.1:4318/v1/metrics",
+                doc="Collector for exporter otlp (HTTP).",
+            ),
+            Option(
+                name="interval",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=600.0,
+                default=15.0,
+                doc="Pause between two exports to the collector.",
+            ),
+        ),
+    ),
+    Section(
+        name="objectives",
+        doc="Service-level objectives that `report burn` measures against.",
+        settings_class=ObjectivesSettings,
+        options=(
+            Option(
+                name="unbroken_flows",
+                type="float",
+                unit="fraction",
+                minimum=0.5,
+                maximum=0.999999,
+                default=0.9999,
+                doc="Part of flows that end unbroken.",
+            ),
+            Option(
+                name="answered_in_time",
+                type="float",
+                unit="fraction",
+                minimum=0.5,
+                maximum=0.999999,
+                default=0.999,
+                doc="Part of requests answered within time_limit.",
+            ),
+            Option(
+                name="time_limit",
+                type="float",
+                unit="seconds",
+                minimum=0.001,
+                maximum=3600.0,
+                default=1.0,
+                doc="Time within which a request counts as answered in time.",
+            ),
+            Option(
+                name="imbalance_limit",
+                type="float",
+                unit="ratio",
+                minimum=1.0,
+                maximum=100.0,
+                default=1.25,
+                doc="Work of the busiest upstream slot over the mean that still counts as balanced.",
+            ),
+        ),
+    ),
 )
