--- a/src/siskinshift/load/gate.py
+++ b/src/siskinshift/load/gate.py
@@ -65,6 +65,9 @@
 HELD_SECONDS = 0.02
 # Requests for which peers are asked for a free slot at the same time.
 SEARCHES_AT_ONCE = 4
+# A request that finds no free slot may wait for the next one of a peer whose queue is
+# empty: about one request's time. Without it agents poll, and miss slots meanwhile.
+SEARCH_WAIT_SECONDS = 0.05
 # Requests of peers that may wait here, for each slot.
 GUESTS_PER_SLOT = 4
 # Tries at an upstream that could not be reached at all.
@@ -629,6 +632,7 @@
     def _hold(self, work: Work, *, now: float) -> list[GateAction]:
         work.state = WorkState.HELD
         work.candidate_ids = self._peers.candidates()
+        self._searching_ids.add(work.request.request_id)
         return self._ask_next(work, wait=0.0)
 
     def _unhold(self, work: Work, *, now: float) -> list[GateAction]:
@@ -650,7 +654,9 @@
         if not self._may_search(now=now):
             return []
         work.candidate_ids = self._peers.candidates()
-        return self._ask_next(work, wait=0.0)
+        self._searching_ids.add(work.request.request_id)
+        wait = min(SEARCH_WAIT_SECONDS, work.expires_at - now)
+        return self._ask_next(work, wait=max(0.0, wait))
 
     def _ask_to_wait(self, work: Work, *, now: float) -> list[GateAction]:
         work.searched = True
@@ -665,8 +671,6 @@
         reservation_id = f"{self._name}/{next(self._numbers)}"
         work.peer_ids_by_reservation[reservation_id] = peer_id
         request_id = work.request.request_id
-        if not wait:
-            self._searching_ids.add(request_id)
         return [ReserveAtPeer(request_id, peer_id, reservation_id, wait)]
 
     def _run_at_peer(
@@ -690,7 +694,9 @@
         if work.peer_ids_by_reservation:
             return []
         if work.candidate_ids:
-            return self._ask_next(work, wait=0.0)
+            self._searching_ids.add(work.request.request_id)
+            wait = 0.0 if work.state is WorkState.HELD else SEARCH_WAIT_SECONDS
+            return self._ask_next(work, wait=wait)
         self._peers.refused_by_all(now=now)
         if work.state is WorkState.HELD:
             return self._unhold(work, now=now)
@@ -740,8 +746,10 @@
             return False
         if self._random.random() > self._ramp.part(now=now):
             return False
-        if not waits:
-            return self._slots.has_free and not len(self._queues)
+        if not len(self._queues):
+            return waits or self._slots.has_free
+        if not waits or not self.shares.is_under_share(group_key(work)):
+            return False
         if self._queues.length(group_key(work)) >= self._settings.queue_limit:
             return False
         return len(self._reservations) < GUESTS_PER_SLOT * self._slots.configured
--- a/src/siskinshift/load/shares.py
+++ b/src/siskinshift/load/shares.py
@@ -33,8 +33,9 @@
 DAMPING_EXPONENT = 0.5
 RETURN_PART = 0.1
 USED_FLOOR = 1e-3
-# Below this part of what it is owed a group counts as held back by others.
-UNDER_SHARE_PART = 1.02
+# Below this part of what it is owed a group counts as held back by others; the margin
+# keeps groups that all have their part from asking peers for each request.
+UNDER_SHARE_PART = 0.95
 
 
 @define
