--- a/src/siskinshift/agent/slot_gate.py
+++ b/src/siskinshift/agent/slot_gate.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from siskinshift.core.requests import GateAction
     from siskinshift.core.requests import Request
+    from siskinshift.core.requests import RunResult
 
 
 RETRY_AFTER_SECONDS = 1.0
@@ -48,7 +49,12 @@
         return self._start_queued(now)
 
     def finished(
-        self, request_id: int, *, succeeded: bool, now: float
+        self,
+        request_id: int,
+        *,
+        succeeded: bool,
+        now: float,
+        result: RunResult | None = None,
     ) -> list[GateAction]:
         """Takes the end of a started request; frees its slot."""
         self._running.discard(request_id)
