--- a/src/siskinshift/control/codec.py
+++ b/src/siskinshift/control/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from enum import StrEnum
 from typing import Any
 from typing import TypeVar
 
@@ -43,6 +44,9 @@
 _exactly(int)
 _exactly(bool)
 _exactly(float, int)
+# Enums of messages derive from str, whose hook above would leave them plain text: a
+# state that equals its name but is not the member, so that `is` fails.
+_converter.register_structure_hook(StrEnum, lambda value, kind: kind(value))
 
 
 def encode_message(message: object) -> bytes:
--- a/src/siskinshift/flows/router.py
+++ b/src/siskinshift/flows/router.py
@@ -89,7 +89,9 @@
             return [DropEnvelope(ErrorKind.NO_MEMBER)]
         service = view.services_by_address.get(packet.service_address)
         if service is None:
-            return [DropEnvelope(ErrorKind.UNKNOWN_ADDRESS)]
+            # An agent holds the records of its own services only, so an address
+            # that it doesn't know belongs to another service.
+            return [DropEnvelope(ErrorKind.WRONG_SERVICE)]
         state = self._hand_over.services_by_id.get(service.service_id)
         if state is None or state.table is None:
             return [DropEnvelope(ErrorKind.WRONG_SERVICE)]
