--- a/src/siskinshift/flows/claims.py
+++ b/src/siskinshift/flows/claims.py
@@ -6,6 +6,9 @@
 from attrs import define
 
 
+DOUBTED_VERSION = -1
+
+
 @define(eq=False)
 class Claim:
     """An agent's claim to be the one that creates flows in a bucket.
@@ -22,8 +25,9 @@
         settled: Whether the agent may create flows.
         left_at: When the agent's own view named another primary, or None.
         owners_by_flow: Notes: member ids of owners by flow hash.
-        versions_by_flow: For notes about flows that this agent, or a peer that
-            said so, let the owner create: version of the owner's view when it asked.
+        versions_by_flow: For notes that the owner did not confirm itself: version of
+            its view when it asked for the flow, or DOUBTED_VERSION.
+        permitted: Flows that this agent itself let a peer create.
     """
 
     version: int
@@ -34,6 +38,7 @@
     left_at: float | None = None
     owners_by_flow: dict[int, str] = Factory(dict)
     versions_by_flow: dict[int, int] = Factory(dict)
+    permitted: set[int] = Factory(set)
 
     def note(self, digest: int, owner_id: str, version: int | None = None) -> None:
         """Records the owner of a flow.
@@ -47,6 +52,7 @@
         self.owners_by_flow[digest] = owner_id
         if version is None:
             self.versions_by_flow.pop(digest, None)
+            self.permitted.discard(digest)
         else:
             self.versions_by_flow[digest] = version
 
@@ -58,6 +64,23 @@
         """
         self.owners_by_flow.pop(digest, None)
         self.versions_by_flow.pop(digest, None)
+        self.permitted.discard(digest)
+
+    def permit(self, digest: int, owner_id: str, version: int) -> None:
+        """Records that a peer may create a flow.
+
+        Args:
+            digest: Hash of the flow.
+            owner_id: The peer.
+            version: Version of the peer's view when it asked.
+        """
+        self.note(digest, owner_id, version)
+        self.permitted.add(digest)
+
+    def doubt_notes(self) -> None:
+        """Marks all notes as not confirmed, so that an audit asks the owners."""
+        for digest in self.owners_by_flow:
+            self.versions_by_flow.setdefault(digest, DOUBTED_VERSION)
 
     def replace_list(self, owner_id: str, flows: set[int], version: int) -> None:
         """Takes an owner's complete list of its flows in the bucket.
--- a/src/siskinshift/flows/router.py
+++ b/src/siskinshift/flows/router.py
@@ -154,6 +154,11 @@
         """Packets held."""
         return len(self._held)
 
+    @property
+    def pending_count(self) -> int:
+        """Lists that are not accepted yet."""
+        return self._hand_over.pending_count()
+
     def _find(self, digest: int) -> ServiceFlows | None:
         for state in self._hand_over.services_by_id.values():
             if state.owns(digest):
@@ -195,11 +200,11 @@
                 del self._lingering_until_by_flow[digest]
                 return [self._deliver(state, digest, envelope, is_new=True)]
             self._forget_flow(digest, now=now)
-        if envelope.exhausted and claim is not None:
+        if envelope.exhausted:
             return self._on_permission(state, claim, digest, envelope, now=now)
         if envelope.disclaimed and claim is not None:
             return self._on_disclaimer(state, claim, digest, envelope, now=now)
-        if envelope.exhausted or envelope.disclaimed:
+        if envelope.disclaimed:
             envelope = _without_question(envelope)
         if claim is None:
             return self._pass_to_primary(state, digest, envelope)
@@ -216,38 +221,47 @@
     ) -> list[FlowAction]:
         owner_id = claim.owners_by_flow.get(digest)
         if owner_id is not None and owner_id != envelope.asker_id:
+            if claim.settled and digest in claim.permitted:
+                # The permission may be on its way still, or be lost.
+                version = claim.versions_by_flow[digest]
+                return self._permit(claim, digest, envelope, owner_id, version)
             return self._ask(owner_id, state, digest, envelope, now=now)
         if claim.settled:
-            if envelope.asker_id:
-                return self._permit(claim, digest, envelope)
+            asker_id = envelope.asker_id
+            if asker_id:
+                version = envelope.view_version
+                return self._permit(claim, digest, envelope, asker_id, version)
             if self._may_create(claim, now=now):
                 return self._create(state, digest, envelope)
             return self._pass_to_primary(state, digest, envelope)
-        if envelope.asker_id:
-            if self._can_ask_previous(claim) and claim.previous_id != envelope.asker_id:
-                return self._forward(claim.previous_id, envelope)
-            return self._disclaim(claim, digest, envelope)
         if claim.left_at is not None:
             return self._pass_to_primary(state, digest, envelope)
-        if self._can_ask_previous(claim):
+        # A question of a peer becomes our own: an answer that says "not mine" would
+        # be wrong once a permission arrives that is on its way to us.
+        if self._can_ask_previous(claim) and claim.previous_id != envelope.asker_id:
             return self._ask(claim.previous_id, state, digest, envelope, now=now)
-        return self._hold(state, digest, envelope, now=now)
+        plain = _without_question(envelope)
+        return self._hold(state, digest, plain, now=now)
 
     def _on_permission(
         self,
         state: ServiceFlows,
-        claim: Claim,
+        claim: Claim | None,
         digest: int,
         envelope: Envelope,
         *,
         now: float,
     ) -> list[FlowAction]:
-        answering_id = envelope.asker_id
-        owner_id = claim.owners_by_flow.get(digest, answering_id)
         # The claim must be the one the question was asked under: in a later one
         # the answer is old, and another agent may have created the flow since.
-        valid = claim.left_at is None and claim.version <= envelope.view_version
-        if valid and owner_id == answering_id and not claim.settled:
+        if (
+            claim is None
+            or claim.left_at is not None
+            or claim.version > envelope.view_version
+        ):
+            return self._disclaim(envelope, version=envelope.view_version)
+        owner_id = claim.owners_by_flow.get(digest, envelope.asker_id)
+        if owner_id == envelope.asker_id and not claim.settled:
             claim.forget(digest)
             return self._create(state, digest, envelope)
         plain = _without_question(envelope)
@@ -304,27 +318,33 @@
         return DeliverToFlow(digest, state.service_id, envelope.packet, is_new)
 
     def _permit(
-        self, claim: Claim, digest: int, envelope: Envelope
+        self,
+        claim: Claim,
+        digest: int,
+        envelope: Envelope,
+        owner_id: str,
+        version: int,
     ) -> list[FlowAction]:
         if self._hand_over.note_count() >= self._settings.note_limit:
             return [DropEnvelope(ErrorKind.FLOW_LIMIT)]
         # From here on this agent follows the note: no second agent gets the flow.
-        claim.note(digest, envelope.asker_id, envelope.view_version)
-        answer = attrs.evolve(envelope, asker_id=self._member_id, exhausted=True)
-        return self._forward(envelope.asker_id, answer)
+        claim.permit(digest, owner_id, version)
+        answer = attrs.evolve(
+            envelope,
+            asker_id=self._member_id,
+            view_version=version,
+            exhausted=True,
+            disclaimed=False,
+        )
+        return self._forward(owner_id, answer)
 
-    def _disclaim(
-        self, claim: Claim | None, digest: int, envelope: Envelope
-    ) -> list[FlowAction]:
-        view = self._hand_over.view
-        assert view is not None
-        if claim is not None:
-            # A late permission must not let us create it after this answer.
-            claim.note(digest, envelope.asker_id, envelope.view_version)
+    def _disclaim(self, envelope: Envelope, *, version: int) -> list[FlowAction]:
+        # Holds for all questions up to that version of this agent's view.
         answer = attrs.evolve(
             envelope,
             asker_id=self._member_id,
-            view_version=view.version,
+            view_version=version,
+            exhausted=False,
             disclaimed=True,
         )
         return self._forward(envelope.asker_id, answer)
@@ -352,7 +372,9 @@
     ) -> list[FlowAction]:
         primary_id = state.primary_id_of(bucket_of(digest))
         if envelope.asker_id and primary_id in ("", envelope.asker_id):
-            return self._disclaim(None, digest, envelope)
+            view = self._hand_over.view
+            assert view is not None
+            return self._disclaim(envelope, version=view.version)
         if primary_id in ("", self._member_id):
             return [DropEnvelope(ErrorKind.NO_MEMBER)]
         return self._forward(primary_id, envelope)
--- a/src/siskinshift/flows/service_flows.py
+++ b/src/siskinshift/flows/service_flows.py
@@ -50,11 +50,13 @@
         due_at: When to send it (again), seconds.
         sequence: Message it was last sent with; 0 when it has changed since.
         attempts: Times it was sent.
+        takes_back: Whether a flow has ended that the primary may hold a note about.
     """
 
     due_at: float
     sequence: int = 0
     attempts: int = 0
+    takes_back: bool = False
 
 
 @define(eq=False)
@@ -69,6 +71,7 @@
         unsettled: Buckets with a claim that is not settled.
         wanted_by_bucket: Claims of peers to confirm once the view agrees.
         granted_by_bucket: Recent permissions in buckets that were given up.
+        given_by_bucket: Peers whose claims were confirmed lately, with the time.
         unsent_by_bucket: Lists that primaries have not accepted yet.
         ask_at_by_peer: When to claim from a peer (again), seconds.
         asked_by_peer: Times a peer was asked in vain.
@@ -81,6 +84,7 @@
     unsettled: set[int] = Factory(set)
     wanted_by_bucket: dict[int, WantedClaim] = Factory(dict)
     granted_by_bucket: dict[int, dict[int, GrantedFlow]] = Factory(dict)
+    given_by_bucket: dict[int, dict[str, float]] = Factory(dict)
     unsent_by_bucket: dict[int, UnsentList] = Factory(dict)
     ask_at_by_peer: dict[str, float] = Factory(dict)
     asked_by_peer: dict[str, int] = Factory(dict)
--- a/src/siskinshift/messages/flows.py
+++ b/src/siskinshift/messages/flows.py
@@ -24,23 +24,26 @@
 
 @frozen
 class FlowNotes:
-    """One message of a hand-over: a claim of buckets, a list of flows in buckets, or an acceptance of a list.
+    """One message of a hand-over: a claim of buckets, a list of flows in buckets, an acceptance of a list, or an audit.
 
     Attributes:
         service_id: Service the flows belong to.
         sender_id: Member id of the sender.
         sender_incarnation: Incarnation of the sender.
-        sender_version: Version of the sender's view.
+        sender_version: Version of the sender's view; a list speaks of all it asked for up to then.
         sequence: Number of the message at the sender; an older list never replaces a newer one.
         claimed_buckets: Claim: buckets whose primary the sender believes to be.
         claim_version: Claim: version of the sender's view when the claim began.
         listed_buckets: List: buckets it covers. The sender knows the receiver as primary and creates no flow there.
         flows: List: hashes of all flows that the sender owns in the listed buckets.
         notes: List: flows in the listed buckets that the sender let others create.
+        given_to: List: other agents whose claims of these buckets the sender confirmed lately.
         receiver_incarnation: List: incarnation of the receiver whose claim it answers.
         confirmed_version: List: claim_version of the claim it answers; 0 when it answers none.
         accepted_buckets: Acceptance: buckets of the list that the sender has taken in.
         accepted_sequence: Acceptance: sequence of that list.
+        audited_buckets: Audit: buckets whose list the sender wants, because it holds notes that the receiver did not confirm.
+        audited_version: Audit: highest owner_version of those notes.
     """
 
     service_id: str
@@ -53,10 +56,13 @@
     listed_buckets: tuple[int, ...] = ()
     flows: tuple[int, ...] = ()
     notes: tuple[FlowNote, ...] = ()
+    given_to: tuple[str, ...] = ()
     receiver_incarnation: int = 0
     confirmed_version: int = 0
     accepted_buckets: tuple[int, ...] = ()
     accepted_sequence: int = 0
+    audited_buckets: tuple[int, ...] = ()
+    audited_version: int = 0
 
 
 @frozen
--- /dev/null
+++ b/tests/flows/buckets.py
@@ -0,0 +1,29 @@
+"""Fewer buckets for tests that build many tables."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from siskinshift.flows import hand_over
+from siskinshift.routing import buckets
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+FEW = 16
+
+
+@contextlib.contextmanager
+def few_buckets(count: int = FEW) -> Iterator[None]:
+    """Runs with few buckets, so that flows share them and tables are cheap."""
+    keys = tuple(bucket.to_bytes(2, "big") for bucket in range(count))
+    with (
+        mock.patch.object(buckets, "BUCKET_COUNT", count),
+        mock.patch.object(buckets, "_BUCKET_KEYS", keys),
+        mock.patch.object(hand_over, "ALL_BUCKETS", range(count)),
+    ):
+        yield
--- /dev/null
+++ b/tests/flows/network.py
@@ -0,0 +1,486 @@
+"""Balancers and agents joined by a message queue that a test controls.
+
+No sockets, threads or clocks: messages wait in lists until the test delivers,
+drops or doubles them. The oracle is a map from flow to owner.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from attrs import Factory
+from attrs import define
+
+from siskinshift.core.flows import flow_hash
+from siskinshift.core.packets import Envelope
+from siskinshift.core.packets import Packet
+from siskinshift.core.views import make_view
+from siskinshift.flows.actions import DeliverToFlow
+from siskinshift.flows.actions import DropEnvelope
+from siskinshift.flows.actions import ForwardToAgent
+from siskinshift.flows.actions import SendNotes
+from siskinshift.flows.router import FlowRouter
+from siskinshift.membership.table import is_newer
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+from siskinshift.messages.core import Service
+from siskinshift.messages.core import ServiceMode
+from siskinshift.messages.flows import FlowNotes
+from siskinshift.routing.chooser import AgentChooser
+from siskinshift.routing.chooser import SendTo
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from siskinshift.core.errors import ErrorKind
+    from siskinshift.flows.actions import FlowAction
+    from siskinshift.settings.generated import FlowsSettings
+
+
+START_MILLISECONDS = 1_000_000_000
+MESSAGE_DELAY_MAXIMUM = 1.0
+VIEW_DELAY_MAXIMUM = 4.0
+DETECTION_SECONDS = 2.0
+REUSE_SECONDS = 20.0
+TICK_SECONDS = 0.25
+LEAST_INSTANCES = 2
+
+
+def make_service(name: str, number: int) -> Service:
+    """Makes a service whose upstream class has its own name."""
+    return Service(
+        service_id=name,
+        addresses=(Endpoint(f"127.0.1.{number}", 443),),
+        mode=ServiceMode.DATAGRAM,
+        upstream_class=name,
+    )
+
+
+def make_agent(
+    member_id: str, *, upstream_class: str, incarnation: int, weight: int = 1000
+) -> Member:
+    """Makes the state of a ready agent."""
+    return Member(
+        member_id=member_id,
+        role=Role.AGENT,
+        incarnation=incarnation,
+        version=1,
+        state=MemberState.READY,
+        region="region-1",
+        failure_domain="fd-1",
+        control=Endpoint("127.0.0.1", 1),
+        data=Endpoint("127.0.0.1", 2),
+        upstream_class=upstream_class,
+        weight=weight,
+    )
+
+
+def make_balancer(member_id: str) -> Member:
+    """Makes the state of a ready balancer."""
+    agent = make_agent(member_id, upstream_class="", incarnation=START_MILLISECONDS)
+    return attrs.evolve(agent, role=Role.BALANCER)
+
+
+@define(eq=False)
+class Node:
+    """A process with a view of its own; an agent has a router, a balancer a chooser."""
+
+    node_id: str
+    router: FlowRouter | None
+    chooser: AgentChooser
+    members_by_id: dict[str, Member] = Factory(dict)
+    version: int = 0
+    taught: bool = True
+
+
+@define(eq=False)
+class Message:
+    """A message on its way to an agent."""
+
+    receiver_id: str
+    content: Envelope | FlowNotes
+    sent_at: float
+
+
+@define(eq=False)
+class ViewNews:
+    """States of members on their way to one process."""
+
+    receiver_id: str
+    members: tuple[Member, ...]
+    sent_at: float
+
+
+@define(eq=False)
+class Flow:
+    """A caller's flow as the oracle sees it."""
+
+    caller: Endpoint
+    service: Service
+    owner: tuple[str, int] | None = None
+    ended_at: float | None = None
+
+    @property
+    def digest(self) -> int:
+        """Hash of the flow."""
+        return flow_hash(caller=self.caller, service_address=self.service.addresses[0])
+
+
+class FlowNetwork:
+    """The processes, their messages, and the oracle."""
+
+    def __init__(
+        self,
+        *,
+        settings: FlowsSettings,
+        agents_by_class: dict[str, int],
+        balancers: int,
+        random: random.Random,
+    ) -> None:
+        self.now = 100.0
+        self.random = random
+        self.settings = settings
+        self.services_by_id = {
+            name: make_service(name, number)
+            for number, name in enumerate(agents_by_class)
+        }
+        self.truth_by_id: dict[str, Member] = {}
+        self.nodes_by_id: dict[str, Node] = {}
+        self.messages: list[Message] = []
+        self.news: list[ViewNews] = []
+        self.flows: list[Flow] = []
+        self.planned_breaks: list[str] = []
+        self.unplanned_breaks = 0
+        self.misdelivered = 0
+        self.delivered = 0
+        self.created = 0
+        self.hops_maximum = 0
+        self.notes_sent = 0
+        self.drops_by_kind: dict[ErrorKind, int] = {}
+        self._joined = 0
+        for index in range(balancers):
+            balancer = make_balancer(f"balancer-{index}")
+            node = self._add_node(balancer.member_id, None)
+            self.truth_by_id[balancer.member_id] = balancer
+            node.members_by_id[balancer.member_id] = balancer
+        for name, count in agents_by_class.items():
+            for _ in range(count):
+                self.join(name)
+        self.settle()
+
+    # Events.
+
+    def join(self, upstream_class: str, weight: int = 1000) -> str:
+        self._joined += 1
+        member_id = f"{upstream_class}-{self._joined}"
+        self._start_agent(member_id, upstream_class, weight)
+        return member_id
+
+    def restart(self, member_id: str) -> None:
+        member = self.truth_by_id[member_id]
+        self._end_node(member_id)
+        self.now += 0.001
+        self._start_agent(member_id, member.upstream_class, 1000)
+
+    def change_weight(self, member_id: str, weight: int) -> None:
+        member = self.truth_by_id[member_id]
+        self._announce(attrs.evolve(member, weight=weight, version=member.version + 1))
+
+    def drain(self, member_id: str) -> None:
+        member = self.truth_by_id[member_id]
+        self._announce(
+            attrs.evolve(
+                member,
+                weight=0,
+                state=MemberState.DRAINING,
+                version=member.version + 1,
+            )
+        )
+
+    def leave(self, member_id: str) -> None:
+        """A drained agent without flows ends."""
+        self._end_node(member_id)
+        self._announce_gone(member_id, delay=0.0)
+
+    def die(self, member_id: str) -> None:
+        self._end_node(member_id)
+        self._announce_gone(member_id, delay=DETECTION_SECONDS)
+
+    def open_flow(self, service_id: str) -> Flow:
+        caller = Endpoint("127.0.2.1", 1024 + len(self.flows))
+        flow = Flow(caller, self.services_by_id[service_id])
+        self.flows.append(flow)
+        self.send(flow)
+        return flow
+
+    def send(self, flow: Flow, balancer_id: str = "") -> None:
+        if flow.ended_at is not None:
+            if self.now - flow.ended_at < REUSE_SECONDS:
+                return
+            flow.ended_at = None
+        balancers = [n for n in self.nodes_by_id.values() if n.router is None]
+        balancer = self.random.choice(balancers)
+        if balancer_id:
+            balancer = self.nodes_by_id[balancer_id]
+        packet = Packet(flow.caller, flow.service.addresses[0], b"")
+        choice = balancer.chooser.choose(packet)
+        if isinstance(choice, SendTo):
+            envelope = Envelope(packet, view_version=balancer.version)
+            self._post(choice.agent.member_id, envelope)
+
+    def end_flow(self, flow: Flow) -> None:
+        owner = self._live_owner(flow)
+        if owner is None or flow.ended_at is not None:
+            return
+        assert owner.router is not None
+        flow.ended_at = self.now
+        flow.owner = None
+        self._carry_out(owner, owner.router.flow_ended(flow.digest, now=self.now))
+
+    def deliver(self, index: int, *, copy: bool = False) -> None:
+        if not self.messages:
+            return
+        index %= len(self.messages)
+        message = self.messages[index] if copy else self.messages.pop(index)
+        node = self.nodes_by_id.get(message.receiver_id)
+        if node is None or node.router is None:
+            return
+        if isinstance(message.content, Envelope):
+            self.hops_maximum = max(self.hops_maximum, message.content.hop_count)
+            actions = node.router.on_envelope(message.content, now=self.now)
+        else:
+            actions = node.router.on_notes(message.content, now=self.now)
+        self._carry_out(node, actions)
+
+    def lose(self, index: int) -> None:
+        if self.messages:
+            self.messages.pop(index % len(self.messages))
+
+    def deliver_news(self, index: int) -> None:
+        if self.news:
+            self._take_news_for(self.news[index % len(self.news)])
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass; messages and news arrive within their longest delay."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now = min(until, self.now + TICK_SECONDS)
+            self._deliver_late()
+            for node in tuple(self.nodes_by_id.values()):
+                if node.router is not None:
+                    self._carry_out(node, node.router.tick(now=self.now))
+
+    def settle(self, seconds: float = 40.0) -> None:
+        """Delivers everything in order, without loss, while time passes."""
+        until = self.now + seconds
+        while self.now < until:
+            for news in [n for n in self.news if n.sent_at <= self.now]:
+                self._take_news_for(news)
+            self.drain_messages()
+            self.advance(TICK_SECONDS)
+
+    def drain_messages(self) -> None:
+        for _ in range(10_000):
+            if not self.messages:
+                return
+            self.deliver(0)
+        raise AssertionError("messages never end")
+
+    # What tests look at.
+
+    def agents(self, upstream_class: str = "") -> list[str]:
+        return sorted(
+            node.node_id
+            for node in self.nodes_by_id.values()
+            if node.router is not None
+            and upstream_class in ("", self.truth_by_id[node.node_id].upstream_class)
+        )
+
+    def ready_agents(self, upstream_class: str) -> list[str]:
+        return [
+            member_id
+            for member_id in self.agents(upstream_class)
+            if self.truth_by_id[member_id].state is MemberState.READY
+            and self.truth_by_id[member_id].weight > 0
+        ]
+
+    def router_of(self, member_id: str) -> FlowRouter:
+        router = self.nodes_by_id[member_id].router
+        assert router is not None
+        return router
+
+    def owned_flows(self, member_id: str) -> list[Flow]:
+        incarnation = self.truth_by_id[member_id].incarnation
+        return [f for f in self.flows if f.owner == (member_id, incarnation)]
+
+    def check_after_settling(self) -> None:
+        """Each live flow reaches its owner through each balancer; all ends."""
+        self.settle()
+        balancer_ids = [n for n in self.nodes_by_id if n.startswith("balancer")]
+        for flow in self.flows:
+            if self._live_owner(flow) is None:
+                continue
+            for balancer_id in balancer_ids:
+                before = self.delivered
+                self.send(flow, balancer_id)
+                self.drain_messages()
+                assert self.delivered == before + 1, f"{flow} is not served"
+        for service in self.services_by_id.values():
+            flow = self.open_flow(service.service_id)
+            self.drain_messages()
+            assert flow.owner is not None, "a new flow is not taken"
+        for flow in self.flows:
+            self.end_flow(flow)
+        self.settle(60.0)
+        for member_id in self.agents():
+            router = self.router_of(member_id)
+            counts = (router.flow_count, router.note_count, router.held_count)
+            assert counts == (0, 0, 0), f"{member_id} keeps {counts}"
+            assert router.pending_count == 0, f"{member_id} has lists to send"
+
+    # Inner workings.
+
+    def _start_agent(self, member_id: str, upstream_class: str, weight: int) -> None:
+        incarnation = START_MILLISECONDS + int(self.now * 1000)
+        member = make_agent(
+            member_id,
+            upstream_class=upstream_class,
+            incarnation=incarnation,
+            weight=weight,
+        )
+        router = FlowRouter(
+            member_id=member_id, incarnation=incarnation, settings=self.settings
+        )
+        node = self._add_node(member_id, router)
+        # A new process hears at once what one balancer knows, the rest as it spreads.
+        self.news = [n for n in self.news if n.receiver_id != member_id]
+        balancer_ids = [n for n in self.nodes_by_id if n.startswith("balancer")]
+        teacher = self.nodes_by_id[self.random.choice(balancer_ids)]
+        taught = tuple(m for m in teacher.members_by_id.values() if m != member)
+        self.news.append(ViewNews(member_id, taught, self.now))
+        node.taught = False
+        for known in self.truth_by_id.values():
+            self.news.append(ViewNews(member_id, (known,), self.now))
+        node.members_by_id[member_id] = member
+        self._announce(member)
+
+    def _add_node(self, node_id: str, router: FlowRouter | None) -> Node:
+        node = Node(node_id, router, AgentChooser())
+        self.nodes_by_id[node_id] = node
+        return node
+
+    def _end_node(self, member_id: str) -> None:
+        del self.nodes_by_id[member_id]
+        for flow in self.flows:
+            if flow.owner and flow.owner[0] == member_id:
+                self.unplanned_breaks += 1
+
+    def _announce(self, member: Member, delay: float = 0.0) -> None:
+        self.truth_by_id[member.member_id] = member
+        own = self.nodes_by_id.get(member.member_id)
+        if own is not None:
+            self._take_news(ViewNews(member.member_id, (member,), self.now))
+        for node_id in self.nodes_by_id:
+            if node_id != member.member_id:
+                self.news.append(ViewNews(node_id, (member,), self.now + delay))
+
+    def _announce_gone(self, member_id: str, *, delay: float) -> None:
+        member = self.truth_by_id[member_id]
+        self._announce(
+            attrs.evolve(member, state=MemberState.GONE, version=member.version + 1),
+            delay=delay,
+        )
+
+    def _take_news_for(self, chosen: ViewNews) -> None:
+        if chosen not in self.news:
+            return
+        node = self.nodes_by_id.get(chosen.receiver_id)
+        if node is not None and not node.taught:
+            # Membership hands a new process one table before any single news.
+            node.taught = True
+            table = next(n for n in self.news if n.receiver_id == node.node_id)
+            self.news.remove(table)
+            self._take_news(table)
+        if chosen in self.news:
+            self.news.remove(chosen)
+            self._take_news(chosen)
+
+    def _take_news(self, news: ViewNews) -> None:
+        node = self.nodes_by_id.get(news.receiver_id)
+        if node is None:
+            return
+        fresh = [
+            member
+            for member in news.members
+            if is_newer(member, node.members_by_id.get(member.member_id))
+            or (member.member_id == node.node_id and node.version == 0)
+        ]
+        if not fresh:
+            return
+        node.members_by_id.update({member.member_id: member for member in fresh})
+        node.version += 1
+        view = make_view(
+            version=node.version,
+            services=self.services_by_id.values(),
+            members=node.members_by_id.values(),
+        )
+        node.chooser.update(view)
+        if node.router is not None:
+            self._carry_out(node, node.router.update(view, now=self.now))
+
+    def _deliver_late(self) -> None:
+        for news in tuple(self.news):
+            if self.now - news.sent_at >= VIEW_DELAY_MAXIMUM:
+                self._take_news_for(news)
+        while self.messages:
+            if self.now - self.messages[0].sent_at < MESSAGE_DELAY_MAXIMUM:
+                return
+            self.deliver(0)
+
+    def _post(self, receiver_id: str, content: Envelope | FlowNotes) -> None:
+        self.messages.append(Message(receiver_id, content, self.now))
+
+    def _live_owner(self, flow: Flow) -> Node | None:
+        if flow.owner is None:
+            return None
+        member_id, incarnation = flow.owner
+        node = self.nodes_by_id.get(member_id)
+        if node is None or self.truth_by_id[member_id].incarnation != incarnation:
+            return None
+        return node
+
+    def _carry_out(self, node: Node, actions: Iterable[FlowAction]) -> None:
+        for action in actions:
+            if isinstance(action, DeliverToFlow):
+                self._delivered(node, action)
+            elif isinstance(action, ForwardToAgent):
+                self._post(action.agent.member_id, action.envelope)
+            elif isinstance(action, SendNotes):
+                self.notes_sent += 1
+                self._post(action.agent.member_id, action.notes)
+            elif isinstance(action, DropEnvelope):
+                count = self.drops_by_kind.get(action.error, 0)
+                self.drops_by_kind[action.error] = count + 1
+
+    def _delivered(self, node: Node, action: DeliverToFlow) -> None:
+        flow = self.flows[action.packet.caller.port - 1024]
+        member = self.truth_by_id[node.node_id]
+        self.delivered += 1
+        if member.upstream_class != flow.service.upstream_class:
+            self.misdelivered += 1
+        if flow.ended_at is not None:
+            # A late copy began it anew; it will be idle and end again.
+            assert node.router is not None
+            node.router.flow_ended(flow.digest, now=self.now)
+            return
+        here = (node.node_id, member.incarnation)
+        if self._live_owner(flow) is not None and flow.owner != here:
+            self.planned_breaks.append(f"{flow.owner} -> {here} at {self.now:.2f}")
+        if flow.owner != here:
+            self.created += 1
+        flow.owner = here
