--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -49,12 +49,22 @@
     Attributes:
         endpoints: Endpoints, comma-separated; empty when none is used.
         timeout: Time allowed for one call. In seconds.
-        poll_interval: Pause between two reads of the configuration. In seconds.
+        call_rate: Calls this process may make on average. In calls a second.
+        call_burst: Calls this process may make at once. In calls.
+        check_interval: Pause between two reads of the root record by a holder of an entry slot. In seconds.
+        watch_interval: Silence after which a holder of an entry slot opens its watch again. In seconds.
+        entry_slots: Balancers of each failure domain that read the configuration.
+        lease_ttl: Life of an entry slot's lease without a keep-alive. In seconds.
     """
 
     endpoints: tuple[Endpoint, ...]
     timeout: float
-    poll_interval: float
+    call_rate: float
+    call_burst: int
+    check_interval: float
+    watch_interval: float
+    entry_slots: int
+    lease_ttl: float
 
 
 @frozen
@@ -63,13 +73,25 @@
 
     Attributes:
         seeds: Control endpoints of balancers to announce to.
-        heartbeat_interval: Pause between two heartbeats. In seconds.
-        gone_after: Silence after which a member counts as gone. In seconds.
+        heartbeat_interval: Pause between two heartbeats to one watcher. In seconds.
+        suspect_after: Silence after which a member that answers no probe counts as suspect. In seconds.
+        gone_after: Silence after which a suspect counts as gone. In seconds.
+        doubt_factor: Times the silence is stretched while most members of a failure domain fall silent at once.
+        call_timeout: Time allowed for one message between processes. In seconds.
+        digest_interval: Pause between two comparisons of the whole state with another balancer. In seconds.
+        start_jitter: Greatest random delay of the first announcement. In seconds.
+        forget_after: Time a member that is gone is remembered. In seconds.
     """
 
     seeds: tuple[Endpoint, ...]
     heartbeat_interval: float
+    suspect_after: float
     gone_after: float
+    doubt_factor: float
+    call_timeout: float
+    digest_interval: float
+    start_jitter: float
+    forget_after: float
 
 
 @frozen
@@ -83,6 +105,13 @@
         fabric_return: Endpoint of the fabric that takes answers (UDP).
         flow_idle_timeout: Silence after which a datagram flow is closed. In seconds.
         drain_timeout: Time flows are given to end when the agent drains. In seconds.
+        certificate_file: Certificate chain in PEM for callers of mode request; empty when none is served.
+        private_key_file: Private key in PEM that belongs to the certificate.
+        caller_idle_timeout: Silence after which a caller's HTTP/3 connection is closed. In seconds.
+        request_timeout: Deadline of a request that names none, and the longest one may ask for. In seconds.
+        body_maximum: Largest request body taken. In bytes.
+        queue_maximum: Requests that may wait for a slot.
+        connections: Requests and streams the upstream holds at once.
     """
 
     upstream_class: str
@@ -91,6 +120,13 @@
     fabric_return: Endpoint
     flow_idle_timeout: float
     drain_timeout: float
+    certificate_file: str
+    private_key_file: str
+    caller_idle_timeout: float
+    request_timeout: float
+    body_maximum: int
+    queue_maximum: int
+    connections: int
 
 
 @frozen
@@ -122,6 +158,56 @@
     ramp_duration: float
 
 
+@frozen
+class ApiSettings:
+    """The operators' API of a balancer.
+
+    Attributes:
+        endpoints: Endpoints to serve the API at, comma-separated; empty when it is not served.
+        certificate_file: Certificate chain in PEM for TLS.
+        private_key_file: Private key of the certificate in PEM.
+        operator_tokens: Bearer tokens that may change the configuration, comma-separated.
+        viewer_tokens: Bearer tokens that may only read, comma-separated.
+        watchers: Watch calls served at once.
+    """
+
+    endpoints: tuple[Endpoint, ...]
+    certificate_file: str
+    private_key_file: str
+    operator_tokens: tuple[Secret, ...]
+    viewer_tokens: tuple[Secret, ...]
+    watchers: int
+
+
+@frozen
+class LoadSettings:
+    """What is let in, what waits and where work goes under load.
+
+    Attributes:
+        queue_limit: Requests of one group that may wait at one agent.
+        queue_time_limit: Longest wait of a request before it is refused. In seconds.
+        caller_part: Part of a group's queue that one caller's IP number may fill.
+        key_limit: Requests with one idempotency key that may be waiting or running at an agent.
+        retry_part: Retries allowed for each recent success.
+        reservation_timeout: Time a slot is held for a peer that has not sent its request yet. In seconds.
+        usage_interval: Pause between two exchanges of usage sums. In seconds.
+        slow_factor: Slot time over the peers' median from which an upstream counts as slow.
+        panic_part: Part of a service's upstreams that may look sick before the detection is doubted.
+        importance_floor: Part of slot time that less important services keep while they wait.
+    """
+
+    queue_limit: int
+    queue_time_limit: float
+    caller_part: float
+    key_limit: int
+    retry_part: float
+    reservation_timeout: float
+    usage_interval: float
+    slow_factor: float
+    panic_part: float
+    importance_floor: float
+
+
 @frozen
 class LogsSettings:
     """Logs as JSON lines on standard error.
@@ -178,6 +264,8 @@
         membership: How members find and watch each other.
         agent: The agent beside an upstream.
         flows: How flows outlive change.
+        api: The operators' API of a balancer.
+        load: What is let in, what waits and where work goes under load.
         logs: Logs as JSON lines on standard error.
         metrics: Metrics by OpenTelemetry; off costs nothing.
         objectives: Service-level objectives that `report burn` measures against.
@@ -189,6 +277,8 @@
     membership: MembershipSettings
     agent: AgentSettings
     flows: FlowsSettings
+    api: ApiSettings
+    load: LoadSettings
     logs: LogsSettings
     metrics: MetricsSettings
     objectives: ObjectivesSettings
@@ -268,13 +358,57 @@
                 doc="Time allowed for one call.",
             ),
             Option(
-                name="poll_interval",
+                name="call_rate",
+                type="float",
+                unit="calls a second",
+                minimum=0.1,
+                maximum=1000.0,
+                default=10.0,
+                doc="Calls this process may make on average.",
+            ),
+            Option(
+                name="call_burst",
+                type="int",
+                unit="calls",
+                minimum=1,
+                maximum=1000,
+                default=40,
+                doc="Calls this process may make at once.",
+            ),
+            Option(
+                name="check_interval",
                 type="float",
                 unit="seconds",
                 minimum=0.05,
                 maximum=60.0,
-                default=0.25,
-                doc="Pause between two reads of the configuration.",
+                default=2.0,
+                doc="Pause between two reads of the root record by a holder of an entry slot.",
+            ),
+            Option(
+                name="watch_interval",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=600.0,
+                default=10.0,
+                doc="Silence after which a holder of an entry slot opens its watch again.",
+            ),
+            Option(
+                name="entry_slots",
+                type="int",
+                minimum=1,
+                maximum=16,
+                default=2,
+                doc="Balancers of each failure domain that read the configuration.",
+            ),
+            Option(
+                name="lease_ttl",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=300.0,
+                default=6.0,
+                doc="Life of an entry slot's lease without a keep-alive.",
             ),
         ),
     ),
@@ -295,8 +429,17 @@
                 unit="seconds",
                 minimum=0.05,
                 maximum=10.0,
-                default=0.5,
-                doc="Pause between two heartbeats.",
+                default=1.0,
+                doc="Pause between two heartbeats to one watcher.",
+            ),
+            Option(
+                name="suspect_after",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=60.0,
+                default=1.4,
+                doc="Silence after which a member that answers no probe counts as suspect.",
             ),
             Option(
                 name="gone_after",
@@ -304,8 +447,52 @@
                 unit="seconds",
                 minimum=0.2,
                 maximum=60.0,
-                default=2.0,
-                doc="Silence after which a member counts as gone.",
+                default=2.2,
+                doc="Silence after which a suspect counts as gone.",
+            ),
+            Option(
+                name="doubt_factor",
+                type="float",
+                minimum=1.0,
+                maximum=100.0,
+                default=3.0,
+                doc="Times the silence is stretched while most members of a failure domain fall silent at once.",
+            ),
+            Option(
+                name="call_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.02,
+                maximum=10.0,
+                default=0.25,
+                doc="Time allowed for one message between processes.",
+            ),
+            Option(
+                name="digest_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=600.0,
+                default=5.0,
+                doc="Pause between two comparisons of the whole state with another balancer.",
+            ),
+            Option(
+                name="start_jitter",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=60.0,
+                default=0.5,
+                doc="Greatest random delay of the first announcement.",
+            ),
+            Option(
+                name="forget_after",
+                type="float",
+                unit="seconds",
+                minimum=10.0,
+                maximum=86400.0,
+                default=3600.0,
+                doc="Time a member that is gone is remembered.",
             ),
         ),
     ),
@@ -358,6 +545,61 @@
                 default=14400.0,
                 doc="Time flows are given to end when the agent drains.",
             ),
+            Option(
+                name="certificate_file",
+                type="str",
+                default="",
+                doc="Certificate chain in PEM for callers of mode request; empty when none is served.",
+            ),
+            Option(
+                name="private_key_file",
+                type="str",
+                default="",
+                doc="Private key in PEM that belongs to the certificate.",
+            ),
+            Option(
+                name="caller_idle_timeout",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=3600.0,
+                default=60.0,
+                doc="Silence after which a caller's HTTP/3 connection is closed.",
+            ),
+            Option(
+                name="request_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=3600.0,
+                default=30.0,
+                doc="Deadline of a request that names none, and the longest one may ask for.",
+            ),
+            Option(
+                name="body_maximum",
+                type="int",
+                unit="bytes",
+                minimum=1,
+                maximum=1073741824,
+                default=4194304,
+                doc="Largest request body taken.",
+            ),
+            Option(
+                name="queue_maximum",
+                type="int",
+                minimum=0,
+                maximum=100000,
+                default=64,
+                doc="Requests that may wait for a slot.",
+            ),
+            Option(
+                name="connections",
+                type="int",
+                minimum=1,
+                maximum=100000,
+                default=2000,
+                doc="Requests and streams the upstream holds at once.",
+            ),
         ),
     ),
     Section(
@@ -453,6 +695,141 @@
             ),
         ),
     ),
+    Section(
+        name="api",
+        doc="The operators' API of a balancer.",
+        settings_class=ApiSettings,
+        options=(
+            Option(
+                name="endpoints",
+                type="endpoints",
+                default="",
+                doc="Endpoints to serve the API at, comma-separated; empty when it is not served.",
+            ),
+            Option(
+                name="certificate_file",
+                type="str",
+                default="",
+                doc="Certificate chain in PEM for TLS.",
+            ),
+            Option(
+                name="private_key_file",
+                type="str",
+                default="",
+                doc="Private key of the certificate in PEM.",
+            ),
+            Option(
+                name="operator_tokens",
+                type="secrets",
+                default="",
+                doc="Bearer tokens that may change the configuration, comma-separated.",
+            ),
+            Option(
+                name="viewer_tokens",
+                type="secrets",
+                default="",
+                doc="Bearer tokens that may only read, comma-separated.",
+            ),
+            Option(
+                name="watchers",
+                type="int",
+                minimum=1,
+                maximum=256,
+                default=8,
+                doc="Watch calls served at once.",
+            ),
+        ),
+    ),
+    Section(
+        name="load",
+        doc="What is let in, what waits and where work goes under load.",
+        settings_class=LoadSettings,
+        options=(
+            Option(
+                name="queue_limit",
+                type="int",
+                minimum=1,
+                maximum=100000,
+                default=64,
+                doc="Requests of one group that may wait at one agent.",
+            ),
+            Option(
+                name="queue_time_limit",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=600.0,
+                default=1.0,
+                doc="Longest wait of a request before it is refused.",
+            ),
+            Option(
+                name="caller_part",
+                type="float",
+                minimum=0.01,
+                maximum=1.0,
+                default=0.25,
+                doc="Part of a group's queue that one caller's IP number may fill.",
+            ),
+            Option(
+                name="key_limit",
+                type="int",
+                minimum=1,
+                maximum=1000,
+                default=2,
+                doc="Requests with one idempotency key that may be waiting or running at an agent.",
+            ),
+            Option(
+                name="retry_part",
+                type="float",
+                minimum=0.0,
+                maximum=1.0,
+                default=0.1,
+                doc="Retries allowed for each recent success.",
+            ),
+            Option(
+                name="reservation_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=10.0,
+                default=0.25,
+                doc="Time a slot is held for a peer that has not sent its request yet.",
+            ),
+            Option(
+                name="usage_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.05,
+                maximum=60.0,
+                default=0.5,
+                doc="Pause between two exchanges of usage sums.",
+            ),
+            Option(
+                name="slow_factor",
+                type="float",
+                minimum=1.5,
+                maximum=100.0,
+                default=3.0,
+                doc="Slot time over the peers' median from which an upstream counts as slow.",
+            ),
+            Option(
+                name="panic_part",
+                type="float",
+                minimum=0.1,
+                maximum=1.0,
+                default=0.5,
+                doc="Part of a service's upstreams that may look sick before the detection is doubted.",
+            ),
+            Option(
+                name="importance_floor",
+                type="float",
+                minimum=0.0,
+                maximum=0.5,
+                default=0.05,
+                doc="Part of slot time that less important services keep while they wait.",
+            ),
+        ),
+    ),
     Section(
         name="logs",
         doc="Logs as JSON lines on standard error.",
