--- a/src/siskinshift/flows/claims.py
+++ b/src/siskinshift/flows/claims.py
@@ -97,7 +97,11 @@
             if self.versions_by_flow.get(digest, -1) <= version:
                 self.forget(digest)
         for digest in flows:
-            self.note(digest, owner_id)
+            known_id = self.owners_by_flow.get(digest, owner_id)
+            # An owner that was counted as gone comes back after the flow began anew
+            # elsewhere: the caller stays where it is now.
+            if known_id == owner_id or digest in self.versions_by_flow:
+                self.note(digest, owner_id)
 
     def forget_owner(self, owner_id: str) -> None:
         """Drops all notes about an owner that is gone.
--- a/src/siskinshift/flows/hand_over.py
+++ b/src/siskinshift/flows/hand_over.py
@@ -13,6 +13,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 from attrs import frozen
 
 from siskinshift.flows.actions import SendNotes
@@ -104,6 +105,7 @@
         self._incarnation = incarnation
         self._settings = settings
         self._chooser = AgentChooser()
+        self._own: Member | None = None
         self._started_at: float | None = None
         self._sequence = 0
         self._live_ids: frozenset[str] = frozenset()
@@ -140,6 +142,8 @@
         own = view.members_by_id.get(self.member_id)
         if own is None:
             return []
+        was_doubted = self._was_doubted(own)
+        self._own = own
         if self._started_at is None and _knows_balancers(view):
             # Alone in its view, an agent that was cut off at its start would be
             # primary of all buckets and create flows that its peers own.
@@ -173,12 +177,40 @@
                 service.service_id, ServiceFlows(service.service_id)
             )
             self._adapt_claims(state, appeared, now=now)
+            if was_doubted:
+                self._renew_claims(state, now=now)
             self._take_table(state, service, now=now)
             actions += self._confirm_wanted(state, now=now)
             self._settle_all(state, now=now)
             actions += self._ask(state, now=now)
         return actions
 
+    def _was_doubted(self, own: Member) -> bool:
+        # The version rose without a change of our own: peers held us for suspect or
+        # gone, and we spoke up. While we were paused or cut off they may have
+        # settled our buckets without us, so our rights are void.
+        old = self._own
+        if old is None or own.version <= old.version:
+            return False
+        return attrs.evolve(old, version=own.version) == own
+
+    def notice_pause(self, *, now: float) -> None:
+        """Voids rights that peers may have taken over, after the process stood still.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        for state in self.services_by_id.values():
+            self._renew_claims(state, now=now)
+
+    def _renew_claims(self, state: ServiceFlows, *, now: float) -> None:
+        for bucket, claim in tuple(state.claims_by_bucket.items()):
+            if claim.left_at is None:
+                claim.settled = False
+                self._begin_claim(state, bucket, claim, "", now=now)
+            else:
+                self._give_up(state, bucket, now=now)
+
     def _may_hold_rights(self, peer: Member) -> bool:
         # A peer that was counted as gone by mistake comes back with its flows.
         if self._incarnations_by_id.get(peer.member_id) == peer.incarnation:
@@ -312,19 +344,32 @@
             claim.previous_id = claim.previous_id or previous_id
             return
         # Peers may have confirmed the left claim to another since: begin anew.
+        if previous_id == self.member_id:
+            previous_id = ""
+        self._begin_claim(state, bucket, claim, previous_id, now=now)
+
+    def _begin_claim(
+        self,
+        state: ServiceFlows,
+        bucket: int,
+        old: Claim | None,
+        previous_id: str,
+        *,
+        now: float,
+    ) -> None:
         assert self.view is not None
-        renewed = Claim(
+        claim = Claim(
             version=self.view.version,
             started_at=now,
-            previous_id=previous_id if previous_id != self.member_id else "",
+            previous_id=previous_id,
             pending=set(self._live_ids),
         )
-        if claim is not None:
-            renewed.owners_by_flow = claim.owners_by_flow
-            renewed.versions_by_flow = claim.versions_by_flow
-        state.claims_by_bucket[bucket] = renewed
+        if old is not None:
+            claim.owners_by_flow = old.owners_by_flow
+            claim.versions_by_flow = old.versions_by_flow
+        state.claims_by_bucket[bucket] = claim
         state.unsettled.add(bucket)
-        for peer_id in renewed.pending:
+        for peer_id in claim.pending:
             state.ask_at_by_peer[peer_id] = now
             state.asked_by_peer[peer_id] = 0
 
--- a/src/siskinshift/flows/router.py
+++ b/src/siskinshift/flows/router.py
@@ -30,11 +30,16 @@
 
 # An agent that gives buckets away goes on to create flows this long, until its
 # successor has claimed them: without it, new callers wait for the successor's view.
-# Below the 3 s after which a leaving agent must take no new flow.
-GRACE_SECONDS = 2.0
+# A leaving agent gives its last bucket away after shift_duration (1.5 s); together
+# they stay below the 3 s after which it must take no new flow.
+GRACE_SECONDS = 1.0
 # An ended flow stays with its owner this long, so that a late copy of its last
 # packet does not begin it anew elsewhere.
 LINGER_SECONDS = 3.0
+# A process that stood still longer than this may have been counted as gone, and its
+# buckets settled by peers, without knowing: it would go on to create flows that they
+# own. Ticks come every 50 ms; peers wait 2 s before they count a member as gone.
+PAUSE_SECONDS = 1.0
 
 
 class FlowRouter:
@@ -59,6 +64,7 @@
             limit=settings.held_limit, timeout=settings.held_timeout
         )
         self._flow_count = 0
+        self._ticked_at: float | None = None
         self._lingering_until_by_flow: OrderedDict[int, float] = OrderedDict()
 
     def update(self, view: View, *, now: float) -> list[FlowAction]:
@@ -71,6 +77,7 @@
         Returns:
             Notes to send, and held packets that may go on.
         """
+        self._notice_pause(now=now)
         return [*self._hand_over.update(view, now=now), *self._release(now=now)]
 
     def on_envelope(self, envelope: Envelope, *, now: float) -> list[FlowAction]:
@@ -83,6 +90,7 @@
         Returns:
             What to do with it.
         """
+        self._notice_pause(now=now)
         packet = envelope.packet
         view = self._hand_over.view
         if view is None:
@@ -106,6 +114,7 @@
         Returns:
             Notes to send, and held packets that may go on.
         """
+        self._notice_pause(now=now)
         return [*self._hand_over.on_notes(notes, now=now), *self._release(now=now)]
 
     def flow_ended(self, digest: int, *, now: float) -> list[FlowAction]:
@@ -132,6 +141,8 @@
         Returns:
             What has become due.
         """
+        self._notice_pause(now=now)
+        self._ticked_at = now
         self._end_lingering(now=now)
         actions: list[FlowAction] = [*self._hand_over.tick(now=now)]
         actions += self._release(now=now)
@@ -159,6 +170,11 @@
         """Lists that are not accepted yet."""
         return self._hand_over.pending_count()
 
+    def _notice_pause(self, *, now: float) -> None:
+        if self._ticked_at is not None and now - self._ticked_at > PAUSE_SECONDS:
+            self._ticked_at = now
+            self._hand_over.notice_pause(now=now)
+
     def _find(self, digest: int) -> ServiceFlows | None:
         for state in self._hand_over.services_by_id.values():
             if state.owns(digest):
