--- /dev/null
+++ b/src/siskinshift/bench/dataplane_paths.py
@@ -0,0 +1,178 @@
+"""Datagrams through one balancer and one agent over real loopback sockets."""
+
+from __future__ import annotations
+
+import gc
+import selectors
+import socket
+import threading
+import time
+import tracemalloc
+
+from attrs import frozen
+
+from siskinshift.agent.datagram_flows import DatagramFlows
+from siskinshift.bench.dataplane_decisions import PAYLOAD
+from siskinshift.bench.dataplane_decisions import MemoryRow
+from siskinshift.bench.dataplane_decisions import caller_of
+from siskinshift.core.clocks import monotonic_clock
+from siskinshift.core.packets import Packet
+from siskinshift.demo.deployment import Deployment
+from siskinshift.demo.deployment import ServicePlan
+from siskinshift.messages.core import Endpoint
+
+
+SERVICE = "editor"
+CALLERS = 32
+READY_SECONDS = 30.0
+RETRY_SECONDS = 0.5
+ANSWER_SIZE_MAXIMUM = 2048
+
+
+@frozen
+class PathRow:
+    """Cost of the whole path, caller to upstream and back.
+
+    Attributes:
+        process: Whose threads were measured.
+        exchanges: Questions answered.
+        exchanges_per_second: By the clock, all processes on one interpreter.
+        microseconds: Processor time of the process's threads for one exchange, us.
+    """
+
+    process: str
+    exchanges: int
+    exchanges_per_second: float
+    microseconds: float
+
+
+class _Callers:
+    """Callers that each send the next question once the last was answered."""
+
+    def __init__(self, address: Endpoint) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._sockets = []
+        for _ in range(CALLERS):
+            caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            caller.connect((address.host, address.port))
+            caller.setblocking(False)
+            self._selector.register(caller, selectors.EVENT_READ)
+            self._sockets.append(caller)
+
+    def exchange(self, seconds: float) -> int:
+        """Exchanges for a time.
+
+        Args:
+            seconds: How long.
+
+        Returns:
+            Questions answered.
+        """
+        answered = 0
+        until = time.monotonic() + seconds
+        for caller in self._sockets:
+            caller.send(PAYLOAD)
+        while time.monotonic() < until:
+            ready = self._selector.select(RETRY_SECONDS)
+            if not ready:
+                for caller in self._sockets:
+                    caller.send(PAYLOAD)
+            for key, _ in ready:
+                asking = key.fileobj
+                assert isinstance(asking, socket.socket)
+                asking.recv(ANSWER_SIZE_MAXIMUM)
+                asking.send(PAYLOAD)
+                answered += 1
+        return answered
+
+    def close(self) -> None:
+        """Closes the sockets."""
+        self._selector.close()
+        for caller in self._sockets:
+            caller.close()
+
+
+def path_rows(seconds: float) -> list[PathRow]:
+    """Measures exchanges through one balancer and one agent.
+
+    Args:
+        seconds: How long.
+
+    Returns:
+        One row for the balancer, one for the agent.
+    """
+    plan = ServicePlan(SERVICE, 1, 1)
+    deployment = Deployment(name="bench", plans=(plan,), balancers=1)
+    deployment.start()
+    try:
+        callers = _Callers(deployment.services_by_id[SERVICE].addresses[0])
+        _wait_for_answers(callers)
+        names = {
+            "balancer": next(iter(deployment.balancers_by_id)),
+            "agent": next(iter(deployment.agents_by_id)),
+        }
+        before = {what: _thread_seconds(name) for what, name in names.items()}
+        answered = callers.exchange(seconds)
+        rows = []
+        for what, name in names.items():
+            used = _thread_seconds(name) - before[what]
+            rows.append(
+                PathRow(what, answered, answered / seconds, used / answered * 1e6)
+            )
+        callers.close()
+    finally:
+        deployment.stop()
+    return rows
+
+
+def _wait_for_answers(callers: _Callers) -> None:
+    until = time.monotonic() + READY_SECONDS
+    while time.monotonic() < until:
+        if callers.exchange(1.0) > CALLERS:
+            return
+    raise TimeoutError("no answers")
+
+
+def _thread_seconds(name: str) -> float:
+    total = 0.0
+    for thread in threading.enumerate():
+        if thread.name.startswith(f"{name}_") and thread.ident is not None:
+            clock = time.pthread_getcpuclockid(thread.ident)
+            total += time.clock_gettime(clock)
+    return total
+
+
+def socket_memory(flow_counts: tuple[int, ...]) -> list[MemoryRow]:
+    """Measures the memory of relayed flows, each with a socket to the upstream.
+
+    Args:
+        flow_counts: Numbers of flows; each takes a file descriptor.
+
+    Returns:
+        The rows.
+    """
+    rows = []
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as upstream:
+        upstream.bind(("127.0.0.1", 0))
+        endpoint = Endpoint(*upstream.getsockname())
+        for count in flow_counts:
+            flows = DatagramFlows(
+                upstream=endpoint,
+                idle_timeout=3600.0,
+                clock=monotonic_clock,
+                send_answer=lambda _: None,
+                on_flow_end=lambda _: None,
+            )
+            packets = [Packet(caller_of(n), endpoint, b"") for n in range(count)]
+            gc.collect()
+            tracemalloc.start()
+            for number, packet in enumerate(packets):
+                flows.deliver(number, packet)
+            gc.collect()
+            held = tracemalloc.get_traced_memory()[0]
+            tracemalloc.stop()
+            flows.close()
+            rows.append(
+                MemoryRow("relay, one socket a flow", count, held / count, held / 1e3)
+            )
+    return rows
--- a/src/siskinshift/flows/hand_over.py
+++ b/src/siskinshift/flows/hand_over.py
@@ -24,7 +24,6 @@
 from siskinshift.flows.service_flows import UnsentList
 from siskinshift.flows.service_flows import WantedClaim
 from siskinshift.messages.core import MemberState
-from siskinshift.messages.core import Role
 from siskinshift.messages.flows import FlowNote
 from siskinshift.messages.flows import FlowNotes
 from siskinshift.routing.buckets import bucket_of
@@ -144,9 +143,10 @@
             return []
         was_doubted = self._was_doubted(own)
         self._own = own
-        if self._started_at is None and _knows_balancers(view):
-            # Alone in its view, an agent that was cut off at its start would be
-            # primary of all buckets and create flows that its peers own.
+        if self._started_at is None and _serves_any(view, own):
+            # Services come together with the peers of the class. Before, an agent
+            # that was cut off at its start would be alone in its view, primary of
+            # all buckets, and would create flows that its peers own.
             self._started_at = now
         self._forget_lost_owners(view)
         peers = [
@@ -891,8 +891,11 @@
         return [SendNotes(peer, message)]
 
 
-def _knows_balancers(view: View) -> bool:
-    return any(m.role is Role.BALANCER for m in view.members_by_id.values())
+def _serves_any(view: View, own: Member) -> bool:
+    return any(
+        service.upstream_class == own.upstream_class
+        for service in view.services_by_id.values()
+    )
 
 
 def _retry_pause(attempts: int) -> float:
--- a/tests/flows/walk.py
+++ b/tests/flows/walk.py
@@ -12,11 +12,11 @@
 
 import attrs
 
+from siskinshift.bench.flow_network import VIEW_DELAY_MAXIMUM
+from siskinshift.bench.flow_network import FlowNetwork
 from siskinshift.settings.loader import SettingsLoader
 from tests.conftest import SETTINGS_TEXT
 from tests.flows.buckets import few_buckets
-from tests.flows.network import VIEW_DELAY_MAXIMUM
-from tests.flows.network import FlowNetwork
 
 
 if TYPE_CHECKING:
--- a/tests/routing/test_buckets.py
+++ b/tests/routing/test_buckets.py
@@ -8,9 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskinshift.bench.flow_network import make_agent
 from siskinshift.routing.buckets import NO_PRIMARY
 from siskinshift.routing.buckets import build_bucket_table
-from tests.flows.network import make_agent
 
 
 if TYPE_CHECKING:
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from siskinshift.bench.flow_network import make_agent
+from siskinshift.bench.flow_network import make_service
 from siskinshift.core.errors import ErrorKind
 from siskinshift.core.packets import Packet
 from siskinshift.core.views import View
@@ -14,8 +16,6 @@
 from siskinshift.routing.chooser import AgentChooser
 from siskinshift.routing.chooser import DropPacket
 from siskinshift.routing.chooser import SendTo
-from tests.flows.network import make_agent
-from tests.flows.network import make_service
 
 
 EDITOR = make_service("editor", 1)
