--- a/src/siskinshift/bench/dataplane_paths.py
+++ b/src/siskinshift/bench/dataplane_paths.py
@@ -20,6 +20,7 @@
 from siskinshift.demo.deployment import Deployment
 from siskinshift.demo.deployment import ServicePlan
 from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import ServiceMode
 
 
 SERVICE = "editor"
@@ -101,7 +102,7 @@
     Returns:
         One row for the balancer, one for the agent.
     """
-    plan = ServicePlan(SERVICE, 1, 1)
+    plan = ServicePlan(SERVICE, 1, 1, ServiceMode.DATAGRAM)
     deployment = Deployment(name="bench", plans=(plan,), balancers=1)
     deployment.start()
     try:
--- a/src/siskinshift/flows/hand_over.py
+++ b/src/siskinshift/flows/hand_over.py
@@ -58,6 +58,9 @@
 # Peers that started this much after us can't have rights we did not confirm; the
 # margin covers clocks that differ.
 CLOCK_MARGIN_MILLISECONDS = 10_000
+# After a pause, peers that become known within this time may hold rights that we
+# did not confirm: several times what a view needs to become whole again.
+DOUBT_SECONDS = 60.0
 HOUSEKEEPING_SECONDS = 0.25
 # A permission that got lost leaves a note about a flow that was never created. The
 # pause is long: such notes cost memory, and a packet of the flow clears them as well.
@@ -105,6 +108,7 @@
         self._settings = settings
         self._chooser = AgentChooser()
         self._own: Member | None = None
+        self._doubted_until = 0.0
         self._started_at: float | None = None
         self._sequence = 0
         self._live_ids: frozenset[str] = frozenset()
@@ -158,7 +162,8 @@
         appeared = frozenset(
             peer.member_id
             for peer in peers
-            if peer.member_id not in self._live_ids and self._may_hold_rights(peer)
+            if peer.member_id not in self._live_ids
+            and (was_doubted or self._may_hold_rights(peer, now=now))
         )
         self._live_ids = live_ids
         for peer in peers:
@@ -200,10 +205,14 @@
         Args:
             now: Clock reading, seconds.
         """
+        if self._started_at is not None:
+            self._started_at = now  # News of the time before may be on its way still.
         for state in self.services_by_id.values():
             self._renew_claims(state, now=now)
 
     def _renew_claims(self, state: ServiceFlows, *, now: float) -> None:
+        # Peers that started meanwhile settled without us.
+        self._doubted_until = now + DOUBT_SECONDS
         for bucket, claim in tuple(state.claims_by_bucket.items()):
             if claim.left_at is None:
                 claim.settled = False
@@ -211,7 +220,9 @@
             else:
                 self._give_up(state, bucket, now=now)
 
-    def _may_hold_rights(self, peer: Member) -> bool:
+    def _may_hold_rights(self, peer: Member, *, now: float) -> bool:
+        if now < self._doubted_until:
+            return True
         # A peer that was counted as gone by mistake comes back with its flows.
         if self._incarnations_by_id.get(peer.member_id) == peer.incarnation:
             return True
@@ -657,6 +668,7 @@
             # A late question of a peer that is gone left a note.
             if member_id in self._incarnations_by_id:
                 self._forget_owner(member_id)
+        self._doubt_next_bucket(state)
         buckets_by_owner: dict[str, set[int]] = {}
         versions_by_owner: dict[str, int] = {}
         for bucket, claim in state.claims_by_bucket.items():
@@ -677,6 +689,20 @@
             )
         return actions
 
+    def _doubt_next_bucket(self, state: ServiceFlows) -> None:
+        # Catches notes whose end was told to another: an owner's view may name a
+        # second primary for a while that this agent never heard of.
+        buckets = sorted(
+            bucket
+            for bucket, claim in state.claims_by_bucket.items()
+            if claim.settled and claim.owners_by_flow
+        )
+        if not buckets:
+            return
+        later = [bucket for bucket in buckets if bucket > state.doubted_bucket]
+        state.doubted_bucket = later[0] if later else buckets[0]
+        state.claims_by_bucket[state.doubted_bucket].doubt_notes()
+
     def _on_audit(
         self, state: ServiceFlows, notes: FlowNotes, *, now: float
     ) -> list[SendNotes]:
--- a/src/siskinshift/flows/service_flows.py
+++ b/src/siskinshift/flows/service_flows.py
@@ -75,6 +75,7 @@
         unsent_by_bucket: Lists that primaries have not accepted yet.
         ask_at_by_peer: When to claim from a peer (again), seconds.
         asked_by_peer: Times a peer was asked in vain.
+        doubted_bucket: Bucket whose notes were audited last in turn.
     """
 
     service_id: str
@@ -88,6 +89,7 @@
     unsent_by_bucket: dict[int, UnsentList] = Factory(dict)
     ask_at_by_peer: dict[str, float] = Factory(dict)
     asked_by_peer: dict[str, int] = Factory(dict)
+    doubted_bucket: int = -1
 
     def owns(self, digest: int) -> bool:
         """Says whether the agent owns a flow.
