--- /dev/null
+++ b/src/siskinshift/flows/flow_lists.py
@@ -0,0 +1,289 @@
+"""Lists of flows in buckets: sent until accepted, taken in, audited."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinshift.flows.notes_writer import retry_pause
+from siskinshift.flows.service_flows import ALL_BUCKETS
+from siskinshift.flows.service_flows import ReleasedBucket
+from siskinshift.flows.service_flows import UnsentList
+from siskinshift.messages.flows import FlowNote
+from siskinshift.messages.flows import FlowNotes
+from siskinshift.routing.buckets import bucket_of
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinshift.flows.actions import SendNotes
+    from siskinshift.flows.notes_writer import NotesWriter
+    from siskinshift.flows.peers import Peers
+    from siskinshift.flows.service_flows import ServiceFlows
+    from siskinshift.flows.service_flows import WantedClaim
+    from siskinshift.settings.generated import FlowsSettings
+
+
+# A claim usually comes for a bucket that moved; only without one a list is pushed.
+PUSH_DELAY_SECONDS = 1.0
+# Upper bound of a message: 500 hashes of 20 digits make about 10 KB.
+FLOWS_A_MESSAGE = 500
+
+
+class FlowLists:
+    """Keeps primaries informed of the agent's flows, and takes in their peers'."""
+
+    def __init__(
+        self, *, peers: Peers, writer: NotesWriter, settings: FlowsSettings
+    ) -> None:
+        """Prepares without lists.
+
+        Args:
+            peers: The agent and its peers.
+            writer: Makes messages.
+            settings: Times and bounds.
+        """
+        self._peers = peers
+        self._writer = writer
+        self._note_limit = settings.note_limit
+
+    def primary_moved(self, state: ServiceFlows, bucket: int, *, now: float) -> None:
+        """Plans a list for the new primary of a bucket.
+
+        Args:
+            state: Service of the bucket.
+            bucket: The bucket.
+            now: Clock reading, seconds.
+        """
+        if bucket in state.claims_by_bucket or bucket in state.flows_by_bucket:
+            due_at = now + PUSH_DELAY_SECONDS
+            state.unsent_by_bucket[bucket] = UnsentList(due_at=due_at)
+        else:
+            state.unsent_by_bucket.pop(bucket, None)
+
+    def flow_ended(self, state: ServiceFlows, digest: int, *, now: float) -> None:
+        """Forgets an own flow and takes its note back.
+
+        Args:
+            state: Service of the flow.
+            digest: Hash of the flow.
+            now: Clock reading, seconds.
+        """
+        state.remove_flow(digest)
+        bucket = bucket_of(digest)
+        if state.primary_id_of(bucket) in ("", self._peers.member_id):
+            return
+        # The list is sent again without the flow; endings close together share it.
+        unsent = state.unsent_by_bucket.get(bucket)
+        due_at = now + PUSH_DELAY_SECONDS
+        if unsent is not None:
+            due_at = min(due_at, unsent.due_at)
+        state.unsent_by_bucket[bucket] = UnsentList(due_at=due_at, takes_back=True)
+
+    def push(self, state: ServiceFlows, *, now: float) -> list[SendNotes]:
+        """Sends the lists that are due to the primaries.
+
+        Args:
+            state: The service.
+            now: Clock reading, seconds.
+
+        Returns:
+            Messages to send.
+        """
+        buckets_by_primary: dict[str, list[int]] = {}
+        for bucket, unsent in tuple(state.unsent_by_bucket.items()):
+            if unsent.due_at > now:
+                continue
+            primary_id = state.primary_id_of(bucket)
+            if primary_id == self._peers.member_id:
+                del state.unsent_by_bucket[bucket]
+            elif not primary_id:
+                unsent.due_at = now + PUSH_DELAY_SECONDS
+            else:
+                buckets_by_primary.setdefault(primary_id, []).append(bucket)
+        actions = []
+        for primary_id, buckets in sorted(buckets_by_primary.items()):
+            actions += self.send(state, primary_id, buckets, None, now=now)
+        return actions
+
+    def send(
+        self,
+        state: ServiceFlows,
+        peer_id: str,
+        buckets: Iterable[int],
+        wanted: WantedClaim | None,
+        *,
+        now: float,
+        version: int = 0,
+    ) -> list[SendNotes]:
+        """Sends the lists of buckets, in messages of bounded size.
+
+        Args:
+            state: Service of the buckets.
+            peer_id: The receiver.
+            buckets: The buckets.
+            wanted: The claim that is answered, if any.
+            now: Clock reading, seconds.
+            version: Version of the view up to which the lists speak; 0 for the
+                present view's.
+
+        Returns:
+            Messages to send.
+        """
+        actions = []
+        for batch in _batches(state, buckets):
+            message = FlowNotes(
+                service_id=state.service_id,
+                sender_version=version,
+                listed_buckets=tuple(batch),
+                flows=tuple(
+                    digest
+                    for bucket in batch
+                    for digest in state.flows_by_bucket.get(bucket, ())
+                ),
+                notes=tuple(self._grants_of(state, batch)),
+                given_to=self._given_to(state, batch, peer_id),
+                receiver_incarnation=wanted.incarnation if wanted else 0,
+                confirmed_version=wanted.version if wanted else 0,
+            )
+            actions += self._writer.send(peer_id, message)
+            for bucket in batch:
+                unsent = state.unsent_by_bucket.get(bucket)
+                if unsent is not None:
+                    unsent.sequence = self._writer.sequence
+                    unsent.due_at = now + retry_pause(unsent.attempts)
+                    unsent.attempts += 1
+        return actions
+
+    def on_list(
+        self, state: ServiceFlows, notes: FlowNotes, *, now: float
+    ) -> tuple[list[SendNotes], list[int]]:
+        """Takes a peer's list.
+
+        Args:
+            state: Service of the list.
+            notes: The list.
+            now: Clock reading, seconds.
+
+        Returns:
+            Messages to send, and the buckets whose lists were taken.
+        """
+        if not self._peers.takes_list(notes):
+            return [], []
+        buckets = valid_buckets(notes.listed_buckets)
+        if state.note_count() + len(notes.flows) > self._note_limit:
+            self._refuse(state, buckets, now=now)
+            return [], []
+        flows_by_bucket: dict[int, set[int]] = {}
+        for digest in notes.flows:
+            if not state.owns(digest):
+                flows_by_bucket.setdefault(bucket_of(digest), set()).add(digest)
+        for bucket in buckets:
+            claim = state.claims_by_bucket.get(bucket)
+            if claim is None:
+                continue  # Should the bucket come here, a claim asks for the list.
+            flows = flows_by_bucket.get(bucket, set())
+            claim.replace_list(notes.sender_id, flows, notes.sender_version)
+            if flows:
+                state.released.append(ReleasedBucket(bucket, frozenset(flows)))
+        self._take_grants(state, notes)
+        return self._accept(state, notes, buckets), buckets
+
+    def on_acceptance(self, state: ServiceFlows, notes: FlowNotes) -> None:
+        """Takes note that a primary has taken lists in.
+
+        Args:
+            state: Service of the lists.
+            notes: The acceptance.
+        """
+        for bucket in notes.accepted_buckets:
+            unsent = state.unsent_by_bucket.get(bucket)
+            if unsent is None or unsent.sequence != notes.accepted_sequence:
+                continue
+            del state.unsent_by_bucket[bucket]
+            claim = state.claims_by_bucket.get(bucket)
+            if claim and claim.left_at is not None and not claim.settled:
+                del state.claims_by_bucket[bucket]
+                state.unsettled.discard(bucket)
+
+    def _refuse(
+        self, state: ServiceFlows, buckets: Iterable[int], *, now: float
+    ) -> None:
+        # Without its notes a bucket must not settle: new flows are refused there, as
+        # nobody can tell them from flows that others own.
+        for bucket in buckets:
+            claim = state.claims_by_bucket.get(bucket)
+            if claim is not None:
+                claim.started_at = now
+
+    def _accept(
+        self, state: ServiceFlows, notes: FlowNotes, buckets: list[int]
+    ) -> list[SendNotes]:
+        says_nothing = not notes.flows and not notes.notes
+        if not buckets or (says_nothing and notes.confirmed_version):
+            return []
+        message = FlowNotes(
+            service_id=state.service_id,
+            accepted_buckets=tuple(buckets),
+            accepted_sequence=notes.sequence,
+        )
+        return self._writer.send(notes.sender_id, message)
+
+    def _take_grants(self, state: ServiceFlows, notes: FlowNotes) -> None:
+        for note in notes.notes:
+            claim = state.claims_by_bucket.get(bucket_of(note.flow_hash))
+            if claim is None or state.owns(note.flow_hash):
+                continue
+            if note.owner_id not in self._peers.live_ids:
+                continue
+            if self._peers.incarnation_of(note.owner_id) != note.owner_incarnation:
+                continue
+            if note.flow_hash not in claim.owners_by_flow:
+                claim.note(note.flow_hash, note.owner_id, note.owner_version)
+
+    def _grants_of(
+        self, state: ServiceFlows, buckets: Iterable[int]
+    ) -> Iterable[FlowNote]:
+        for bucket in buckets:
+            for digest, granted in state.granted_by_bucket.get(bucket, {}).items():
+                yield FlowNote(
+                    flow_hash=digest,
+                    owner_id=granted.owner_id,
+                    owner_incarnation=self._peers.incarnation_of(granted.owner_id),
+                    owner_version=granted.version,
+                )
+
+    def _given_to(
+        self, state: ServiceFlows, buckets: Iterable[int], peer_id: str
+    ) -> tuple[str, ...]:
+        given_ids: set[str] = set()
+        for bucket in buckets:
+            given_ids.update(state.given_by_bucket.get(bucket, ()))
+        return tuple(sorted((given_ids & self._peers.live_ids) - {peer_id}))
+
+
+def valid_buckets(buckets: Iterable[int]) -> list[int]:
+    """Leaves out numbers that are no buckets.
+
+    Args:
+        buckets: Numbers from a message.
+
+    Returns:
+        The buckets among them.
+    """
+    return [bucket for bucket in buckets if bucket in ALL_BUCKETS]
+
+
+def _batches(state: ServiceFlows, buckets: Iterable[int]) -> Iterable[list[int]]:
+    batch: list[int] = []
+    count = 0
+    for bucket in buckets:
+        size = len(state.flows_by_bucket.get(bucket, ()))
+        size += len(state.granted_by_bucket.get(bucket, ()))
+        if batch and count + size > FLOWS_A_MESSAGE:
+            yield batch
+            batch, count = [], 0
+        batch.append(bucket)
+        count += size
+    if batch:
+        yield batch
--- a/src/siskinshift/flows/router.py
+++ b/src/siskinshift/flows/router.py
@@ -199,12 +199,14 @@
 
     def _release(self, *, now: float) -> list[FlowAction]:
         actions: list[FlowAction] = []
-        for released in self._hand_over.take_released():
-            flows = set(released.flows) if released.flows is not None else None
-            for envelope in self._held.release(
-                released.service_id, released.bucket, flows
-            ):
-                actions += self.on_envelope(envelope, now=now)
+        for state in tuple(self._hand_over.services_by_id.values()):
+            releases, state.released = state.released, []
+            for release in releases:
+                flows = set(release.flows) if release.flows is not None else None
+                for envelope in self._held.release(
+                    state.service_id, release.bucket, flows
+                ):
+                    actions += self.on_envelope(envelope, now=now)
         return actions
 
     def _route(
--- a/src/siskinshift/flows/service_flows.py
+++ b/src/siskinshift/flows/service_flows.py
@@ -59,6 +59,19 @@
     takes_back: bool = False
 
 
+@frozen
+class ReleasedBucket:
+    """A bucket whose held packets may go on.
+
+    Attributes:
+        bucket: The bucket.
+        flows: Flows that became known; None for all.
+    """
+
+    bucket: int
+    flows: frozenset[int] | None = None
+
+
 @define(eq=False)
 class ServiceFlows:
     """Flows, notes and claims of one service.
@@ -75,6 +88,7 @@
         unsent_by_bucket: Lists that primaries have not accepted yet.
         ask_at_by_peer: When to claim from a peer (again), seconds.
         asked_by_peer: Times a peer was asked in vain.
+        released: Buckets whose held packets may go on.
         doubted_bucket: Bucket whose notes were audited last in turn.
     """
 
@@ -89,6 +103,7 @@
     unsent_by_bucket: dict[int, UnsentList] = Factory(dict)
     ask_at_by_peer: dict[str, float] = Factory(dict)
     asked_by_peer: dict[str, int] = Factory(dict)
+    released: list[ReleasedBucket] = Factory(list)
     doubted_bucket: int = -1
 
     def owns(self, digest: int) -> bool:
@@ -135,6 +150,25 @@
         agent = self.table.primary_of(bucket) if self.table else None
         return agent.member_id if agent else ""
 
+    def ask_soon(self, peer_id: str, *, now: float) -> None:
+        """Lets the next claim to a peer go at once.
+
+        Args:
+            peer_id: The peer.
+            now: Clock reading, seconds.
+        """
+        self.ask_at_by_peer[peer_id] = now
+        self.asked_by_peer[peer_id] = 0
+
+    def forget_owner(self, owner_id: str) -> None:
+        """Drops all notes about an owner that is gone.
+
+        Args:
+            owner_id: The owner.
+        """
+        for claim in self.claims_by_bucket.values():
+            claim.forget_owner(owner_id)
+
     def note_count(self) -> int:
         """Counts the notes held.
 
--- a/src/siskinshift/messages/flows.py
+++ b/src/siskinshift/messages/flows.py
@@ -47,7 +47,7 @@
     """
 
     service_id: str
-    sender_id: str
+    sender_id: str = ""
     sender_incarnation: int = 0
     sender_version: int = 0
     sequence: int = 0
