--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -149,7 +149,7 @@
 
     def on_stop(self) -> None:
         """Says good-bye to callers and ends exchanges with the upstream."""
-        self._request_flows.close()
+        self._request_flows.close(is_silent=self.is_abandoned)
         self._runner.cancel_all()
 
     def drain(self) -> None:
--- a/src/siskinshift/agent/connection_commands.py
+++ b/src/siskinshift/agent/connection_commands.py
@@ -34,7 +34,13 @@
 
 @frozen
 class CloseConnection:
-    """Command: close at once."""
+    """Command: end at once.
+
+    Attributes:
+        is_silent: Whether the caller is left without a word.
+    """
+
+    is_silent: bool
 
 
 @frozen
--- a/src/siskinshift/agent/request_connection.py
+++ b/src/siskinshift/agent/request_connection.py
@@ -193,8 +193,9 @@
         elif isinstance(command, GoAway):
             self._go_away()
         elif isinstance(command, CloseConnection):
-            self._close()
-            self._flush()
+            if not command.is_silent:
+                self._close()
+                self._flush()
             self._is_terminated = True
         else:
             self._answer(command)
@@ -368,5 +369,7 @@
         self._quic.close(error_code=ErrorCode.H3_NO_ERROR)
 
     def _flush(self) -> None:
+        if self._is_terminated:
+            return
         for datagram, _ in self._quic.datagrams_to_send(self._clock()):
             self._send(datagram)
--- a/src/siskinshift/agent/request_flows.py
+++ b/src/siskinshift/agent/request_flows.py
@@ -109,6 +109,7 @@
         self._lock = threading.Lock()
         self._flows_by_digest: dict[int, _RequestFlow] = {}
         self._is_draining = False
+        self._is_closed = False
 
     def __len__(self) -> int:
         return len(self._flows_by_digest)
@@ -139,10 +140,16 @@
         with self._lock:
             self._is_draining = False
 
-    def close(self) -> None:
-        """Closes all connections at once."""
+    def close(self, *, is_silent: bool) -> None:
+        """Ends all connections at once.
+
+        Args:
+            is_silent: Whether callers are left without a word.
+        """
+        with self._lock:
+            self._is_closed = True
         for connection in self._connections():
-            connection.post(CloseConnection())
+            connection.post(CloseConnection(is_silent))
 
     def _connections(self) -> set[RequestConnection]:
         with self._lock:
@@ -205,9 +212,13 @@
             flow.connections_by_id[first_id] = connection
             flow.connections_by_id[connection.connection_id] = connection
             self._flows_by_digest[digest] = flow
+            is_closed = self._is_closed
         self._counters.add("connections.opened")
         if self._is_draining:
             connection.post(GoAway())
+        if is_closed:
+            # It came between `close` and the end of the loop that delivers.
+            connection.post(CloseConnection(is_silent=True))
         self._spawn(self._serve, flow, connection)
         return connection
 
--- a/src/siskinshift/console/commands/standin.py
+++ b/src/siskinshift/console/commands/standin.py
@@ -9,6 +9,7 @@
 
 
 DEFAULT_SEED = 1
+DEFAULT_SLOTS = 1
 
 
 @command("standin kv")
@@ -47,13 +48,16 @@
 
 
 @command("standin upstream")
-def run_upstream(name: str, listen: str) -> None:
-    """Runs an upstream that answers datagrams with its name.
+def run_upstream(name: str, listen: str, slots: int = DEFAULT_SLOTS) -> None:
+    """Runs an upstream that answers requests (TCP) and datagrams (UDP).
 
     Args:
         name: Name in its answers.
         listen: IP number and port.
+        slots: Requests that run at once.
     """
-    from siskinshift.standins.upstream import DatagramUpstreamStandIn
+    from siskinshift.standins.upstream_pair import UpstreamStandIn
 
-    run_until_signal(DatagramUpstreamStandIn(name=name, endpoint=endpoint_of(listen)))
+    run_until_signal(
+        UpstreamStandIn(name=name, endpoint=endpoint_of(listen), slots=slots)
+    )
--- a/src/siskinshift/demo/callers.py
+++ b/src/siskinshift/demo/callers.py
@@ -1,19 +1,25 @@
-"""Callers of the demo: plain UDP sockets that check who answers."""
+"""Callers of services of mode `datagram`: plain UDP sockets."""
 
 from __future__ import annotations
 
 import socket
 from typing import TYPE_CHECKING
 
+from siskinshift.messages.core import Endpoint
 from siskinshift.standins.upstream import SEPARATOR
 
 
 if TYPE_CHECKING:
-    from siskinshift.messages.core import Endpoint
+    import threading
+
+    from siskinshift.demo.ledger import Ledger
 
 
 ANSWER_TIMEOUT_SECONDS = 1.0
-TRIES = 3
+# Datagrams may be lost while a balancer is dead and the fabric still sends to it;
+# a flow counts as broken when none of these gets an answer.
+TRIES = 6
+PAUSE_SECONDS = 0.4
 
 
 class DatagramCaller:
@@ -25,41 +31,104 @@
         wrong: Answers that belong to another question.
     """
 
-    def __init__(self, address: Endpoint) -> None:
+    def __init__(self, address: Endpoint, *, service_id: str = "") -> None:
         """Opens the socket.
 
         Args:
             address: Service address to call.
+            service_id: Name of the service, written into each question.
         """
         self.owners: list[str] = []
         self.lost = 0
         self.wrong = 0
         self._number = 0
+        self._prefix = f"{service_id}/" if service_id else ""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.settimeout(ANSWER_TIMEOUT_SECONDS)
         self._socket.connect((address.host, address.port))
 
-    def exchange(self) -> None:
-        """Asks once, with retries as UDP callers do, and checks the answer."""
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where the caller sends from."""
+        return Endpoint(*self._socket.getsockname())
+
+    def exchange(self, tries: int = TRIES) -> bool:
+        """Asks once, with retries as UDP callers do, and checks the answer.
+
+        Args:
+            tries: How often the question is sent.
+
+        Returns:
+            Whether an answer came.
+        """
         self._number += 1
-        question = f"question {self._number}".encode()
-        for _ in range(TRIES):
+        question = f"{self._prefix}question {self._number}".encode()
+        for _ in range(tries):
             self._socket.send(question)
-            try:
-                answer = self._socket.recv(65535)
-            except OSError:
-                continue
-            self._check(answer, question)
-            return
+            if self._take_answer(question):
+                return True
         self.lost += 1
+        return False
 
     def close(self) -> None:
         """Closes the socket."""
         self._socket.close()
 
-    def _check(self, answer: bytes, question: bytes) -> None:
-        owner, _, echoed = answer.partition(SEPARATOR)
-        if echoed != question:
-            self.wrong += 1
-        if owner.decode() not in self.owners:
-            self.owners.append(owner.decode())
+    def _take_answer(self, question: bytes) -> bool:
+        while True:
+            try:
+                answer = self._socket.recv(65535)
+            except OSError:
+                return False
+            owner, _, echoed = answer.partition(SEPARATOR)
+            if owner.decode() not in self.owners:
+                self.owners.append(owner.decode())
+            if echoed == question:
+                return True
+            if not echoed.startswith(self._prefix.encode()):
+                self.wrong += 1
+            # A late answer to a question that was sent again.
+
+
+class FeedCaller:
+    """Holds a listing feed: one datagram flow for the whole demo."""
+
+    def __init__(self, address: Endpoint, service_id: str, owner_class: str) -> None:
+        """Prepares the caller.
+
+        Args:
+            address: Service address.
+            service_id: Name of the service, as the stand-ins check it.
+            owner_class: Class of the upstreams that may answer.
+        """
+        self._address = address
+        self._service_id = service_id
+        self._owner_class = owner_class
+
+    def run(self, stopping: threading.Event, ledger: Ledger) -> None:
+        """Asks again and again on one flow; opens a new one when it broke.
+
+        Args:
+            stopping: Ends the task when set.
+            ledger: Where to count.
+        """
+        caller = self._open(ledger)
+        while not stopping.wait(PAUSE_SECONDS):
+            is_answered = caller.exchange()
+            ledger.add("datagrams")
+            if is_answered and len(caller.owners) == 1:
+                continue
+            ledger.broken(caller.owners[0] if caller.owners else "")
+            self._close(caller, ledger)
+            caller = self._open(ledger)
+        self._close(caller, ledger)
+
+    def _open(self, ledger: Ledger) -> DatagramCaller:
+        ledger.add("flows_opened")
+        return DatagramCaller(self._address, service_id=self._service_id)
+
+    def _close(self, caller: DatagramCaller, ledger: Ledger) -> None:
+        for owner in caller.owners:
+            ledger.answered_by(self._owner_class, owner)
+        ledger.add("answers_wrong", caller.wrong)
+        caller.close()
--- a/src/siskinshift/demo/deployment.py
+++ b/src/siskinshift/demo/deployment.py
@@ -4,9 +4,10 @@
 
 import socket
 import tempfile
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import TYPE_CHECKING
-from typing import TypeAlias
 
 from attrs import frozen
 
@@ -22,12 +23,15 @@
 from siskinshift.messages.core import ServiceMode
 from siskinshift.settings.loader import SettingsLoader
 from siskinshift.standins.fabric import FabricStandIn
-from siskinshift.standins.http_upstream import HttpUpstreamStandIn
 from siskinshift.standins.kv import KvStandIn
-from siskinshift.standins.upstream import DatagramUpstreamStandIn
+from siskinshift.standins.upstream_pair import UpstreamStandIn
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from siskinshift.messages.core import Member
     from siskinshift.settings.generated import Settings
 
 
@@ -35,24 +39,24 @@
 FABRIC_SEED = 7
 RAMP_SECONDS = 1.0
 
-UpstreamStandIn: TypeAlias = DatagramUpstreamStandIn | HttpUpstreamStandIn
-
 
 @frozen
 class ServicePlan:
     """Size of one service in the demo.
 
     Attributes:
-        service_id: Name of the service; the upstream class as well.
-        upstreams: Number of upstreams.
+        service_id: Name of the service.
+        upstreams: Number of upstreams; 0 for a service on those of another one.
         slots: Slots of each upstream.
         mode: How callers speak to it.
+        upstream_class: Class of its upstreams; that of its own name when empty.
     """
 
     service_id: str
     upstreams: int
     slots: int
     mode: ServiceMode = ServiceMode.REQUEST
+    upstream_class: str = ""
 
 
 def free_endpoint(kind: socket.SocketKind = socket.SOCK_STREAM) -> Endpoint:
@@ -69,6 +73,15 @@
         return Endpoint(*probe.getsockname())
 
 
+def free_datagram_endpoint() -> Endpoint:
+    """Finds a UDP port of the loopback address that is free now.
+
+    Returns:
+        The endpoint.
+    """
+    return free_endpoint(socket.SOCK_DGRAM)
+
+
 class Deployment:
     """Starts and stops everything that a deployment needs.
 
@@ -79,10 +92,16 @@
         agents_by_id: Running agents.
         upstreams_by_id: Upstream stand-ins by the id of their agent.
         services_by_id: Configured services.
+        killed: Agents whose instance died.
     """
 
     def __init__(
-        self, *, name: str, plans: tuple[ServicePlan, ...], balancers: int
+        self,
+        *,
+        name: str,
+        plans: tuple[ServicePlan, ...],
+        balancers: int,
+        failure_domains: int = 1,
     ) -> None:
         """Prepares a deployment.
 
@@ -90,8 +109,11 @@
             name: Name of the deployment, goes into node ids.
             plans: Its services.
             balancers: Number of balancers.
+            failure_domains: Number of failure domains that processes are spread over.
         """
         self._name = name
+        self._failure_domains = failure_domains
+        self._started = 0
         self._plans = plans
         self._balancer_count = balancers
         self._seeds = [free_endpoint() for _ in range(balancers)]
@@ -106,6 +128,7 @@
         )
         self.balancers_by_id: dict[str, BalancerApplication] = {}
         self.agents_by_id: dict[str, AgentApplication] = {}
+        self.killed: set[str] = set()
         self.upstreams_by_id: dict[str, UpstreamStandIn] = {}
         self._directory = tempfile.TemporaryDirectory(prefix="siskinshift-")
         self._certificate, self._key = write_certificate(Path(self._directory.name))
@@ -114,7 +137,7 @@
         """Starts stand-ins, writes the configuration, starts all processes."""
         self.kv.start()
         self.fabric.start()
-        store = ConfigurationStore(EtcdStore(self._settings("operator").kv))
+        store = self.operator_store()
         for service in self.services_by_id.values():
             store.write(service)
         for index, seed in enumerate(self._seeds):
@@ -158,7 +181,9 @@
             The running agent.
         """
         node_id = f"{plan.service_id}-{index}"
-        upstream = _upstream(plan, node_id)
+        upstream = UpstreamStandIn(
+            name=node_id, endpoint=Endpoint(LOOPBACK, 0), slots=plan.slots
+        )
         upstream.start()
         agent_lines = [
             "[agent]",
@@ -175,15 +200,72 @@
         self.upstreams_by_id[node_id] = upstream
         return agent
 
+    def kill_balancer(self, node_id: str) -> None:
+        """Ends a balancer without a word; the fabric goes on sending to it.
+
+        Args:
+            node_id: The balancer.
+        """
+        self.balancers_by_id.pop(node_id).abandon()
+
+    def remove_balancer(self, node_id: str) -> None:
+        """Lets a balancer leave in the planned way, as SIGTERM does.
+
+        Args:
+            node_id: The balancer.
+        """
+        balancer = self.balancers_by_id.pop(node_id)
+        self.refresh_fabric()
+        balancer.leave(threading.Event())
+        balancer.stop()
+
+    def kill_upstream(self, node_id: str) -> None:
+        """Ends an upstream's instance with its agent without a word.
+
+        Args:
+            node_id: The agent.
+        """
+        self.killed.add(node_id)
+        self.agents_by_id.pop(node_id).abandon()
+        self.upstreams_by_id[node_id].stop()
+
+    def hold_views(self, node_id: str) -> Callable[[], None]:
+        """Keeps news from a balancer, as when updates reach it late.
+
+        Args:
+            node_id: The balancer.
+
+        Returns:
+            Call it to hand the news over.
+        """
+        views = self.balancers_by_id[node_id].membership.views
+        publish = views.publish
+        held: list[tuple[tuple[Service, ...], tuple[Member, ...]]] = []
+
+        def hold(services: Iterable[Service], members: Iterable[Member]) -> None:
+            held.append((tuple(services), tuple(members)))
+
+        def release() -> None:
+            views.publish = publish  # type: ignore[method-assign]
+            if held:
+                publish(*held[-1])
+
+        views.publish = hold  # type: ignore[method-assign]
+        return release
+
+    def operator_store(self) -> ConfigurationStore:
+        """Opens the configuration as an operator's tool does."""
+        return ConfigurationStore(EtcdStore(self._settings("operator").kv))
+
     def stop(self) -> None:
         """Stops everything."""
-        for application in (
-            *self.agents_by_id.values(),
-            *self.balancers_by_id.values(),
-        ):
-            application.stop()
-        for upstream in self.upstreams_by_id.values():
-            upstream.stop()
+        applications = (*self.agents_by_id.values(), *self.balancers_by_id.values())
+        with ThreadPoolExecutor(len(applications) or 1, "stop") as executor:
+            for application in applications:
+                executor.submit(application.stop)
+        for node_id, upstream in self.upstreams_by_id.items():
+            if node_id not in self.killed:
+                upstream.stop()
         self.fabric.stop()
         self.kv.stop()
         self._directory.cleanup()
@@ -198,8 +280,11 @@
         control = control or free_endpoint()
         data = free_endpoint(socket.SOCK_DGRAM)
         seeds = ", ".join(format_endpoint(seed) for seed in self._seeds)
+        failure_domain = self._started % self._failure_domains + 1
+        self._started += 1
         lines = [
             "[node]",
+            f"failure_domain = fd-{failure_domain}",
             f"node_id = {node_id}",
             f"control_endpoint = {format_endpoint(control)}",
             f"data_endpoint = {format_endpoint(data)}",
@@ -216,18 +301,11 @@
         return SettingsLoader(source=node_id).load("\n".join(lines))
 
 
-def _upstream(plan: ServicePlan, name: str) -> UpstreamStandIn:
-    endpoint = Endpoint(LOOPBACK, 0)
-    if plan.mode is ServiceMode.DATAGRAM:
-        return DatagramUpstreamStandIn(name=name, endpoint=endpoint)
-    return HttpUpstreamStandIn(name=name, endpoint=endpoint, slots=plan.slots)
-
-
 def _service(plan: ServicePlan) -> Service:
     return Service(
         service_id=plan.service_id,
         addresses=(free_endpoint(socket.SOCK_DGRAM),),
         mode=plan.mode,
-        upstream_class=plan.service_id,
+        upstream_class=plan.upstream_class or plan.service_id,
         groups=(Group(group_id="default", share=1),),
     )
--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -1,92 +1,153 @@
-"""Runs the demo and counts what callers saw."""
+"""Runs the demo: both deployments, their callers, and everything that changes."""
 
 from __future__ import annotations
 
+import sys
 import time
-from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
 
 import orjson
 from attrs import asdict
-from attrs import frozen
 
-from siskinshift.agent.life import FULL_WEIGHT
-from siskinshift.demo.callers import DatagramCaller
 from siskinshift.demo.deployment import Deployment
 from siskinshift.demo.deployment import ServicePlan
-from siskinshift.messages.core import Member
-from siskinshift.messages.core import Role
+from siskinshift.demo.figures import work_out
+from siskinshift.demo.ledger import Ledger
+from siskinshift.demo.readiness import wait_until_ready
+from siskinshift.demo.scenario import CallerPlan
+from siskinshift.demo.scenario import Scenario
 from siskinshift.messages.core import ServiceMode
 
 
+if TYPE_CHECKING:
+    from siskinshift.demo.figures import DemoFigures
+
+
+BALANCERS = 3
 GRANTOWO = (
-    ServicePlan("editor", 7, 1, ServiceMode.DATAGRAM),
-    ServicePlan("dossiers", 3, 1, ServiceMode.DATAGRAM),
+    ServicePlan("editor", 7, 1),
+    ServicePlan("dossiers", 3, 1),
+    # Reminders to open editors, on the editor's upstreams.
+    ServicePlan("reminders", 0, 1, ServiceMode.DATAGRAM, "editor"),
+)
+GRANTOWO_CALLERS = CallerPlan(
+    feed_service="reminders",
+    feed_class="editor",
+    writing_service="editor",
+    reading_service="dossiers",
+    feeds=16,
+    streams=10,
+    writers=6,
+    readers=4,
 )
 SUBLOCAR = (
-    ServicePlan("marketplace", 7, 3, ServiceMode.DATAGRAM),
-    ServicePlan("plans", 4, 3, ServiceMode.DATAGRAM),
+    ServicePlan("marketplace", 7, 3),
+    ServicePlan("plans", 4, 3),
+    # The listing feed, on the marketplace's upstreams.
+    ServicePlan("listings", 0, 3, ServiceMode.DATAGRAM, "marketplace"),
+)
+SUBLOCAR_CALLERS = CallerPlan(
+    feed_service="listings",
+    feed_class="marketplace",
+    writing_service="marketplace",
+    reading_service="plans",
+    feeds=16,
+    streams=10,
+    writers=8,
+    readers=6,
 )
-BALANCERS = 3
-CALLERS_PER_SERVICE = 20
-EXCHANGES = 20
-READY_TIMEOUT_SECONDS = 10.0
-
-
-@frozen
-class DemoFigures:
-    """What callers counted.
-
-    Attributes:
-        flows_opened: Flows that callers opened.
-        flows_broken_planned: Flows answered by more than one upstream.
-        packets_misdelivered: Flows answered by an upstream of another service.
-        requests: Exchanges asked for.
-        lost: Exchanges without an answer.
-        answers_wrong: Answers that belong to another question.
-    """
-
-    flows_opened: int
-    flows_broken_planned: int
-    packets_misdelivered: int
-    requests: int
-    lost: int
-    answers_wrong: int
-
-    def promises_kept(self) -> bool:
-        """Tells whether callers saw what the brief promises."""
-        broken = self.flows_broken_planned + self.packets_misdelivered
-        return broken + self.lost + self.answers_wrong == 0
-
 
-def run_demo() -> DemoFigures:
-    """Runs both deployments and their callers.
 
-    Returns:
-        What callers counted.
-    """
-    deployments = [
-        Deployment(name="grantowo", plans=GRANTOWO, balancers=BALANCERS),
-        Deployment(name="sublocar", plans=SUBLOCAR, balancers=BALANCERS),
-    ]
-    callers_by_service: dict[str, list[DatagramCaller]] = {}
-    try:
-        for deployment in deployments:
-            deployment.start()
-        for deployment in deployments:
-            wait_until_ready(deployment)
-            for service in deployment.services_by_id.values():
-                callers_by_service[service.service_id] = [
-                    DatagramCaller(service.addresses[0])
-                    for _ in range(CALLERS_PER_SERVICE)
-                ]
-        _exchange_all(callers_by_service)
-        return _count(callers_by_service)
-    finally:
-        for callers in callers_by_service.values():
-            for caller in callers:
-                caller.close()
-        for deployment in deployments:
-            deployment.stop()
+class Demo:
+    """Both deployments with their scenarios."""
+
+    def __init__(self) -> None:
+        self._ledger = Ledger()
+        self._started_at = time.monotonic()
+        self._deployments = [
+            Deployment(
+                name="grantowo", plans=GRANTOWO, balancers=BALANCERS, failure_domains=3
+            ),
+            Deployment(
+                name="sublocar", plans=SUBLOCAR, balancers=BALANCERS, failure_domains=4
+            ),
+        ]
+        callers = (GRANTOWO_CALLERS, SUBLOCAR_CALLERS)
+        self._scenarios = [
+            Scenario(deployment, plan, self._ledger)
+            for deployment, plan in zip(self._deployments, callers, strict=True)
+        ]
+
+    def run(self) -> DemoFigures:
+        """Runs everything.
+
+        Returns:
+            What callers and stand-ins counted.
+        """
+        try:
+            for deployment in self._deployments:
+                deployment.start()
+            for deployment in self._deployments:
+                wait_until_ready(deployment)
+            self._say("both deployments are ready")
+            for scenario in self._scenarios:
+                scenario.start_callers()
+            self._change_everything()
+            self._say("callers end")
+            for scenario in self._scenarios:
+                scenario.stop_callers()
+            return work_out(self._ledger, self._scenarios)
+        finally:
+            for deployment in self._deployments:
+                deployment.stop()
+
+    @property
+    def details(self) -> dict[str, int]:
+        """Counts of callers, for the table."""
+        return dict(sorted(self._ledger.counts.items()))
+
+    def _change_everything(self) -> None:
+        grantowo, sublocar = self._scenarios
+        time.sleep(3)
+        self._say("a balancer joins each deployment")
+        grantowo.add_balancer()
+        sublocar.add_balancer()
+        time.sleep(2)
+        self._say("operators add an address to each feed")
+        grantowo.change_configuration()
+        sublocar.change_configuration()
+        self._say("news reaches one balancer of each late; an upstream drains")
+        releases = [s.hold_views(0) for s in self._scenarios]
+        grantowo.drain_upstream("editor-1")
+        sublocar.drain_upstream("marketplace-1")
+        time.sleep(6)
+        for release in releases:
+            release()
+        time.sleep(2)
+        self._say("a balancer of each dies; its fabric notices a second later")
+        grantowo.kill_balancer(1)
+        sublocar.kill_balancer(1)
+        time.sleep(2)
+        self._say("the key-value service is cut off; an upstream of each dies")
+        for scenario in self._scenarios:
+            scenario.cut_store(available=False)
+        time.sleep(1)
+        grantowo.kill_upstream("editor-2")
+        sublocar.kill_upstream("marketplace-2")
+        time.sleep(7)
+        for scenario in self._scenarios:
+            scenario.cut_store(available=True)
+        self._say("the key-value service is back; operators add an address again")
+        grantowo.change_configuration()
+        sublocar.change_configuration()
+        self._say("a balancer of each leaves as planned")
+        grantowo.remove_balancer(0)
+        sublocar.remove_balancer(0)
+        time.sleep(2)
+
+    def _say(self, sentence: str) -> None:
+        seconds = time.monotonic() - self._started_at
+        print(f"{seconds:5.1f} s  {sentence}", flush=True)
 
 
 def print_demo() -> bool:
@@ -95,68 +156,16 @@
     Returns:
         Whether all promises were kept.
     """
-    figures = run_demo()
+    demo = Demo()
+    figures = demo.run()
+    broken = figures.broken_promises()
+    print()
     for name, value in asdict(figures).items():
-        print(f"{name:24} {value:>8}")
+        mark = "  BROKEN" if name in broken else ""
+        print(f"{name:24} {value!s:>8}{mark}")
+    if broken:
+        print(f"\npromises broken: {', '.join(broken)}", file=sys.stderr)
+    for name, count in demo.details.items():
+        print(f"  {name:60} {count:>8}")
     print(orjson.dumps(asdict(figures)).decode())
-    return figures.promises_kept()
-
-
-def wait_until_ready(deployment: Deployment) -> None:
-    """Waits until every process knows all services and agents.
-
-    Args:
-        deployment: A started deployment.
-
-    Raises:
-        TimeoutError: It took too long.
-    """
-    agents = len(deployment.agents_by_id)
-    services = len(deployment.services_by_id)
-    until = time.monotonic() + READY_TIMEOUT_SECONDS
-    memberships = [b.membership for b in deployment.balancers_by_id.values()]
-    memberships += [a.membership for a in deployment.agents_by_id.values()]
-    while time.monotonic() < until:
-        views = [membership.views.current for membership in memberships]
-        if all(
-            len(view.services_by_id) == services
-            and sum(_is_full(m) for m in view.members_by_id.values()) == agents
-            for view in views
-        ):
-            return
-        time.sleep(0.05)
-    raise TimeoutError("the deployment did not become ready")
-
-
-def _is_full(member: Member) -> bool:
-    return member.role is Role.AGENT and member.weight == FULL_WEIGHT
-
-
-def _exchange_all(callers_by_service: dict[str, list[DatagramCaller]]) -> None:
-    callers = [caller for group in callers_by_service.values() for caller in group]
-
-    def hold(caller: DatagramCaller) -> None:
-        for _ in range(EXCHANGES):
-            caller.exchange()
-
-    with ThreadPoolExecutor(len(callers), "caller") as executor:
-        for future in [executor.submit(hold, caller) for caller in callers]:
-            future.result()
-
-
-def _count(callers_by_service: dict[str, list[DatagramCaller]]) -> DemoFigures:
-    callers = [caller for group in callers_by_service.values() for caller in group]
-    misdelivered = sum(
-        not owner.startswith(service_id)
-        for service_id, group in callers_by_service.items()
-        for caller in group
-        for owner in caller.owners
-    )
-    return DemoFigures(
-        flows_opened=len(callers),
-        flows_broken_planned=sum(len(caller.owners) > 1 for caller in callers),
-        packets_misdelivered=misdelivered,
-        requests=len(callers) * EXCHANGES,
-        lost=sum(caller.lost for caller in callers),
-        answers_wrong=sum(caller.wrong for caller in callers),
-    )
+    return not broken
--- a/src/siskinshift/runtime/application.py
+++ b/src/siskinshift/runtime/application.py
@@ -27,11 +27,13 @@
     Attributes:
         settings: All settings of the process.
         stopping: Set once the application is to end.
+        is_abandoned: Whether it ends without a word, as a process does that dies.
     """
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.stopping = threading.Event()
+        self.is_abandoned = False
         self._clean_ups = ExitStack()
         self._log = PartLog("runtime")
         self.executor = ThreadPoolExecutor(
@@ -53,6 +55,11 @@
         self._clean_ups.close()
         self.executor.shutdown(wait=True)
 
+    def abandon(self) -> None:
+        """Stops without a word to anyone; failure tests and the demo call it."""
+        self.is_abandoned = True
+        self.stop()
+
     def leave(self, at_once: threading.Event) -> None:
         """Hook: leaves in the planned way; returns when nothing would be cut.
 
--- a/src/siskinshift/standins/fabric.py
+++ b/src/siskinshift/standins/fabric.py
@@ -26,6 +26,7 @@
 
     Attributes:
         balancers: Data endpoints that datagrams are sprayed over; replace at will.
+        balancers_by_caller: Balancers that the datagrams of some callers are pinned to.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
             seed: Seed of the spraying.
         """
         self.balancers = tuple(balancers)
+        self.balancers_by_caller: dict[Endpoint, Endpoint] = {}
         self._random = random.Random(seed)
         self._codec = PacketCodec()
         self._stopping = threading.Event()
@@ -60,12 +62,20 @@
     def start(self) -> None:
         """Starts to pass datagrams on."""
         for address, sock in self._sockets_by_address.items():
-            handle = partial(self._spray, address)
-            self._executor.submit(sock.receive_until, self._stopping, handle)
+            self._serve(address, sock)
         self._executor.submit(
             self._return_socket.receive_until, self._stopping, self._return
         )
 
+    def add_address(self, address: Endpoint) -> None:
+        """Begins to serve one more service address.
+
+        Args:
+            address: The address.
+        """
+        sock = self._sockets_by_address[address] = DatagramSocket(address)
+        self._serve(address, sock)
+
     def stop(self) -> None:
         """Stops and closes all sockets."""
         self._stopping.set()
@@ -73,14 +83,21 @@
         for sock in (*self._sockets_by_address.values(), self._return_socket):
             sock.close()
 
+    def _serve(self, address: Endpoint, sock: DatagramSocket) -> None:
+        handle = partial(self._spray, address)
+        self._executor.submit(sock.receive_until, self._stopping, handle)
+
     def _spray(
         self, address: Endpoint, datagram: bytes, source: tuple[str, int]
     ) -> None:
-        balancers = self.balancers
-        if not balancers:
-            return
-        packet = Packet(Endpoint(*source), address, datagram)
-        target = self._random.choice(balancers)
+        caller = Endpoint(*source)
+        target = self.balancers_by_caller.get(caller)
+        if target is None:
+            balancers = self.balancers
+            if not balancers:
+                return
+            target = self._random.choice(balancers)
+        packet = Packet(caller, address, datagram)
         self._return_socket.send(self._codec.pack(packet), target)
 
     def _return(self, datagram: bytes, _source: tuple[str, int]) -> None:
--- a/src/siskinshift/standins/http_upstream.py
+++ b/src/siskinshift/standins/http_upstream.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import select
+import socket
 import threading
 import time
 from collections import Counter
@@ -14,7 +15,6 @@
 from http import HTTPStatus
 from http.server import BaseHTTPRequestHandler
 from http.server import HTTPServer
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeAlias
 from urllib.parse import parse_qs
@@ -25,11 +25,9 @@
 from siskinshift.messages.core import Endpoint
 
 
-if TYPE_CHECKING:
-    import socket
-
-
 REQUEST_ID_HEADER = "X-Request-Id"
+# The caller's word for the service it called; a stand-in counts those of others.
+SERVICE_HEADER = "X-Service"
 TIMEOUT_HEADER = "Siskinshift-Timeout-Ms"
 EVENT_STREAM = "text/event-stream"
 EVENT_INTERVAL_SECONDS = 0.2
@@ -100,6 +98,7 @@
             self.read_body()
             self.answer(HTTPStatus.NOT_FOUND, b"{}")
             return
+        self.stand_in.check_service(self.headers.get(SERVICE_HEADER))
         handler(self, parse_qs(parts.query))
 
 
@@ -125,6 +124,7 @@
         shed: Requests turned away.
         cancelled: Requests whose caller went away while they ran.
         streams: Event streams held now.
+        misdelivered: Requests that were meant for another service.
     """
 
     def __init__(self, *, name: str, endpoint: Endpoint, slots: int) -> None:
@@ -145,6 +145,7 @@
         self.shed = 0
         self.cancelled = 0
         self.streams = 0
+        self.misdelivered = 0
         self.name = name
         self.slots = slots
         self.stopping = threading.Event()
@@ -182,6 +183,10 @@
             _cut(connection)
         self._executor.shutdown(wait=True)
 
+    def close(self) -> None:
+        """Closes the socket of a stand-in that was not started."""
+        self._server.server_close()
+
     def serve(self, connection: socket.socket, client_address: Any) -> None:
         """Serves a connection on a task of its own.
 
@@ -192,6 +197,16 @@
         self._connections.add(connection)
         self._executor.submit(self._serve, connection, client_address)
 
+    def check_service(self, service_id: str | None) -> None:
+        """Counts a request that was meant for another service.
+
+        Args:
+            service_id: Service that the caller called, if it says so.
+        """
+        if service_id is not None and not self.name.startswith(service_id):
+            with self._lock:
+                self.misdelivered += 1
+
     def run(self, request_id: str, seconds: float, handler: _UpstreamHandler) -> bool:
         """Runs a request in a slot.
 
@@ -284,6 +299,11 @@
 @_serves("/document")
 def _document(handler: _UpstreamHandler, query: dict[str, list[str]]) -> None:
     size = int(query.get("bytes", ["0"])[0])
+    seconds = float(query.get("ms", ["0"])[0]) / MILLISECONDS
+    request_id = handler.headers.get(REQUEST_ID_HEADER, "")
+    if not handler.stand_in.run(request_id, seconds, handler):
+        handler.answer(HTTPStatus.SERVICE_UNAVAILABLE, b"{}")
+        return
     handler.send_response(HTTPStatus.OK)
     handler.send_header("Content-Type", "application/pdf")
     handler.send_header("Content-Length", str(size))
@@ -320,9 +340,7 @@
 
 
 def _cut(connection: socket.socket) -> None:
-    import socket as sockets
-
     try:
-        connection.shutdown(sockets.SHUT_RDWR)
+        connection.shutdown(socket.SHUT_RDWR)
     except OSError:
         return
--- a/src/siskinshift/standins/upstream.py
+++ b/src/siskinshift/standins/upstream.py
@@ -14,6 +14,8 @@
 
 
 SEPARATOR = b"|"
+# A caller may write the service it calls in front of this.
+SERVICE_SEPARATOR = b"/"
 
 
 class DatagramUpstreamStandIn:
@@ -21,6 +23,7 @@
 
     Attributes:
         received: Datagrams taken so far.
+        misdelivered: Datagrams that were meant for another service.
     """
 
     def __init__(self, *, name: str, endpoint: Endpoint) -> None:
@@ -31,6 +34,7 @@
             endpoint: Where to listen.
         """
         self.received = 0
+        self.misdelivered = 0
         self._name = name.encode()
         self._stopping = threading.Event()
         self._socket = DatagramSocket(endpoint)
@@ -55,6 +59,9 @@
 
     def _on_datagram(self, datagram: bytes, source: tuple[str, int]) -> None:
         self.received += 1
+        service_id, found, _ = datagram.partition(SERVICE_SEPARATOR)
+        if found and not self._name.startswith(service_id):
+            self.misdelivered += 1
         host, port = source
         answer = self._name + SEPARATOR + datagram
         self._socket.send(answer, type(self.endpoint)(host, port))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,7 +5,7 @@
 from siskinshift.demo.callers import DatagramCaller
 from siskinshift.demo.deployment import Deployment
 from siskinshift.demo.deployment import ServicePlan
-from siskinshift.demo.run import wait_until_ready
+from siskinshift.demo.readiness import wait_until_ready
 from siskinshift.messages.core import ServiceMode
 
 
