--- a/src/siskinshift/demo/callers.py
+++ b/src/siskinshift/demo/callers.py
@@ -31,12 +31,19 @@
         wrong: Answers that belong to another question.
     """
 
-    def __init__(self, address: Endpoint, *, service_id: str = "") -> None:
+    def __init__(
+        self,
+        address: Endpoint,
+        *,
+        service_id: str = "",
+        answer_timeout: float = ANSWER_TIMEOUT_SECONDS,
+    ) -> None:
         """Opens the socket.
 
         Args:
             address: Service address to call.
             service_id: Name of the service, written into each question.
+            answer_timeout: Seconds to wait before a question is sent again.
         """
         self.owners: list[str] = []
         self.lost = 0
@@ -44,7 +51,7 @@
         self._number = 0
         self._prefix = f"{service_id}/" if service_id else ""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.settimeout(ANSWER_TIMEOUT_SECONDS)
+        self._socket.settimeout(answer_timeout)
         self._socket.connect((address.host, address.port))
 
     @property
--- a/src/siskinshift/demo/request_callers.py
+++ b/src/siskinshift/demo/request_callers.py
@@ -54,7 +54,7 @@
         self._service_id = service_id
         self._executor = executor
         self._ledger = ledger
-        self._client = self._connect()
+        self._client: Http3Client | None = None
 
     def run(self, stopping: threading.Event, pause: float) -> None:
         """Sends requests until told to stop.
@@ -66,22 +66,24 @@
         while not stopping.wait(pause):
             self._renew()
             self._send_one()
-        self._client.close()
+        self._give_up_connection()
 
     def _connect(self) -> Http3Client:
         self._ledger.add("connections")
         return Http3Client(self._address, executor=self._executor)
 
     def _renew(self) -> None:
-        if not (self._client.is_lost or self._client.goaway_received):
-            return
-        self._client.close()
-        self._client = self._connect()
+        client = self._client
+        if client is not None and (client.is_lost or client.goaway_received):
+            self._give_up_connection()
+        if self._client is None:
+            self._client = self._connect()
 
     def _give_up_connection(self) -> None:
         # It may be silent for good: the next request goes on another one.
-        self._client.close()
-        self._client = self._connect()
+        if self._client is not None:
+            self._client.close()
+            self._client = None
 
     def _send_one(self) -> None:
         raise NotImplementedError
@@ -91,6 +93,7 @@
     ) -> Answer | None:
         headers = {"x-request-id": request_id, "x-service": self._service_id}
         self._ledger.add("requests")
+        assert self._client is not None
         future = self._client.request(method, path, headers=headers, body=body)
         try:
             answer = future.result(ANSWER_TIMEOUT_SECONDS)
@@ -183,7 +186,6 @@
             stopping: Ends the task when set.
             pause: Seconds between two saves.
         """
-        self._client.close()
         stream = self._open_stream()
         saved_at = time.monotonic()
         while not stopping.wait(PAUSE_SECONDS):
