--- a/src/siskinshift/demo/callers.py
+++ b/src/siskinshift/demo/callers.py
@@ -100,16 +100,14 @@
 class FeedCaller:
     """Holds a listing feed: one datagram flow for the whole demo."""
 
-    def __init__(self, address: Endpoint, service_id: str, owner_class: str) -> None:
+    def __init__(self, address: Endpoint, owner_class: str) -> None:
         """Prepares the caller.
 
         Args:
             address: Service address.
-            service_id: Name of the service, as the stand-ins check it.
-            owner_class: Class of the upstreams that may answer.
+            owner_class: Class of the upstreams that may answer; they check it too.
         """
         self._address = address
-        self._service_id = service_id
         self._owner_class = owner_class
 
     def run(self, stopping: threading.Event, ledger: Ledger) -> None:
@@ -132,7 +130,7 @@
 
     def _open(self, ledger: Ledger) -> DatagramCaller:
         ledger.add("flows_opened")
-        return DatagramCaller(self._address, service_id=self._service_id)
+        return DatagramCaller(self._address, service_id=self._owner_class)
 
     def _close(self, caller: DatagramCaller, ledger: Ledger) -> None:
         for owner in caller.owners:
--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -108,6 +108,7 @@
 
     def _change_everything(self) -> None:
         grantowo, sublocar = self._scenarios
+        # Agents that all start at once have much to tell each other.
         time.sleep(3)
         self._say("a balancer joins each deployment")
         grantowo.add_balancer()
