--- a/src/siskinshift/configuration/reader.py
+++ b/src/siskinshift/configuration/reader.py
@@ -70,7 +70,7 @@
         settings: KvSettings,
         store: KeyValueStore,
         member: Member,
-        on_services: Callable[[list[Service]], None],
+        on_services: Callable[[list[Service]], object],
         on_entry_slot: Callable[[int], None],
         spawn: Callable[..., object],
         clock: Clock = monotonic_clock,
@@ -125,6 +125,11 @@
         if lease_id:
             self._give_up(GiveUpSlot(lease_id))
 
+    def holds_slot(self) -> bool:
+        """Tells whether an entry slot is held right now."""
+        with self._lock:
+            return self._slots.held_revision(now=self._clock()) > 0
+
     def update(self, view: View) -> None:
         """Takes a new view.
 
--- a/src/siskinshift/standins/kv_state.py
+++ b/src/siskinshift/standins/kv_state.py
@@ -192,6 +192,18 @@
         for lease_id in tuple(self._leases_by_id):
             self._end_lease(lease_id)
 
+    def writes(self) -> list[tuple[str, bytes, int]]:
+        """Lists all writes since the last compaction.
+
+        Returns:
+            Key, value and revision of each, in order.
+        """
+        return [
+            (event.key.decode(), base64.b64decode(event.stored.value), event.revision)
+            for event in self._history
+            if event.stored is not None
+        ]
+
     def keys(self) -> list[str]:
         """Lists the keys held.
 
