--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -73,13 +73,25 @@
 
     Attributes:
         seeds: Control endpoints of balancers to announce to.
-        heartbeat_interval: Pause between two heartbeats. In seconds.
-        gone_after: Silence after which a member counts as gone. In seconds.
+        heartbeat_interval: Pause between two heartbeats to one watcher. In seconds.
+        suspect_after: Silence after which a member that answers no probe counts as suspect. In seconds.
+        gone_after: Silence after which a suspect counts as gone. In seconds.
+        doubt_factor: Times the silence is stretched while most members of a failure domain fall silent at once.
+        call_timeout: Time allowed for one message between processes. In seconds.
+        digest_interval: Pause between two comparisons of the whole state with another balancer. In seconds.
+        start_jitter: Greatest random delay of the first announcement. In seconds.
+        forget_after: Time a member that is gone is remembered. In seconds.
     """
 
     seeds: tuple[Endpoint, ...]
     heartbeat_interval: float
+    suspect_after: float
     gone_after: float
+    doubt_factor: float
+    call_timeout: float
+    digest_interval: float
+    start_jitter: float
+    forget_after: float
 
 
 @frozen
@@ -93,7 +105,6 @@
         fabric_return: Endpoint of the fabric that takes answers (UDP).
         flow_idle_timeout: Silence after which a datagram flow is closed. In seconds.
         drain_timeout: Time flows are given to end when the agent drains. In seconds.
-        ramp_time: Time in which a new agent reaches its full weight. In seconds.
         certificate_file: Certificate chain in PEM for callers of mode request; empty when none is served.
         private_key_file: Private key in PEM that belongs to the certificate.
         caller_idle_timeout: Silence after which a caller's HTTP/3 connection is closed. In seconds.
@@ -109,7 +120,6 @@
     fabric_return: Endpoint
     flow_idle_timeout: float
     drain_timeout: float
-    ramp_time: float
     certificate_file: str
     private_key_file: str
     caller_idle_timeout: float
@@ -124,14 +134,28 @@
     """How flows outlive change.
 
     Attributes:
-        settle_delay: Least time a bucket stays unsettled after its primary changed. In seconds.
-        settle_timeout: Time after which a bucket settles though a peer did not confirm. In seconds.
+        settle_delay: Least time after its start before an agent creates flows of its own accord; peers it has not heard of yet become known. In seconds.
+        settle_timeout: Time after which a bucket settles though a silent peer did not confirm. In seconds.
         max_hops: Times a datagram may be passed on.
+        flow_limit: Flows that an agent owns at most.
+        note_limit: Notes that an agent holds at most.
+        held_limit: Datagrams held at most while their bucket settles.
+        held_timeout: Time after which a held datagram is dropped. In seconds.
+        notes_bytes_per_second: Bytes of hand-over messages that an agent sends a second; a part of its control budget. In bytes.
+        shift_duration: Time over which a draining agent gives its buckets away. In seconds.
+        ramp_duration: Time over which a started agent takes its full weight. In seconds.
     """
 
     settle_delay: float
     settle_timeout: float
     max_hops: int
+    flow_limit: int
+    note_limit: int
+    held_limit: int
+    held_timeout: float
+    notes_bytes_per_second: int
+    shift_duration: float
+    ramp_duration: float
 
 
 @frozen
@@ -155,6 +179,35 @@
     watchers: int
 
 
+@frozen
+class LoadSettings:
+    """What is let in, what waits and where work goes under load.
+
+    Attributes:
+        queue_limit: Requests of one group that may wait at one agent.
+        queue_time_limit: Longest wait of a request before it is refused. In seconds.
+        caller_part: Part of a group's queue that one caller's IP number may fill.
+        key_limit: Requests with one idempotency key that may be waiting or running at an agent.
+        retry_part: Retries allowed for each recent success.
+        reservation_timeout: Time a slot is held for a peer that has not sent its request yet. In seconds.
+        usage_interval: Pause between two exchanges of usage sums. In seconds.
+        slow_factor: Slot time over the peers' median from which an upstream counts as slow.
+        panic_part: Part of a service's upstreams that may look sick before the detection is doubted.
+        importance_floor: Part of slot time that less important services keep while they wait.
+    """
+
+    queue_limit: int
+    queue_time_limit: float
+    caller_part: float
+    key_limit: int
+    retry_part: float
+    reservation_timeout: float
+    usage_interval: float
+    slow_factor: float
+    panic_part: float
+    importance_floor: float
+
+
 @frozen
 class LogsSettings:
     """Logs as JSON lines on standard error.
@@ -212,6 +265,7 @@
         agent: The agent beside an upstream.
         flows: How flows outlive change.
         api: The operators' API of a balancer.
+        load: What is let in, what waits and where work goes under load.
         logs: Logs as JSON lines on standard error.
         metrics: Metrics by OpenTelemetry; off costs nothing.
         objectives: Service-level objectives that `report burn` measures against.
@@ -224,6 +278,7 @@
     agent: AgentSettings
     flows: FlowsSettings
     api: ApiSettings
+    load: LoadSettings
     logs: LogsSettings
     metrics: MetricsSettings
     objectives: ObjectivesSettings
@@ -374,8 +429,17 @@
                 unit="seconds",
                 minimum=0.05,
                 maximum=10.0,
-                default=0.5,
-                doc="Pause between two heartbeats.",
+                default=1.0,
+                doc="Pause between two heartbeats to one watcher.",
+            ),
+            Option(
+                name="suspect_after",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=60.0,
+                default=1.4,
+                doc="Silence after which a member that answers no probe counts as suspect.",
             ),
             Option(
                 name="gone_after",
@@ -383,8 +447,52 @@
                 unit="seconds",
                 minimum=0.2,
                 maximum=60.0,
-                default=2.0,
-                doc="Silence after which a member counts as gone.",
+                default=2.2,
+                doc="Silence after which a suspect counts as gone.",
+            ),
+            Option(
+                name="doubt_factor",
+                type="float",
+                minimum=1.0,
+                maximum=100.0,
+                default=3.0,
+                doc="Times the silence is stretched while most members of a failure domain fall silent at once.",
+            ),
+            Option(
+                name="call_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.02,
+                maximum=10.0,
+                default=0.25,
+                doc="Time allowed for one message between processes.",
+            ),
+            Option(
+                name="digest_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=600.0,
+                default=5.0,
+                doc="Pause between two comparisons of the whole state with another balancer.",
+            ),
+            Option(
+                name="start_jitter",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=60.0,
+                default=0.5,
+                doc="Greatest random delay of the first announcement.",
+            ),
+            Option(
+                name="forget_after",
+                type="float",
+                unit="seconds",
+                minimum=10.0,
+                maximum=86400.0,
+                default=3600.0,
+                doc="Time a member that is gone is remembered.",
             ),
         ),
     ),
@@ -437,15 +545,6 @@
                 default=14400.0,
                 doc="Time flows are given to end when the agent drains.",
             ),
-            Option(
-                name="ramp_time",
-                type="float",
-                unit="seconds",
-                minimum=0.0,
-                maximum=3600.0,
-                default=10.0,
-                doc="Time in which a new agent reaches its full weight.",
-            ),
             Option(
                 name="certificate_file",
                 type="str",
@@ -512,10 +611,10 @@
                 name="settle_delay",
                 type="float",
                 unit="seconds",
-                minimum=0.1,
+                minimum=0.0,
                 maximum=60.0,
-                default=3.0,
-                doc="Least time a bucket stays unsettled after its primary changed.",
+                default=1.5,
+                doc="Least time after its start before an agent creates flows of its own accord; peers it has not heard of yet become known.",
             ),
             Option(
                 name="settle_timeout",
@@ -524,7 +623,7 @@
                 minimum=0.1,
                 maximum=120.0,
                 default=10.0,
-                doc="Time after which a bucket settles though a peer did not confirm.",
+                doc="Time after which a bucket settles though a silent peer did not confirm.",
             ),
             Option(
                 name="max_hops",
@@ -534,6 +633,66 @@
                 default=6,
                 doc="Times a datagram may be passed on.",
             ),
+            Option(
+                name="flow_limit",
+                type="int",
+                minimum=1,
+                maximum=1000000,
+                default=100000,
+                doc="Flows that an agent owns at most.",
+            ),
+            Option(
+                name="note_limit",
+                type="int",
+                minimum=1,
+                maximum=1000000,
+                default=200000,
+                doc="Notes that an agent holds at most.",
+            ),
+            Option(
+                name="held_limit",
+                type="int",
+                minimum=0,
+                maximum=100000,
+                default=1024,
+                doc="Datagrams held at most while their bucket settles.",
+            ),
+            Option(
+                name="held_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=60.0,
+                default=5.0,
+                doc="Time after which a held datagram is dropped.",
+            ),
+            Option(
+                name="notes_bytes_per_second",
+                type="int",
+                unit="bytes",
+                minimum=1000,
+                maximum=1000000000,
+                default=12000,
+                doc="Bytes of hand-over messages that an agent sends a second; a part of its control budget.",
+            ),
+            Option(
+                name="shift_duration",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=3.0,
+                default=1.5,
+                doc="Time over which a draining agent gives its buckets away.",
+            ),
+            Option(
+                name="ramp_duration",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=600.0,
+                default=10.0,
+                doc="Time over which a started agent takes its full weight.",
+            ),
         ),
     ),
     Section(
@@ -581,6 +740,96 @@
             ),
         ),
     ),
+    Section(
+        name="load",
+        doc="What is let in, what waits and where work goes under load.",
+        settings_class=LoadSettings,
+        options=(
+            Option(
+                name="queue_limit",
+                type="int",
+                minimum=1,
+                maximum=100000,
+                default=64,
+                doc="Requests of one group that may wait at one agent.",
+            ),
+            Option(
+                name="queue_time_limit",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=600.0,
+                default=1.0,
+                doc="Longest wait of a request before it is refused.",
+            ),
+            Option(
+                name="caller_part",
+                type="float",
+                minimum=0.01,
+                maximum=1.0,
+                default=0.25,
+                doc="Part of a group's queue that one caller's IP number may fill.",
+            ),
+            Option(
+                name="key_limit",
+                type="int",
+                minimum=1,
+                maximum=1000,
+                default=2,
+                doc="Requests with one idempotency key that may be waiting or running at an agent.",
+            ),
+            Option(
+                name="retry_part",
+                type="float",
+                minimum=0.0,
+                maximum=1.0,
+                default=0.1,
+                doc="Retries allowed for each recent success.",
+            ),
+            Option(
+                name="reservation_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=10.0,
+                default=0.25,
+                doc="Time a slot is held for a peer that has not sent its request yet.",
+            ),
+            Option(
+                name="usage_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.05,
+                maximum=60.0,
+                default=0.5,
+                doc="Pause between two exchanges of usage sums.",
+            ),
+            Option(
+                name="slow_factor",
+                type="float",
+                minimum=1.5,
+                maximum=100.0,
+                default=3.0,
+                doc="Slot time over the peers' median from which an upstream counts as slow.",
+            ),
+            Option(
+                name="panic_part",
+                type="float",
+                minimum=0.1,
+                maximum=1.0,
+                default=0.5,
+                doc="Part of a service's upstreams that may look sick before the detection is doubted.",
+            ),
+            Option(
+                name="importance_floor",
+                type="float",
+                minimum=0.0,
+                maximum=0.5,
+                default=0.05,
+                doc="Part of slot time that less important services keep while they wait.",
+            ),
+        ),
+    ),
     Section(
         name="logs",
         doc="Logs as JSON lines on standard error.",
