--- a/src/siskinshift/control/codec.py
+++ b/src/siskinshift/control/codec.py
@@ -36,7 +36,8 @@
             raise TypeError(f"not a {kind.__name__}")
         return value
 
-    _converter.register_structure_hook(kind, structure)
+    # Exactly this type: enumerations are subclasses of str and must stay typed.
+    _converter.register_structure_hook_func(lambda wanted: wanted is kind, structure)
 
 
 _exactly(str)
--- a/src/siskinshift/control/signatures.py
+++ b/src/siskinshift/control/signatures.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from siskinshift.core.clocks import unix_milliseconds
+from siskinshift.core import clocks
 
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
     Returns:
         The signature for the header.
     """
-    time_text = str(unix_milliseconds())
+    time_text = str(clocks.unix_milliseconds())
     authenticator = key_ring.sign(_message_text(path, time_text, body)).hex()
     return f"{time_text}{_SEPARATOR}{authenticator}"
 
@@ -52,7 +52,7 @@
     """
     time_text, _, authenticator_text = signature.partition(_SEPARATOR)
     try:
-        age = unix_milliseconds() - int(time_text)
+        age = clocks.unix_milliseconds() - int(time_text)
         authenticator = bytes.fromhex(authenticator_text)
     except ValueError:
         return False
