--- a/src/siskinshift/balancer/application.py
+++ b/src/siskinshift/balancer/application.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from siskinshift.configuration.reader import ConfigurationReader
 from siskinshift.configuration.store import ConfigurationStore
 from siskinshift.control.server import ControlRoutes
 from siskinshift.control.server import ControlServer
@@ -12,7 +13,7 @@
 from siskinshift.core.keyring import KeyRing
 from siskinshift.core.packets import Envelope
 from siskinshift.kv.etcd import EtcdStore
-from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.guard import CallClass
 from siskinshift.membership.node import MembershipNode
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
@@ -22,15 +23,25 @@
 from siskinshift.runtime.application import Application
 from siskinshift.runtime.counters import Counters
 from siskinshift.runtime.datagrams import DatagramSocket
+from siskinshift.runtime.drops import DropRecorder
 from siskinshift.wire.codec import EnvelopeCodec
 from siskinshift.wire.exceptions import WireError
 
 
 if TYPE_CHECKING:
+    import threading
+
+    from siskinshift.api.server import OperatorsServer
     from siskinshift.core.views import View
+    from siskinshift.messages.core import Service
     from siskinshift.settings.generated import Settings
 
 
+# A fabric that still knows this balancer sends within a second under any load.
+QUIET_SECONDS = 1.0
+LEAVE_SECONDS_MAXIMUM = 30.0
+
+
 class BalancerApplication(Application):
     """One entry instance.
 
@@ -47,7 +58,9 @@
         self._codec = EnvelopeCodec(key_ring)
         self._chooser = AgentChooser()
         self._view_version = 0
-        self._store = ConfigurationStore(EtcdStore(settings.kv))
+        self._received_at = monotonic_clock()
+        self._drops = DropRecorder(part="balancer", counters=self.counters)
+        self._operators: OperatorsServer | None = None
         self._socket = DatagramSocket(node.data_endpoint)
         routes = ControlRoutes()
         self._server = ControlServer(
@@ -67,6 +80,15 @@
             control=node.control_endpoint,
             data=self._socket.endpoint,
         )
+        self._store = EtcdStore(settings.kv)
+        self._reader = ConfigurationReader(
+            settings=settings.kv,
+            store=self._store,
+            member=member,
+            on_services=self._take_services,
+            on_entry_slot=self._announce_entry_slot,
+            spawn=self.spawn,
+        )
         self.membership = MembershipNode(
             application=self,
             member=member,
@@ -84,34 +106,76 @@
         self.spawn(self._server.serve_forever, 0.1)
         self.membership.views.subscribe(self._on_view)
         self.membership.start()
-        self.every(self.settings.kv.poll_interval, self._read_configuration)
+        self._start_reader()
         self.spawn(self._socket.receive_until, self.stopping, self._on_datagram)
+        self._start_operators_api()
+
+    def _start_reader(self) -> None:
+        if not self.settings.kv.endpoints:
+            return
+        self.membership.views.subscribe(self._reader.update)
+        self.owns(self._reader.stop)
+        self.spawn(self._reader.run_until, self.stopping)
+
+    @property
+    def operators_ports(self) -> list[int]:
+        """Ports of the operators' API; empty while it is not served."""
+        return self._operators.ports if self._operators else []
+
+    def _start_operators_api(self) -> None:
+        if not self.settings.api.endpoints:
+            return
+        # Imported here: the library costs tens of megabytes resident, and only the
+        # balancers that serve the API need it.
+        from siskinshift.api.server import OperatorsServer
+        from siskinshift.api.service import OperatorsService
+
+        store = self._store.shared_with(CallClass.OPERATOR)
+        service = OperatorsService(
+            settings=self.settings,
+            store=ConfigurationStore(store),
+            membership=self.membership,
+            store_available=lambda: store.available,
+        )
+        self._operators = OperatorsServer(self.settings.api, service)
+        self.owns(self._operators.stop)
+        self._operators.start()
+
+    def leave(self, at_once: threading.Event) -> None:
+        """Goes on forwarding until the fabric has stopped to send.
+
+        No flow depends on a balancer; only datagrams on their way here would be cut.
+
+        Args:
+            at_once: Ends the wait when set.
+        """
+        self.membership.change_own(state=MemberState.DRAINING, weight=0)
+        until = monotonic_clock() + LEAVE_SECONDS_MAXIMUM
+        while monotonic_clock() < min(until, self._received_at + QUIET_SECONDS):
+            if at_once.wait(QUIET_SECONDS / 10):
+                return
 
     def _on_view(self, view: View) -> None:
         self._chooser.update(view)
         self._view_version = view.version
 
-    def _read_configuration(self) -> None:
-        if not self.settings.kv.endpoints:
-            return
-        try:
-            services = self._store.read_all()
-        except StoreUnavailableError:
-            self.counters.add("kv.unavailable")
-            return
-        for service in services:
-            self.membership.services.merge(service)
-        self.membership.services_changed()
+    def _announce_entry_slot(self, revision: int) -> None:
+        self.counters.add("kv.entry_slot_taken" if revision else "kv.entry_slot_lost")
+
+    def _take_services(self, services: list[Service]) -> None:
+        if self.membership.services.merge_all(services):
+            self.membership.services_changed()
 
-    def _on_datagram(self, datagram: bytes, _source: tuple[str, int]) -> None:
+    def _on_datagram(self, datagram: bytes, source: tuple[str, int]) -> None:
+        self._received_at = monotonic_clock()
         try:
             packet = self._codec.unpack(datagram)
         except WireError as error:
-            self.counters.add(f"dropped.{error.code}")
+            self._drops.dropped(error.kind, host=source[0], port=source[1])
             return
         choice = self._chooser.choose(packet)
         if isinstance(choice, DropPacket):
-            self.counters.add(f"dropped.{choice.error.value}")
+            self._drops.dropped(choice.error, caller=packet.caller.host)
             return
         envelope = Envelope(packet=packet, view_version=self._view_version)
         self._socket.send(self._codec.pack_envelope(envelope), choice.agent.data)
--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -9,13 +9,23 @@
 from attrs import asdict
 from attrs import frozen
 
+from siskinshift.agent.life import FULL_WEIGHT
 from siskinshift.demo.callers import DatagramCaller
 from siskinshift.demo.deployment import Deployment
 from siskinshift.demo.deployment import ServicePlan
-
-
-GRANTOWO = (ServicePlan("editor", 7, 1), ServicePlan("dossiers", 3, 1))
-SUBLOCAR = (ServicePlan("marketplace", 7, 3), ServicePlan("plans", 4, 3))
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import Role
+from siskinshift.messages.core import ServiceMode
+
+
+GRANTOWO = (
+    ServicePlan("editor", 7, 1, ServiceMode.DATAGRAM),
+    ServicePlan("dossiers", 3, 1, ServiceMode.DATAGRAM),
+)
+SUBLOCAR = (
+    ServicePlan("marketplace", 7, 3, ServiceMode.DATAGRAM),
+    ServicePlan("plans", 4, 3, ServiceMode.DATAGRAM),
+)
 BALANCERS = 3
 CALLERS_PER_SERVICE = 20
 EXCHANGES = 20
@@ -109,6 +119,10 @@
     raise TimeoutError("the deployment did not become ready")
 
 
+def _is_full(member: Member) -> bool:
+    return member.role is Role.AGENT and member.weight == FULL_WEIGHT
+
+
 def _all_balancers_are_ready(deployment: Deployment) -> bool:
     agents = set(deployment.agents_by_id)
     services = set(deployment.services_by_id)
@@ -116,7 +130,8 @@
         one.membership.views.current for one in deployment.balancers_by_id.values()
     ]
     return all(
-        set(view.services_by_id) == services and agents <= set(view.members_by_id)
+        set(view.services_by_id) == services
+        and agents <= {m.member_id for m in view.members_by_id.values() if _is_full(m)}
         for view in views
     )
 
--- a/src/siskinshift/membership/agent.py
+++ b/src/siskinshift/membership/agent.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterable
 
     from siskinshift.configuration.table import ServiceTable
     from siskinshift.membership.actions import Call
@@ -77,6 +78,15 @@
         """Control endpoints of its watchers."""
         return self._announcer.watchers
 
+    def watched_by(self, endpoints: Iterable[Endpoint], *, now: float) -> None:
+        """Takes the watchers to announce to.
+
+        Args:
+            endpoints: Their control endpoints.
+            now: Clock reading, seconds.
+        """
+        self._announcer.watched_by(endpoints, now=now)
+
     def due(self, now: float) -> list[Call]:
         """Lists the heartbeats to send now.
 
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -49,12 +49,22 @@
     Attributes:
         endpoints: Endpoints, comma-separated; empty when none is used.
         timeout: Time allowed for one call. In seconds.
-        poll_interval: Pause between two reads of the configuration. In seconds.
+        call_rate: Calls this process may make on average. In calls a second.
+        call_burst: Calls this process may make at once. In calls.
+        check_interval: Pause between two reads of the root record by a holder of an entry slot. In seconds.
+        watch_interval: Silence after which a holder of an entry slot opens its watch again. In seconds.
+        entry_slots: Balancers of each failure domain that read the configuration.
+        lease_ttl: Life of an entry slot's lease without a keep-alive. In seconds.
     """
 
     endpoints: tuple[Endpoint, ...]
     timeout: float
-    poll_interval: float
+    call_rate: float
+    call_burst: int
+    check_interval: float
+    watch_interval: float
+    entry_slots: int
+    lease_ttl: float
 
 
 @frozen
@@ -95,6 +105,13 @@
         fabric_return: Endpoint of the fabric that takes answers (UDP).
         flow_idle_timeout: Silence after which a datagram flow is closed. In seconds.
         drain_timeout: Time flows are given to end when the agent drains. In seconds.
+        certificate_file: Certificate chain in PEM for callers of mode request; empty when none is served.
+        private_key_file: Private key in PEM that belongs to the certificate.
+        caller_idle_timeout: Silence after which a caller's HTTP/3 connection is closed. In seconds.
+        request_timeout: Deadline of a request that names none, and the longest one may ask for. In seconds.
+        body_maximum: Largest request body taken. In bytes.
+        queue_maximum: Requests that may wait for a slot.
+        connections: Requests and streams the upstream holds at once.
     """
 
     upstream_class: str
@@ -103,6 +120,13 @@
     fabric_return: Endpoint
     flow_idle_timeout: float
     drain_timeout: float
+    certificate_file: str
+    private_key_file: str
+    caller_idle_timeout: float
+    request_timeout: float
+    body_maximum: int
+    queue_maximum: int
+    connections: int
 
 
 @frozen
@@ -110,14 +134,78 @@
     """How flows outlive change.
 
     Attributes:
-        settle_delay: Least time a bucket stays unsettled after its primary changed. In seconds.
-        settle_timeout: Time after which a bucket settles though a peer did not confirm. In seconds.
+        settle_delay: Least time after its start before an agent creates flows of its own accord; peers it has not heard of yet become known. In seconds.
+        settle_timeout: Time after which a bucket settles though a silent peer did not confirm. In seconds.
         max_hops: Times a datagram may be passed on.
+        flow_limit: Flows that an agent owns at most.
+        note_limit: Notes that an agent holds at most.
+        held_limit: Datagrams held at most while their bucket settles.
+        held_timeout: Time after which a held datagram is dropped. In seconds.
+        notes_bytes_per_second: Bytes of hand-over messages that an agent sends a second; a part of its control budget. In bytes.
+        shift_duration: Time over which a draining agent gives its buckets away. In seconds.
+        ramp_duration: Time over which a started agent takes its full weight. In seconds.
     """
 
     settle_delay: float
     settle_timeout: float
     max_hops: int
+    flow_limit: int
+    note_limit: int
+    held_limit: int
+    held_timeout: float
+    notes_bytes_per_second: int
+    shift_duration: float
+    ramp_duration: float
+
+
+@frozen
+class ApiSettings:
+    """The operators' API of a balancer.
+
+    Attributes:
+        endpoints: Endpoints to serve the API at, comma-separated; empty when it is not served.
+        certificate_file: Certificate chain in PEM for TLS.
+        private_key_file: Private key of the certificate in PEM.
+        operator_tokens: Bearer tokens that may change the configuration, comma-separated.
+        viewer_tokens: Bearer tokens that may only read, comma-separated.
+        watchers: Watch calls served at once.
+    """
+
+    endpoints: tuple[Endpoint, ...]
+    certificate_file: str
+    private_key_file: str
+    operator_tokens: tuple[Secret, ...]
+    viewer_tokens: tuple[Secret, ...]
+    watchers: int
+
+
+@frozen
+class LoadSettings:
+    """What is let in, what waits and where work goes under load.
+
+    Attributes:
+        queue_limit: Requests of one group that may wait at one agent.
+        queue_time_limit: Longest wait of a request before it is refused. In seconds.
+        caller_part: Part of a group's queue that one caller's IP number may fill.
+        key_limit: Requests with one idempotency key that may be waiting or running at an agent.
+        retry_part: Retries allowed for each recent success.
+        reservation_timeout: Time a slot is held for a peer that has not sent its request yet. In seconds.
+        usage_interval: Pause between two exchanges of usage sums. In seconds.
+        slow_factor: Slot time over the peers' median from which an upstream counts as slow.
+        panic_part: Part of a service's upstreams that may look sick before the detection is doubted.
+        importance_floor: Part of slot time that less important services keep while they wait.
+    """
+
+    queue_limit: int
+    queue_time_limit: float
+    caller_part: float
+    key_limit: int
+    retry_part: float
+    reservation_timeout: float
+    usage_interval: float
+    slow_factor: float
+    panic_part: float
+    importance_floor: float
 
 
 @frozen
@@ -176,6 +264,8 @@
         membership: How members find and watch each other.
         agent: The agent beside an upstream.
         flows: How flows outlive change.
+        api: The operators' API of a balancer.
+        load: What is let in, what waits and where work goes under load.
         logs: Logs as JSON lines on standard error.
         metrics: Metrics by OpenTelemetry; off costs nothing.
         objectives: Service-level objectives that `report burn` measures against.
@@ -187,6 +277,8 @@
     membership: MembershipSettings
     agent: AgentSettings
     flows: FlowsSettings
+    api: ApiSettings
+    load: LoadSettings
     logs: LogsSettings
     metrics: MetricsSettings
     objectives: ObjectivesSettings
@@ -266,13 +358,57 @@
                 doc="Time allowed for one call.",
             ),
             Option(
-                name="poll_interval",
+                name="call_rate",
+                type="float",
+                unit="calls a second",
+                minimum=0.1,
+                maximum=1000.0,
+                default=10.0,
+                doc="Calls this process may make on average.",
+            ),
+            Option(
+                name="call_burst",
+                type="int",
+                unit="calls",
+                minimum=1,
+                maximum=1000,
+                default=40,
+                doc="Calls this process may make at once.",
+            ),
+            Option(
+                name="check_interval",
                 type="float",
                 unit="seconds",
                 minimum=0.05,
                 maximum=60.0,
-                default=0.25,
-                doc="Pause between two reads of the configuration.",
+                default=2.0,
+                doc="Pause between two reads of the root record by a holder of an entry slot.",
+            ),
+            Option(
+                name="watch_interval",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=600.0,
+                default=10.0,
+                doc="Silence after which a holder of an entry slot opens its watch again.",
+            ),
+            Option(
+                name="entry_slots",
+                type="int",
+                minimum=1,
+                maximum=16,
+                default=2,
+                doc="Balancers of each failure domain that read the configuration.",
+            ),
+            Option(
+                name="lease_ttl",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=300.0,
+                default=6.0,
+                doc="Life of an entry slot's lease without a keep-alive.",
             ),
         ),
     ),
@@ -409,6 +545,61 @@
                 default=14400.0,
                 doc="Time flows are given to end when the agent drains.",
             ),
+            Option(
+                name="certificate_file",
+                type="str",
+                default="",
+                doc="Certificate chain in PEM for callers of mode request; empty when none is served.",
+            ),
+            Option(
+                name="private_key_file",
+                type="str",
+                default="",
+                doc="Private key in PEM that belongs to the certificate.",
+            ),
+            Option(
+                name="caller_idle_timeout",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=3600.0,
+                default=60.0,
+                doc="Silence after which a caller's HTTP/3 connection is closed.",
+            ),
+            Option(
+                name="request_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=3600.0,
+                default=30.0,
+                doc="Deadline of a request that names none, and the longest one may ask for.",
+            ),
+            Option(
+                name="body_maximum",
+                type="int",
+                unit="bytes",
+                minimum=1,
+                maximum=1073741824,
+                default=4194304,
+                doc="Largest request body taken.",
+            ),
+            Option(
+                name="queue_maximum",
+                type="int",
+                minimum=0,
+                maximum=100000,
+                default=64,
+                doc="Requests that may wait for a slot.",
+            ),
+            Option(
+                name="connections",
+                type="int",
+                minimum=1,
+                maximum=100000,
+                default=2000,
+                doc="Requests and streams the upstream holds at once.",
+            ),
         ),
     ),
     Section(
@@ -420,10 +611,10 @@
                 name="settle_delay",
                 type="float",
                 unit="seconds",
-                minimum=0.1,
+                minimum=0.0,
                 maximum=60.0,
-                default=3.0,
-                doc="Least time a bucket stays unsettled after its primary changed.",
+                default=1.5,
+                doc="Least time after its start before an agent creates flows of its own accord; peers it has not heard of yet become known.",
             ),
             Option(
                 name="settle_timeout",
@@ -432,7 +623,7 @@
                 minimum=0.1,
                 maximum=120.0,
                 default=10.0,
-                doc="Time after which a bucket settles though a peer did not confirm.",
+                doc="Time after which a bucket settles though a silent peer did not confirm.",
             ),
             Option(
                 name="max_hops",
@@ -442,6 +633,201 @@
                 default=6,
                 doc="Times a datagram may be passed on.",
             ),
+            Option(
+                name="flow_limit",
+                type="int",
+                minimum=1,
+                maximum=1000000,
+                default=100000,
+                doc="Flows that an agent owns at most.",
+            ),
+            Option(
+                name="note_limit",
+                type="int",
+                minimum=1,
+                maximum=1000000,
+                default=200000,
+                doc="Notes that an agent holds at most.",
+            ),
+            Option(
+                name="held_limit",
+                type="int",
+                minimum=0,
+                maximum=100000,
+                default=1024,
+                doc="Datagrams held at most while their bucket settles.",
+            ),
+            Option(
+                name="held_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=60.0,
+                default=5.0,
+                doc="Time after which a held datagram is dropped.",
+            ),
+            Option(
+                name="notes_bytes_per_second",
+                type="int",
+                unit="bytes",
+                minimum=1000,
+                maximum=1000000000,
+                default=12000,
+                doc="Bytes of hand-over messages that an agent sends a second; a part of its control budget.",
+            ),
+            Option(
+                name="shift_duration",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=3.0,
+                default=1.5,
+                doc="Time over which a draining agent gives its buckets away.",
+            ),
+            Option(
+                name="ramp_duration",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=600.0,
+                default=10.0,
+                doc="Time over which a started agent takes its full weight.",
+            ),
+        ),
+    ),
+    Section(
+        name="api",
+        doc="The operators' API of a balancer.",
+        settings_class=ApiSettings,
+        options=(
+            Option(
+                name="endpoints",
+                type="endpoints",
+                default="",
+                doc="Endpoints to serve the API at, comma-separated; empty when it is not served.",
+            ),
+            Option(
+                name="certificate_file",
+                type="str",
+                default="",
+                doc="Certificate chain in PEM for TLS.",
+            ),
+            Option(
+                name="private_key_file",
+                type="str",
+                default="",
+                doc="Private key of the certificate in PEM.",
+            ),
+            Option(
+                name="operator_tokens",
+                type="secrets",
+                default="",
+                doc="Bearer tokens that may change the configuration, comma-separated.",
+            ),
+            Option(
+                name="viewer_tokens",
+                type="secrets",
+                default="",
+                doc="Bearer tokens that may only read, comma-separated.",
+            ),
+            Option(
+                name="watchers",
+                type="int",
+                minimum=1,
+                maximum=256,
+                default=8,
+                doc="Watch calls served at once.",
+            ),
+        ),
+    ),
+    Section(
+        name="load",
+        doc="What is let in, what waits and where work goes under load.",
+        settings_class=LoadSettings,
+        options=(
+            Option(
+                name="queue_limit",
+                type="int",
+                minimum=1,
+                maximum=100000,
+                default=64,
+                doc="Requests of one group that may wait at one agent.",
+            ),
+            Option(
+                name="queue_time_limit",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=600.0,
+                default=1.0,
+                doc="Longest wait of a request before it is refused.",
+            ),
+            Option(
+                name="caller_part",
+                type="float",
+                minimum=0.01,
+                maximum=1.0,
+                default=0.25,
+                doc="Part of a group's queue that one caller's IP number may fill.",
+            ),
+            Option(
+                name="key_limit",
+                type="int",
+                minimum=1,
+                maximum=1000,
+                default=2,
+                doc="Requests with one idempotency key that may be waiting or running at an agent.",
+            ),
+            Option(
+                name="retry_part",
+                type="float",
+                minimum=0.0,
+                maximum=1.0,
+                default=0.1,
+                doc="Retries allowed for each recent success.",
+            ),
+            Option(
+                name="reservation_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.01,
+                maximum=10.0,
+                default=0.25,
+                doc="Time a slot is held for a peer that has not sent its request yet.",
+            ),
+            Option(
+                name="usage_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.05,
+                maximum=60.0,
+                default=0.5,
+                doc="Pause between two exchanges of usage sums.",
+            ),
+            Option(
+                name="slow_factor",
+                type="float",
+                minimum=1.5,
+                maximum=100.0,
+                default=3.0,
+                doc="Slot time over the peers' median from which an upstream counts as slow.",
+            ),
+            Option(
+                name="panic_part",
+                type="float",
+                minimum=0.1,
+                maximum=1.0,
+                default=0.5,
+                doc="Part of a service's upstreams that may look sick before the detection is doubted.",
+            ),
+            Option(
+                name="importance_floor",
+                type="float",
+                minimum=0.0,
+                maximum=0.5,
+                default=0.05,
+                doc="Part of slot time that less important services keep while they wait.",
+            ),
         ),
     ),
     Section(
