--- a/src/siskinshift/membership/class_news.py
+++ b/src/siskinshift/membership/class_news.py
@@ -13,11 +13,9 @@
 
 
 if TYPE_CHECKING:
-    from siskinshift.membership.table import MemberTable
-
+    from collections.abc import Collection
 
-# Classes up to this size are told whole: that costs less than to keep book.
-WHOLE_CLASS_MAXIMUM = 16
+    from siskinshift.membership.table import MemberTable
 
 
 @define(eq=False)
@@ -85,10 +83,9 @@
         self._told_by_id[agent_id] = _Told(self._table.revision, view_hash)
         if view_hash == hash_text(records.state_hash):
             return NOTHING_NEW
-        size = len(records.member_ids) + len(records.service_ids)
         repeated = told is None or told.was_hash == view_hash
         changes = records.changes
-        if size <= WHOLE_CLASS_MAXIMUM or repeated or told is None or not changes:
+        if not records.is_large() or repeated or told is None or not changes:
             return self._whole(upstream_class)
         if changes[0].revision > told.revision + 1:
             return self._whole(upstream_class)
@@ -102,7 +99,11 @@
         return self._records(records.member_ids, records.service_ids, complete=True)
 
     def _records(
-        self, member_ids: set[str], service_ids: set[str], *, complete: bool
+        self,
+        member_ids: Collection[str],
+        service_ids: Collection[str],
+        *,
+        complete: bool,
     ) -> ClassNews:
         members = self._table.members_by_id
         services = self._table.services.services_by_id
--- a/src/siskinshift/membership/node.py
+++ b/src/siskinshift/membership/node.py
@@ -194,6 +194,8 @@
 
     def _leave(self) -> None:
         """Tells the watchers that this process ends, so that none has to wait."""
+        if self._application.is_abandoned:
+            return
         with self._wake:
             self._participant.change_own(
                 state=MemberState.GONE, weight=0, now=self._clock()
