--- a/src/siskinshift/flows/claims.py
+++ b/src/siskinshift/flows/claims.py
@@ -112,3 +112,15 @@
         for digest, known_id in tuple(self.owners_by_flow.items()):
             if known_id == owner_id:
                 self.forget(digest)
+
+    def forget_listed(self, owner_id: str) -> None:
+        """Drops the notes that an owner told itself, because it has started anew.
+
+        Permissions stay: the question may have come from the new life already.
+
+        Args:
+            owner_id: The owner.
+        """
+        for digest, known_id in tuple(self.owners_by_flow.items()):
+            if known_id == owner_id and digest not in self.versions_by_flow:
+                self.forget(digest)
--- a/src/siskinshift/flows/hand_over.py
+++ b/src/siskinshift/flows/hand_over.py
@@ -70,6 +70,17 @@
         """The view that decides; None before the first."""
         return self._peers.view
 
+    def is_live(self, peer_id: str) -> bool:
+        """Says whether a peer lives as far as this agent knows.
+
+        Args:
+            peer_id: The peer.
+
+        Returns:
+            Whether it does.
+        """
+        return peer_id in self._peers.live_ids
+
     def update(self, view: View, *, now: float) -> list[SendNotes]:
         """Takes a new view.
 
@@ -84,8 +95,11 @@
         change = self._peers.take(view, now=now)
         if change is None:
             return []
-        for member_id in change.lost:
-            self._forget_owner(member_id)
+        for state in self.services_by_id.values():
+            for member_id in change.lost:
+                state.forget_owner(member_id)
+            for member_id in change.restarted:
+                state.forget_listed(member_id)
         self._serve_class_of(change.own)
         actions: list[SendNotes] = []
         for state in self.services_by_id.values():
@@ -120,7 +134,8 @@
         if is_new is None:
             return []
         if is_new:
-            self._forget_owner(notes.sender_id)
+            for served in self.services_by_id.values():
+                served.forget_listed(notes.sender_id)
         actions: list[SendNotes] = []
         if notes.claimed_buckets:
             actions += self._claims.on_claim(state, notes, now=now)
@@ -219,7 +234,3 @@
                 )
         for service_id in served:
             self.services_by_id.setdefault(service_id, ServiceFlows(service_id))
-
-    def _forget_owner(self, member_id: str) -> None:
-        for state in self.services_by_id.values():
-            state.forget_owner(member_id)
--- a/src/siskinshift/flows/peers.py
+++ b/src/siskinshift/flows/peers.py
@@ -32,13 +32,15 @@
     Attributes:
         own: The agent itself.
         appeared: Peers that became known and may hold rights.
-        lost: Peers whose flows are lost: gone, or started anew.
+        lost: Peers that are gone.
+        restarted: Peers that have started anew.
         was_doubted: Whether peers held this agent for suspect or gone.
     """
 
     own: Member
     appeared: frozenset[str]
     lost: frozenset[str]
+    restarted: frozenset[str]
     was_doubted: bool
 
 
@@ -97,11 +99,11 @@
             # that was cut off at its start would be alone in its view, primary of
             # all buckets, and would create flows that its peers own.
             self._started_at = now
-        lost = self._take_losses(view)
+        lost, restarted = self._take_losses(view)
         peers = [
             agent
             for agent in view.agents_by_class.get(own.upstream_class, ())
-            if agent.state is not MemberState.GONE and agent.member_id != self.member_id
+            if self._lives(agent)
         ]
         appeared = frozenset(
             peer.member_id
@@ -112,7 +114,7 @@
         self.live_ids = frozenset(peer.member_id for peer in peers)
         for peer in peers:
             self._incarnations_by_id.setdefault(peer.member_id, peer.incarnation)
-        return PeerChange(own, appeared, lost, was_doubted)
+        return PeerChange(own, appeared, lost, restarted, was_doubted)
 
     def hear(self, notes: FlowNotes, *, now: float) -> bool | None:
         """Takes note of a message's sender.
@@ -234,6 +236,14 @@
         if self._started_at is not None:
             self._started_at = now  # News of the time before may be on its way still.
 
+    def _lives(self, agent: Member) -> bool:
+        if agent.member_id == self.member_id:
+            return False
+        # A message may be faster than the view: it came from a later life than the
+        # one that the view says is over.
+        known = self._incarnations_by_id.get(agent.member_id, 0)
+        return agent.state is not MemberState.GONE or agent.incarnation < known
+
     def _was_doubted(self, own: Member) -> bool:
         # The version rose without a change of our own: peers held us for suspect or
         # gone, and we spoke up. While we were paused or cut off they may have
@@ -251,8 +261,9 @@
             return True
         return peer.incarnation < self.incarnation + CLOCK_MARGIN_MILLISECONDS
 
-    def _take_losses(self, view: View) -> frozenset[str]:
+    def _take_losses(self, view: View) -> tuple[frozenset[str], frozenset[str]]:
         lost = set()
+        restarted = set()
         for member_id, incarnation in tuple(self._incarnations_by_id.items()):
             member = view.members_by_id.get(member_id)
             if member is None:
@@ -262,10 +273,10 @@
             elif member.incarnation > incarnation:
                 self._incarnations_by_id[member_id] = member.incarnation
                 self._list_sequences_by_id.pop(member_id, None)
-                lost.add(member_id)
+                restarted.add(member_id)
             elif member.state is MemberState.GONE and member.incarnation == incarnation:
                 lost.add(member_id)
-        return frozenset(lost)
+        return frozenset(lost), frozenset(restarted)
 
 
 def _serves_any(view: View, own: Member) -> bool:
--- a/src/siskinshift/flows/router.py
+++ b/src/siskinshift/flows/router.py
@@ -248,6 +248,10 @@
             return self._ask(owner_id, state, digest, envelope, now=now)
         if claim.settled:
             asker_id = envelope.asker_id
+            if asker_id and not self._hand_over.is_live(asker_id):
+                # The note would go with the peer that counts as gone, and another
+                # agent would create the flow as well.
+                return [DropEnvelope(ErrorKind.NO_MEMBER)]
             if asker_id:
                 version = envelope.view_version
                 return self._permit(claim, digest, envelope, asker_id, version)
--- a/src/siskinshift/flows/service_flows.py
+++ b/src/siskinshift/flows/service_flows.py
@@ -169,6 +169,15 @@
         for claim in self.claims_by_bucket.values():
             claim.forget_owner(owner_id)
 
+    def forget_listed(self, owner_id: str) -> None:
+        """Drops the notes that an owner told itself, because it has started anew.
+
+        Args:
+            owner_id: The owner.
+        """
+        for claim in self.claims_by_bucket.values():
+            claim.forget_listed(owner_id)
+
     def note_count(self) -> int:
         """Counts the notes held.
 
--- a/tests/flows/test_hand_over_faults.py
+++ b/tests/flows/test_hand_over_faults.py
@@ -10,6 +10,7 @@
 
 from siskinshift.bench.flow_network import Flow
 from siskinshift.bench.flow_network import FlowNetwork
+from siskinshift.bench.flow_network import Message
 from siskinshift.bench.flow_network import make_agent
 from siskinshift.bench.flow_network import make_service
 from siskinshift.core.errors import ErrorKind
@@ -293,6 +294,36 @@
     assert network.planned_breaks == []
 
 
+def test_a_permission_for_a_new_life_outlives_the_news_of_the_restart() -> None:
+    """A session had two owners after an upstream's restart (seeds 50281, 50424).
+
+    An agent restarts, and its new life asks the previous primary for a flow before
+    that one has heard of the restart. The news then dropped all notes about the
+    agent, the one of its new life as well, and the flow was created twice.
+    """
+    network = _network(agents=2)
+    holder, restarting = network.agents("editor")
+    network.change_weight(restarting, 100)
+    network.settle()
+    network.restart(restarting)  # At full weight.
+    _tell(network, restarting, "balancer-0")
+    for _ in range(FLOWS):
+        network.send(_add_flow(network), "balancer-0")
+    _deliver_envelopes(network)
+    assert network.router_of(holder).note_count > 0
+    assert network.owned_flows(restarting)
+
+    _tell(network, holder)
+    for flow in network.flows:
+        packet = Packet(flow.caller, flow.service.addresses[0], b"")
+        network.messages.append(Message(holder, Envelope(packet), network.now))
+    _deliver_envelopes(network)
+    network.settle()
+
+    assert _send_all(network) == FLOWS
+    assert network.planned_breaks == []
+
+
 def test_notes_go_when_flows_end() -> None:
     network = _network(agents=2)
     _open_flows(network)
--- a/tests/flows/test_hand_over_fuzz.py
+++ b/tests/flows/test_hand_over_fuzz.py
@@ -122,6 +122,13 @@
 # faults themselves.
 SEEDS_WITH_FAULTS = (0, 2, 29, 60, 77, 102, 202, 268, 359, 421, 3195, 20194, 21360)
 
+LONG_SEEDS_WITH_FAULTS = (50000, 50228, 50281, 50424)
+
+
+@pytest.mark.parametrize("seed", LONG_SEEDS_WITH_FAULTS)
+def test_a_long_seed_that_broke_flows_once(seed: int) -> None:
+    Walk(seed).run(1500)
+
 
 @pytest.mark.parametrize("seed", SEEDS_WITH_FAULTS)
 def test_a_seed_that_broke_flows_or_leaked_notes_once(seed: int) -> None:
