--- /dev/null
+++ b/tests/flows/test_courier.py
@@ -0,0 +1,106 @@
+"""Tests of the courier over real loopback sockets."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+
+from siskinshift.bench.flow_network import make_agent
+from siskinshift.control.server import ControlRoutes
+from siskinshift.control.server import ControlServer
+from siskinshift.core.clocks import monotonic_clock
+from siskinshift.flows.actions import SendNotes
+from siskinshift.flows.courier import QUEUE_LIMIT
+from siskinshift.flows.courier import NotesCourier
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.flows import FlowNotes
+from siskinshift.runtime.application import Application
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from siskinshift.core.keyring import KeyRing
+    from siskinshift.settings.generated import Settings
+
+
+NOTES = FlowNotes(
+    service_id="editor", sender_id="editor-1", listed_buckets=(1, 2), flows=(1 << 63,)
+)
+
+
+@pytest.fixture
+def application(settings: Settings) -> Iterator[Application]:
+    application = Application(settings)
+    yield application
+    application.stop()
+
+
+def _courier(
+    application: Application,
+    key_ring: KeyRing,
+    routes: ControlRoutes,
+    arrived: list[FlowNotes],
+    event: threading.Event,
+) -> NotesCourier:
+    def on_notes(notes: FlowNotes) -> None:
+        arrived.append(notes)
+        event.set()
+
+    return NotesCourier(
+        application=application,
+        routes=routes,
+        key_ring=key_ring,
+        clock=monotonic_clock,
+        on_notes=on_notes,
+    )
+
+
+def _send_to(endpoint: Endpoint) -> SendNotes:
+    agent = make_agent("editor-2", upstream_class="editor", incarnation=1)
+    return SendNotes(attrs.evolve(agent, control=endpoint), NOTES)
+
+
+def test_a_message_arrives_as_it_was_sent(
+    application: Application, key_ring: KeyRing
+) -> None:
+    routes = ControlRoutes()
+    arrived: list[FlowNotes] = []
+    event = threading.Event()
+    courier = _courier(application, key_ring, routes, arrived, event)
+    server = ControlServer(
+        endpoint=Endpoint("127.0.0.1", 0),
+        routes=routes,
+        key_ring=key_ring,
+        executor=application.executor,
+    )
+    application.owns(server.server_close)
+    application.owns(server.close_connections)
+    application.owns(server.shutdown)
+    application.spawn(server.serve_forever, 0.05)
+    host, port = server.server_address[:2]
+
+    courier.send(_send_to(Endpoint(str(host), int(port))))
+
+    assert event.wait(10.0)
+    assert arrived == [NOTES]
+
+
+def test_a_peer_that_is_away_neither_blocks_nor_piles_up(
+    application: Application, key_ring: KeyRing
+) -> None:
+    """A peer has died, and the decisions send to it until its death is known.
+
+    Sending must not wait, as the thread that routes packets does it, and what is
+    queued must be bounded.
+    """
+    courier = _courier(application, key_ring, ControlRoutes(), [], threading.Event())
+    away = _send_to(Endpoint("127.0.0.1", 9))
+    for _ in range(40 * QUEUE_LIMIT):
+        courier.send(away)
+
+    assert courier.sent_messages == 0
+    assert courier.dropped_messages > 0
