--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import threading
+from random import Random
 from typing import TYPE_CHECKING
 
 from siskinshift.agent.datagram_flows import DatagramFlows
+from siskinshift.agent.hand_over import HandOver
 from siskinshift.agent.note_sender import NOTES_PATH
 from siskinshift.agent.note_sender import NoteSender
 from siskinshift.agent.ramp import weight_after
 from siskinshift.agent.request_flows import RequestFlows
 from siskinshift.agent.request_runner import RequestRunner
-from siskinshift.agent.slot_gate import SlotGate
 from siskinshift.agent.upstream_connections import UpstreamConnections
 from siskinshift.control.server import ControlRoutes
 from siskinshift.control.server import ControlServer
@@ -25,6 +26,7 @@
 from siskinshift.flows.actions import ForwardToAgent
 from siskinshift.flows.actions import SendNotes
 from siskinshift.flows.router import FlowRouter
+from siskinshift.load.gate import LoadGate
 from siskinshift.membership.node import MembershipNode
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
@@ -84,8 +86,14 @@
         )
         self._connections = UpstreamConnections(settings.agent.upstream_endpoint)
         self._runner = RequestRunner(
-            gate=SlotGate(
-                slots=settings.agent.slots, queue_maximum=settings.agent.queue_maximum
+            gate=LoadGate(
+                member_id=node.node_id,
+                incarnation=incarnation,
+                slots=settings.agent.slots,
+                ramp_time=settings.agent.ramp_time,
+                settings=settings.load,
+                random=Random(),
+                now=monotonic_clock(),
             ),
             connections=self._connections,
             held_maximum=settings.agent.connections,
@@ -107,6 +115,17 @@
         )
         routes = ControlRoutes()
         routes.handles(NOTES_PATH, FlowNotes)(self._on_notes)
+        self._hand_over = HandOver(
+            member_id=node.node_id,
+            upstream_class=settings.agent.upstream_class,
+            runner=self._runner,
+            routes=routes,
+            key_ring=key_ring,
+            spawn=self.spawn,
+            clock=monotonic_clock,
+            counters=self.counters,
+            random=Random(),
+        )
         self._server = ControlServer(
             endpoint=node.control_endpoint,
             routes=routes,
@@ -140,6 +159,7 @@
         self.owns(self._socket.close)
         self.owns(self._flows.close)
         self.owns(self._connections.close)
+        self.owns(self._hand_over.close)
         self.owns(self._server.server_close)
         self.owns(self._server.close_connections)
         self.owns(self._server.shutdown)
@@ -154,6 +174,7 @@
         """Says good-bye to callers and ends exchanges with the upstream."""
         self._request_flows.close()
         self._runner.cancel_all()
+        self._hand_over.cancel_all()
 
     def drain(self) -> None:
         """Takes no new flows; owned flows go on."""
@@ -161,6 +182,7 @@
             if self._draining_since is not None:
                 return
             self._draining_since = monotonic_clock()
+        self._runner.refuse_guests()
         self.membership.change_own(state=MemberState.DRAINING, weight=0)
 
     def leave(self, at_once: threading.Event) -> None:
@@ -180,6 +202,7 @@
 
     def _is_idle(self) -> bool:
         held = len(self._flows) + len(self._request_flows) + len(self._runner)
+        held += len(self._hand_over)
         return held == 0
 
     def _step_life(self) -> None:
@@ -222,6 +245,8 @@
         )
 
     def _on_view(self, view: View) -> None:
+        self._hand_over.update(view)
+        self._runner.update(view, upstream_class=self.settings.agent.upstream_class)
         with self._lock:
             actions = self._router.update(view, now=monotonic_clock())
         self._carry_out(actions)
--- a/src/siskinshift/agent/request_connection.py
+++ b/src/siskinshift/agent/request_connection.py
@@ -319,6 +319,9 @@
             repeatable=head.is_repeatable,
             arrived_at=now,
             deadline=now + head.timeout,
+            pinned=self._runner.pinned_paths.is_pinned(
+                head.path, head.headers, body_size=len(stream.body)
+            ),
         )
         call = Call(
             request=request,
--- a/src/siskinshift/core/requests.py
+++ b/src/siskinshift/core/requests.py
@@ -38,6 +38,8 @@
         repeatable: Whether running it twice does no harm.
         arrived_at: Clock reading at arrival, seconds.
         deadline: Clock reading after which the answer is of no use, seconds.
+        pinned: Whether it must run at the agent it arrived at: a stream, or too large
+            to be handed over.
     """
 
     request_id: int
@@ -48,6 +50,7 @@
     repeatable: bool
     arrived_at: float
     deadline: float
+    pinned: bool = False
 
 
 @frozen
--- a/src/siskinshift/load/gate.py
+++ b/src/siskinshift/load/gate.py
@@ -113,6 +113,7 @@
         self._numbers = itertools.count(1)
         self._guest_ids = itertools.count(-1, -1)
         self._is_draining = False
+        self._refuses_guests = False
         self._work_by_id: dict[int, Work] = {}
         # Requests for which peers are asked for a slot that is free now.
         self._searching_ids: set[int] = set()
@@ -174,14 +175,16 @@
         work = Work(request=request, queued_at=now, expires_at=expires_at)
         key_is_full = self._parts.key_is_full(_part_key(request))
         error = refusal_of(self._arrival(work, key_is_full=key_is_full, now=now))
-        if error is ErrorKind.OVERLOADED and self._may_search(now=now):
+        may_move = not request.pinned and self._may_search(now=now)
+        if error is ErrorKind.OVERLOADED and may_move:
             error = None
             work.state = WorkState.HELD
         if error is not None:
             return [self._refusal(work, error)]
         self._work_by_id[request.request_id] = work
         self._parts.enter(_part_key(request))
-        if work.state is WorkState.HELD or self._offers_first(now=now):
+        offers_first = may_move and self._peers.wants_to_offer()
+        if work.state is WorkState.HELD or offers_first:
             return self._hold(work, now=now)
         self._queues.push(work)
         return [*self._dispatch(now=now), *self._search_for(work, now=now)]
@@ -244,6 +247,18 @@
             What to do.
         """
         self._is_draining = True
+        return self.refuse_guests(now=now)
+
+    def refuse_guests(self, *, now: float) -> list[GateAction]:
+        """Takes no more requests of peers; those that wait are refused.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        self._refuses_guests = True
         actions: list[GateAction] = []
         for work in tuple(self._queues):
             if work.is_guest:
@@ -626,9 +641,6 @@
             return False
         return self._peers.may_search(now=now)
 
-    def _offers_first(self, *, now: float) -> bool:
-        return self._peers.wants_to_offer() and self._may_search(now=now)
-
     def _hold(self, work: Work, *, now: float) -> list[GateAction]:
         work.state = WorkState.HELD
         work.candidate_ids = self._peers.candidates()
@@ -649,6 +661,8 @@
         is_idle = not work.is_guest and not work.peer_ids_by_reservation
         if work.state is not WorkState.QUEUED or not is_idle or work.offered:
             return []
+        if work.request.pinned:
+            return []
         if not work.searched and self.shares.is_under_share(group_key(work)):
             return self._ask_to_wait(work, now=now)
         if not self._may_search(now=now):
@@ -740,7 +754,7 @@
         )
 
     def _takes_guest(self, work: Work, *, waits: bool, now: float) -> bool:
-        if self._is_draining or work.request.deadline <= now:
+        if self._refuses_guests or work.request.deadline <= now:
             return False
         if self._watch.looks_sick or self._watch.is_slow(self._recent):
             return False
@@ -790,8 +804,9 @@
 
 
 def _error_of(work: Work, result: RunResult, *, now: float) -> ErrorKind:
+    if work.request.deadline <= now:
+        is_lost = result is RunResult.LOST
+        return ErrorKind.UPSTREAM_TIMEOUT if is_lost else ErrorKind.DEADLINE_EXCEEDED
     if result is RunResult.NOT_OFFERED:
         return ErrorKind.NO_UPSTREAM
-    if work.request.deadline <= now:
-        return ErrorKind.UPSTREAM_TIMEOUT
     return ErrorKind.UPSTREAM_FAILED
--- a/src/siskinshift/messages/load.py
+++ b/src/siskinshift/messages/load.py
@@ -153,12 +153,14 @@
         status: HTTP status, when answered.
         headers: Headers of the answer.
         body: Body of the answer.
+        is_stream: Whether the answer was a stream, which a peer can't pass on.
     """
 
     outcome: OutcomeKind
     status: int = 0
     headers: tuple[HttpHeader, ...] = ()
     body: bytes | None = None
+    is_stream: bool = False
 
 
 @frozen
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -89,7 +89,6 @@
         caller_idle_timeout: Silence after which a caller's HTTP/3 connection is closed. In seconds.
         request_timeout: Deadline of a request that names none, and the longest one may ask for. In seconds.
         body_maximum: Largest request body taken. In bytes.
-        queue_maximum: Requests that may wait for a slot.
         connections: Requests and streams the upstream holds at once.
     """
 
@@ -105,7 +104,6 @@
     caller_idle_timeout: float
     request_timeout: float
     body_maximum: int
-    queue_maximum: int
     connections: int
 
 
@@ -439,14 +437,6 @@
                 default=4194304,
                 doc="Largest request body taken.",
             ),
-            Option(
-                name="queue_maximum",
-                type="int",
-                minimum=0,
-                maximum=100000,
-                default=64,
-                doc="Requests that may wait for a slot.",
-            ),
             Option(
                 name="connections",
                 type="int",
