--- a/src/siskinshift/agent/request_runner.py
+++ b/src/siskinshift/agent/request_runner.py
@@ -96,6 +96,7 @@
         self._cancelled_early: set[int] = set()
         self.hand_over: HandOver | None = None
         self.pinned_paths = PinnedPaths()
+        self._is_draining = False
 
     def __len__(self) -> int:
         return len(self._calls_by_id)
@@ -171,6 +172,10 @@
 
     def drain(self) -> None:
         """Stops to admit; queued and running requests go on."""
+        with self._lock:
+            if self._is_draining:
+                return
+            self._is_draining = True
         self.decide(lambda gate, now: gate.drain(now=now))
 
     def refuse_guests(self) -> None:
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -49,12 +49,22 @@
     Attributes:
         endpoints: Endpoints, comma-separated; empty when none is used.
         timeout: Time allowed for one call. In seconds.
-        poll_interval: Pause between two reads of the configuration. In seconds.
+        call_rate: Calls this process may make on average. In calls a second.
+        call_burst: Calls this process may make at once. In calls.
+        check_interval: Pause between two reads of the root record by a holder of an entry slot. In seconds.
+        watch_interval: Silence after which a holder of an entry slot opens its watch again. In seconds.
+        entry_slots: Balancers of each failure domain that read the configuration.
+        lease_ttl: Life of an entry slot's lease without a keep-alive. In seconds.
     """
 
     endpoints: tuple[Endpoint, ...]
     timeout: float
-    poll_interval: float
+    call_rate: float
+    call_burst: int
+    check_interval: float
+    watch_interval: float
+    entry_slots: int
+    lease_ttl: float
 
 
 @frozen
@@ -63,13 +73,25 @@
 
     Attributes:
         seeds: Control endpoints of balancers to announce to.
-        heartbeat_interval: Pause between two heartbeats. In seconds.
-        gone_after: Silence after which a member counts as gone. In seconds.
+        heartbeat_interval: Pause between two heartbeats to one watcher. In seconds.
+        suspect_after: Silence after which a member that answers no probe counts as suspect. In seconds.
+        gone_after: Silence after which a suspect counts as gone. In seconds.
+        doubt_factor: Times the silence is stretched while most members of a failure domain fall silent at once.
+        call_timeout: Time allowed for one message between processes. In seconds.
+        digest_interval: Pause between two comparisons of the whole state with another balancer. In seconds.
+        start_jitter: Greatest random delay of the first announcement. In seconds.
+        forget_after: Time a member that is gone is remembered. In seconds.
     """
 
     seeds: tuple[Endpoint, ...]
     heartbeat_interval: float
+    suspect_after: float
     gone_after: float
+    doubt_factor: float
+    call_timeout: float
+    digest_interval: float
+    start_jitter: float
+    forget_after: float
 
 
 @frozen
@@ -83,7 +105,6 @@
         fabric_return: Endpoint of the fabric that takes answers (UDP).
         flow_idle_timeout: Silence after which a datagram flow is closed. In seconds.
         drain_timeout: Time flows are given to end when the agent drains. In seconds.
-        ramp_time: Time in which a new agent reaches its full weight. In seconds.
         certificate_file: Certificate chain in PEM for callers of mode request; empty when none is served.
         private_key_file: Private key in PEM that belongs to the certificate.
         caller_idle_timeout: Silence after which a caller's HTTP/3 connection is closed. In seconds.
@@ -98,7 +119,6 @@
     fabric_return: Endpoint
     flow_idle_timeout: float
     drain_timeout: float
-    ramp_time: float
     certificate_file: str
     private_key_file: str
     caller_idle_timeout: float
@@ -112,14 +132,49 @@
     """How flows outlive change.
 
     Attributes:
-        settle_delay: Least time a bucket stays unsettled after its primary changed. In seconds.
-        settle_timeout: Time after which a bucket settles though a peer did not confirm. In seconds.
+        settle_delay: Least time after its start before an agent creates flows of its own accord; peers it has not heard of yet become known. In seconds.
+        settle_timeout: Time after which a bucket settles though a silent peer did not confirm. In seconds.
         max_hops: Times a datagram may be passed on.
+        flow_limit: Flows that an agent owns at most.
+        note_limit: Notes that an agent holds at most.
+        held_limit: Datagrams held at most while their bucket settles.
+        held_timeout: Time after which a held datagram is dropped. In seconds.
+        notes_bytes_per_second: Bytes of hand-over messages that an agent sends a second; a part of its control budget. In bytes.
+        shift_duration: Time over which a draining agent gives its buckets away. In seconds.
+        ramp_duration: Time over which a started agent takes its full weight. In seconds.
     """
 
     settle_delay: float
     settle_timeout: float
     max_hops: int
+    flow_limit: int
+    note_limit: int
+    held_limit: int
+    held_timeout: float
+    notes_bytes_per_second: int
+    shift_duration: float
+    ramp_duration: float
+
+
+@frozen
+class ApiSettings:
+    """The operators' API of a balancer.
+
+    Attributes:
+        endpoints: Endpoints to serve the API at, comma-separated; empty when it is not served.
+        certificate_file: Certificate chain in PEM for TLS.
+        private_key_file: Private key of the certificate in PEM.
+        operator_tokens: Bearer tokens that may change the configuration, comma-separated.
+        viewer_tokens: Bearer tokens that may only read, comma-separated.
+        watchers: Watch calls served at once.
+    """
+
+    endpoints: tuple[Endpoint, ...]
+    certificate_file: str
+    private_key_file: str
+    operator_tokens: tuple[Secret, ...]
+    viewer_tokens: tuple[Secret, ...]
+    watchers: int
 
 
 @frozen
@@ -207,6 +262,7 @@
         membership: How members find and watch each other.
         agent: The agent beside an upstream.
         flows: How flows outlive change.
+        api: The operators' API of a balancer.
         load: What is let in, what waits and where work goes under load.
         logs: Logs as JSON lines on standard error.
         metrics: Metrics by OpenTelemetry; off costs nothing.
@@ -219,6 +275,7 @@
     membership: MembershipSettings
     agent: AgentSettings
     flows: FlowsSettings
+    api: ApiSettings
     load: LoadSettings
     logs: LogsSettings
     metrics: MetricsSettings
@@ -299,13 +356,57 @@
                 doc="Time allowed for one call.",
             ),
             Option(
-                name="poll_interval",
+                name="call_rate",
+                type="float",
+                unit="calls a second",
+                minimum=0.1,
+                maximum=1000.0,
+                default=10.0,
+                doc="Calls this process may make on average.",
+            ),
+            Option(
+                name="call_burst",
+                type="int",
+                unit="calls",
+                minimum=1,
+                maximum=1000,
+                default=40,
+                doc="Calls this process may make at once.",
+            ),
+            Option(
+                name="check_interval",
                 type="float",
                 unit="seconds",
                 minimum=0.05,
                 maximum=60.0,
-                default=0.25,
-                doc="Pause between two reads of the configuration.",
+                default=2.0,
+                doc="Pause between two reads of the root record by a holder of an entry slot.",
+            ),
+            Option(
+                name="watch_interval",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=600.0,
+                default=10.0,
+                doc="Silence after which a holder of an entry slot opens its watch again.",
+            ),
+            Option(
+                name="entry_slots",
+                type="int",
+                minimum=1,
+                maximum=16,
+                default=2,
+                doc="Balancers of each failure domain that read the configuration.",
+            ),
+            Option(
+                name="lease_ttl",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=300.0,
+                default=6.0,
+                doc="Life of an entry slot's lease without a keep-alive.",
             ),
         ),
     ),
@@ -326,8 +427,17 @@
                 unit="seconds",
                 minimum=0.05,
                 maximum=10.0,
-                default=0.5,
-                doc="Pause between two heartbeats.",
+                default=1.0,
+                doc="Pause between two heartbeats to one watcher.",
+            ),
+            Option(
+                name="suspect_after",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=60.0,
+                default=1.4,
+                doc="Silence after which a member that answers no probe counts as suspect.",
             ),
             Option(
                 name="gone_after",
@@ -335,8 +445,52 @@
                 unit="seconds",
                 minimum=0.2,
                 maximum=60.0,
-                default=2.0,
-                doc="Silence after which a member counts as gone.",
+                default=2.2,
+                doc="Silence after which a suspect counts as gone.",
+            ),
+            Option(
+                name="doubt_factor",
+                type="float",
+                minimum=1.0,
+                maximum=100.0,
+                default=3.0,
+                doc="Times the silence is stretched while most members of a failure domain fall silent at once.",
+            ),
+            Option(
+                name="call_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.02,
+                maximum=10.0,
+                default=0.25,
+                doc="Time allowed for one message between processes.",
+            ),
+            Option(
+                name="digest_interval",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=600.0,
+                default=5.0,
+                doc="Pause between two comparisons of the whole state with another balancer.",
+            ),
+            Option(
+                name="start_jitter",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=60.0,
+                default=0.5,
+                doc="Greatest random delay of the first announcement.",
+            ),
+            Option(
+                name="forget_after",
+                type="float",
+                unit="seconds",
+                minimum=10.0,
+                maximum=86400.0,
+                default=3600.0,
+                doc="Time a member that is gone is remembered.",
             ),
         ),
     ),
@@ -389,15 +543,6 @@
                 default=14400.0,
                 doc="Time flows are given to end when the agent drains.",
             ),
-            Option(
-                name="ramp_time",
-                type="float",
-                unit="seconds",
-                minimum=0.0,
-                maximum=3600.0,
-                default=10.0,
-                doc="Time in which a new agent reaches its full weight.",
-            ),
             Option(
                 name="certificate_file",
                 type="str",
@@ -456,10 +601,10 @@
                 name="settle_delay",
                 type="float",
                 unit="seconds",
-                minimum=0.1,
+                minimum=0.0,
                 maximum=60.0,
-                default=3.0,
-                doc="Least time a bucket stays unsettled after its primary changed.",
+                default=1.5,
+                doc="Least time after its start before an agent creates flows of its own accord; peers it has not heard of yet become known.",
             ),
             Option(
                 name="settle_timeout",
@@ -468,7 +613,7 @@
                 minimum=0.1,
                 maximum=120.0,
                 default=10.0,
-                doc="Time after which a bucket settles though a peer did not confirm.",
+                doc="Time after which a bucket settles though a silent peer did not confirm.",
             ),
             Option(
                 name="max_hops",
@@ -478,6 +623,111 @@
                 default=6,
                 doc="Times a datagram may be passed on.",
             ),
+            Option(
+                name="flow_limit",
+                type="int",
+                minimum=1,
+                maximum=1000000,
+                default=100000,
+                doc="Flows that an agent owns at most.",
+            ),
+            Option(
+                name="note_limit",
+                type="int",
+                minimum=1,
+                maximum=1000000,
+                default=200000,
+                doc="Notes that an agent holds at most.",
+            ),
+            Option(
+                name="held_limit",
+                type="int",
+                minimum=0,
+                maximum=100000,
+                default=1024,
+                doc="Datagrams held at most while their bucket settles.",
+            ),
+            Option(
+                name="held_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=60.0,
+                default=5.0,
+                doc="Time after which a held datagram is dropped.",
+            ),
+            Option(
+                name="notes_bytes_per_second",
+                type="int",
+                unit="bytes",
+                minimum=1000,
+                maximum=1000000000,
+                default=12000,
+                doc="Bytes of hand-over messages that an agent sends a second; a part of its control budget.",
+            ),
+            Option(
+                name="shift_duration",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=3.0,
+                default=1.5,
+                doc="Time over which a draining agent gives its buckets away.",
+            ),
+            Option(
+                name="ramp_duration",
+                type="float",
+                unit="seconds",
+                minimum=0.0,
+                maximum=600.0,
+                default=10.0,
+                doc="Time over which a started agent takes its full weight.",
+            ),
+        ),
+    ),
+    Section(
+        name="api",
+        doc="The operators' API of a balancer.",
+        settings_class=ApiSettings,
+        options=(
+            Option(
+                name="endpoints",
+                type="endpoints",
+                default="",
+                doc="Endpoints to serve the API at, comma-separated; empty when it is not served.",
+            ),
+            Option(
+                name="certificate_file",
+                type="str",
+                default="",
+                doc="Certificate chain in PEM for TLS.",
+            ),
+            Option(
+                name="private_key_file",
+                type="str",
+                default="",
+                doc="Private key of the certificate in PEM.",
+            ),
+            Option(
+                name="operator_tokens",
+                type="secrets",
+                default="",
+                doc="Bearer tokens that may change the configuration, comma-separated.",
+            ),
+            Option(
+                name="viewer_tokens",
+                type="secrets",
+                default="",
+                doc="Bearer tokens that may only read, comma-separated.",
+            ),
+            Option(
+                name="watchers",
+                type="int",
+                minimum=1,
+                maximum=256,
+                default=8,
+                doc="Watch calls served at once.",
+            ),
         ),
     ),
     Section(
