--- a/src/siskinshift/membership/balancer.py
+++ b/src/siskinshift/membership/balancer.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 from siskinshift.membership.actions import Call
 from siskinshift.membership.announcer import Announcer
@@ -50,6 +53,8 @@
     from siskinshift.settings.generated import MembershipSettings
 
 
+AssignmentMaker: TypeAlias = Callable[[Iterable["Member"]], WatcherAssignment]
+
 CHECK_SECONDS = 0.2
 # Many balancers that start or go at once cost one new assignment, not one each.
 REASSIGN_PAUSE_SECONDS = 1.0
@@ -70,6 +75,7 @@
         services: ServiceTable,
         settings: MembershipSettings,
         random: random.Random,
+        make_assignment: AssignmentMaker = WatcherAssignment,
     ) -> None:
         """Prepares a balancer that knows only itself.
 
@@ -78,6 +84,7 @@
             services: Configuration held.
             settings: Intervals and seeds.
             random: Source of jitter and partners.
+            make_assignment: Works out watchers; benchmarks share one between nodes.
         """
         self._settings = settings
         self._announcer = Announcer(own=own, settings=settings, random=random)
@@ -89,7 +96,8 @@
         self._comparison = Comparison(
             own=own, table=self.table, settings=settings, random=random
         )
-        self._assignment = WatcherAssignment(())
+        self._make_assignment = make_assignment
+        self._assignment = make_assignment(())
         self._assigned_generation = -1
         self._own_domain_key: object = None
         self._assign_at = 0.0
@@ -403,7 +411,7 @@
         self._assign_at = now + REASSIGN_PAUSE_SECONDS
         members = self.table.members_by_id
         balancers = [one for one in members.values() if one.role is Role.BALANCER]
-        self._assignment = WatcherAssignment(balancers)
+        self._assignment = self._make_assignment(balancers)
         self._watchers_by_id.clear()
         neighbours = neighbours_of(self.own, balancers)
         self._gossip.link_to((one.control for one in neighbours), now=now)
--- a/src/siskinshift/membership/table.py
+++ b/src/siskinshift/membership/table.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections import deque
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -26,6 +25,8 @@
 # A bucket of the largest deployment holds about 100 records: one reply.
 BUCKET_COUNT = 64
 CHANGES_REMEMBERED = 64
+# Classes up to this size are told whole: that costs less than to keep book.
+WHOLE_CLASS_MAXIMUM = 16
 _HASH_FORMAT = "016x"
 
 
@@ -52,15 +53,31 @@
         member_ids: Agents of the class, gone ones included.
         service_ids: Services of the class.
         state_hash: Exclusive or of the records' hashes, gone agents left out.
-        changes: The last changes, oldest first.
+        changes: The last changes, oldest first; kept for large classes only.
     """
 
-    member_ids: set[str] = field(factory=set)
-    service_ids: set[str] = field(factory=set)
+    # Lists: there are 1,200 classes of about five agents, and an empty set or
+    # deque takes as much memory as all the rest.
+    member_ids: list[str] = field(factory=list)
+    service_ids: list[str] = field(factory=list)
     state_hash: int = 0
-    changes: deque[ClassChange] = field(
-        factory=lambda: deque(maxlen=CHANGES_REMEMBERED)
-    )
+    changes: list[ClassChange] = field(factory=list)
+
+    def is_large(self) -> bool:
+        """Tells whether the class is too large to be told whole each time."""
+        return len(self.member_ids) + len(self.service_ids) > WHOLE_CLASS_MAXIMUM
+
+    def note(self, change: ClassChange) -> None:
+        """Remembers a change.
+
+        Args:
+            change: The change.
+        """
+        if not self.is_large():
+            return
+        self.changes.append(change)
+        if len(self.changes) > CHANGES_REMEMBERED:
+            del self.changes[0]
 
 
 def hash_text(value: int) -> str:
@@ -224,7 +241,7 @@
         self._member_ids_by_bucket[bucket_of(member_id)].discard(member_id)
         records = self.classes_by_name.get(member.upstream_class)
         if records is not None:
-            records.member_ids.discard(member_id)
+            _discard(records.member_ids, member_id)
         self.revision += 1
 
     def mostly_suspect_domains(self, *, minimum: int) -> frozenset[str]:
@@ -288,10 +305,13 @@
             self._index_balancer(member, known)
             return
         records = self.class_records(member.upstream_class)
-        records.member_ids.add(member_id)
-        records.changes.append(ClassChange(self.revision, member_id, False))
-        if known is not None and known.upstream_class != member.upstream_class:
-            self.class_records(known.upstream_class).member_ids.discard(member_id)
+        is_moved = known is None or known.upstream_class != member.upstream_class
+        if is_moved:
+            records.member_ids.append(member_id)
+        if known is not None and is_moved:
+            former = self.class_records(known.upstream_class)
+            _discard(former.member_ids, member_id)
+        records.note(ClassChange(self.revision, member_id, False))
 
     def _index_balancer(self, member: Member, known: Member | None) -> None:
         if known is not None and _place_of(known) == _place_of(member):
@@ -304,14 +324,17 @@
         known = self._taken_services_by_id.get(service_id)
         self._taken_services_by_id[service_id] = service
         self._service_ids_by_bucket[bucket_of(service_id)].add(service_id)
+        is_moved = known is None or known.upstream_class != service.upstream_class
         if known is not None:
             self._toggle_service(known)
-            if known.upstream_class != service.upstream_class:
-                self.class_records(known.upstream_class).service_ids.discard(service_id)
+            if is_moved:
+                former = self.class_records(known.upstream_class)
+                _discard(former.service_ids, service_id)
         self._toggle_service(service)
         records = self.class_records(service.upstream_class)
-        records.service_ids.add(service_id)
-        records.changes.append(ClassChange(self.revision, service_id, True))
+        if is_moved:
+            records.service_ids.append(service_id)
+        records.note(ClassChange(self.revision, service_id, True))
 
     def _toggle(self, member: Member, step: int) -> None:
         """Puts a state into the hashes and counts, or takes it out again."""
@@ -369,6 +392,11 @@
     return Stamp(service.service_id, 0, service.revision)
 
 
+def _discard(keys: list[str], key: str) -> None:
+    if key in keys:
+        keys.remove(key)
+
+
 def _place_of(member: Member) -> tuple[bool, str, str, object]:
     is_gone = member.state is MemberState.GONE
     return (is_gone, member.region, member.failure_domain, member.control)
