--- a/tests/load/builders.py
+++ b/tests/load/builders.py
@@ -109,6 +109,7 @@
     repeatable: bool = False,
     now: float = 0.0,
     deadline: float = 30.0,
+    pinned: bool = False,
 ) -> Request:
     return Request(
         request_id=request_id,
@@ -119,4 +120,5 @@
         repeatable=repeatable,
         arrived_at=now,
         deadline=deadline,
+        pinned=pinned,
     )
