--- /dev/null
+++ b/tests/load/test_hand_over.py
@@ -0,0 +1,272 @@
+"""Reserve and run between agents: what is late, lost, doubled or dead."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinshift.core.errors import ErrorKind
+from siskinshift.core.requests import AnswerReservation
+from siskinshift.core.requests import CancelAtUpstream
+from siskinshift.core.requests import FailRequest
+from siskinshift.core.requests import RefuseRequest
+from siskinshift.core.requests import ReleaseAtPeer
+from siskinshift.core.requests import ReserveAtPeer
+from siskinshift.core.requests import RunAtPeer
+from siskinshift.core.requests import RunResult
+from siskinshift.core.requests import StartRequest
+from siskinshift.messages.load import ReserveSlot
+from tests.load.builders import SERVICE
+from tests.load.builders import a_gate
+from tests.load.builders import a_request
+
+
+if TYPE_CHECKING:
+    from siskinshift.core.requests import GateAction
+    from siskinshift.load.gate import LoadGate
+
+
+def a_wish(
+    reservation_id: str = "a/1", *, wait: float = 0.0, deadline_in: float = 30.0
+) -> ReserveSlot:
+    return ReserveSlot(
+        reservation_id=reservation_id,
+        sender_id="a",
+        service_id=SERVICE,
+        group_id="north",
+        caller="10.0.0.1",
+        wait=wait,
+        deadline_in=deadline_in,
+    )
+
+
+def a_busy_gate() -> tuple[LoadGate, ReserveAtPeer]:
+    """Makes a gate with one running request and one queued that asks a peer."""
+    gate = a_gate("a", peers=("b", "c"))
+    gate.submit(a_request(1), now=0.0)
+    (wish,) = gate.submit(a_request(2), now=0.0)
+    assert isinstance(wish, ReserveAtPeer)
+    return gate, wish
+
+
+def answer(
+    gate: LoadGate, wish: ReserveAtPeer, *, granted: bool, now: float = 0.01
+) -> list[GateAction]:
+    return gate.reservation_answered(
+        wish.request_id,
+        peer_id=wish.peer_id,
+        reservation_id=wish.reservation_id,
+        granted=granted,
+        now=now,
+    )
+
+
+def test_a_queued_request_runs_at_the_peer_that_holds_a_slot() -> None:
+    gate, wish = a_busy_gate()
+
+    actions = answer(gate, wish, granted=True)
+
+    assert actions == [RunAtPeer(2, wish.peer_id, wish.reservation_id)]
+    result = RunResult.ANSWERED
+    assert gate.finished(2, succeeded=True, now=0.1, result=result) == []
+    assert gate.known == 1
+
+
+def test_the_other_candidate_is_asked_when_the_first_refuses() -> None:
+    gate, first = a_busy_gate()
+
+    (second,) = answer(gate, first, granted=False)
+
+    assert isinstance(second, ReserveAtPeer)
+    assert {first.peer_id, second.peer_id} == {"b", "c"}
+    assert answer(gate, second, granted=False) == []
+    # Both were full, so the next try waits.
+    assert gate.tick(now=0.011) == []
+
+
+def test_a_request_that_started_here_gives_its_reservation_back() -> None:
+    """A peer would hold a slot for a request that runs elsewhere.
+
+    The own slot comes free while the wish is under way; the grant comes late.
+    """
+    gate, wish = a_busy_gate()
+
+    actions = gate.finished(1, succeeded=True, now=0.005)
+
+    release = ReleaseAtPeer(wish.peer_id, wish.reservation_id)
+    assert actions == [release, StartRequest(2)]
+    assert answer(gate, wish, granted=True) == [release]
+
+
+def test_a_grant_that_comes_twice_runs_the_request_once() -> None:
+    """A save would run at the peer twice.
+
+    The peer's grant is delivered a second time, after the run was offered.
+    """
+    gate, wish = a_busy_gate()
+    answer(gate, wish, granted=True)
+
+    again = answer(gate, wish, granted=True)
+
+    assert not any(isinstance(action, RunAtPeer | StartRequest) for action in again)
+
+
+def test_a_refusal_that_comes_after_the_grant_changes_nothing() -> None:
+    gate, wish = a_busy_gate()
+    answer(gate, wish, granted=True)
+
+    assert answer(gate, wish, granted=False) == []
+
+
+def test_a_peer_that_died_between_reserve_and_run_did_not_run_the_request() -> None:
+    """The caller must neither lose its save nor hear "may have run".
+
+    The peer grants a slot and dies; its system refuses the connection for the run, so
+    no byte was offered. The request waits again and runs here.
+    """
+    gate, wish = a_busy_gate()
+    answer(gate, wish, granted=True)
+
+    gate.finished(2, succeeded=False, now=0.02, result=RunResult.NOT_OFFERED)
+
+    assert StartRequest(2) in gate.finished(1, succeeded=True, now=0.1)
+
+
+def test_a_reply_lost_after_the_run_makes_the_outcome_unknown() -> None:
+    """A booking would be charged twice if it were run again.
+
+    The peer runs it and the reply is lost; whether it ran can't be told any more.
+    """
+    gate, wish = a_busy_gate()
+    answer(gate, wish, granted=True)
+
+    actions = gate.finished(2, succeeded=False, now=0.2, result=RunResult.LOST)
+
+    assert actions == [FailRequest(2, ErrorKind.UPSTREAM_FAILED)]
+    assert gate.finished(1, succeeded=True, now=0.3) == []
+
+
+def test_a_deadline_that_passes_before_the_grant_refuses_and_releases() -> None:
+    gate = a_gate("a", peers=("b", "c"))
+    gate.submit(a_request(1), now=0.0)
+    (wish,) = gate.submit(a_request(2, deadline=0.2), now=0.0)
+    assert isinstance(wish, ReserveAtPeer)
+
+    refusal, release = answer(gate, wish, granted=True, now=0.25)
+
+    assert isinstance(refusal, RefuseRequest)
+    assert refusal.error is ErrorKind.DEADLINE_EXCEEDED
+    assert release == ReleaseAtPeer(wish.peer_id, wish.reservation_id)
+
+
+def test_a_cancel_before_the_grant_refuses_and_gives_the_wish_back() -> None:
+    gate, wish = a_busy_gate()
+
+    release, refusal = gate.cancel(2, now=0.005)
+
+    assert release == ReleaseAtPeer(wish.peer_id, wish.reservation_id)
+    assert isinstance(refusal, RefuseRequest)
+    assert answer(gate, wish, granted=True) == [release]
+
+
+def test_a_cancel_after_the_run_was_offered_goes_to_the_peer() -> None:
+    gate, wish = a_busy_gate()
+    answer(gate, wish, granted=True)
+
+    assert gate.cancel(2, now=0.02) == [CancelAtUpstream(2)]
+    actions = gate.finished(2, succeeded=False, now=0.03, result=RunResult.LOST)
+    assert actions == [FailRequest(2, ErrorKind.CANCELLED_RUNNING)]
+
+
+def test_a_retried_request_is_never_handed_over() -> None:
+    gate = a_gate("a", peers=("b", "c"))
+    gate.submit(a_request(1, repeatable=True), now=0.0)
+    gate.finished(1, succeeded=False, now=0.1, result=RunResult.LOST)
+    gate.submit(a_request(2), now=0.1)
+
+    actions = gate.tick(now=0.9)
+
+    assert not any(isinstance(action, ReserveAtPeer) for action in actions)
+
+
+def test_a_stream_is_never_handed_over() -> None:
+    gate = a_gate("a", peers=("b", "c"))
+    gate.submit(a_request(1), now=0.0)
+
+    assert gate.submit(a_request(2, pinned=True), now=0.0) == []
+
+
+def test_a_reservation_is_used_once() -> None:
+    """A booking would run twice.
+
+    The message that offers it is delivered twice: a client repeats it on a kept
+    connection that broke, or an old one comes late.
+    """
+    gate = a_gate("b", slots=2)
+    assert gate.reserve(a_wish(), now=0.0) == [AnswerReservation("a/1", True)]
+
+    assert gate.run_reserved("a/1", now=0.001)
+    assert not gate.run_reserved("a/1", now=0.002)
+    gate.guest_finished("a/1", RunResult.ANSWERED, now=0.1)
+    assert not gate.run_reserved("a/1", now=0.2)
+    assert gate.reserve(a_wish(), now=0.3) == [AnswerReservation("a/1", False)]
+    assert gate.slots_taken == 0
+
+
+def test_a_wish_that_comes_after_its_release_holds_no_slot() -> None:
+    """A slot would stay empty until its reservation times out.
+
+    Two messages of one agent take different connections and change places.
+    """
+    gate = a_gate("b")
+    gate.release("a/1", now=0.0)
+
+    assert gate.reserve(a_wish(), now=0.001) == [AnswerReservation("a/1", False)]
+    assert gate.slots_taken == 0
+
+
+def test_a_slot_is_not_held_for_an_agent_that_died() -> None:
+    """The upstream would lose a slot for good.
+
+    An agent reserves a slot and dies before it sends the request. If its message comes
+    after all, once the slot was given to another, it is told that it did not run.
+    """
+    gate = a_gate("b")
+    gate.reserve(a_wish(), now=0.0)
+    gate.submit(a_request(1), now=0.1)
+    assert gate.slots_taken == 1
+
+    actions = gate.tick(now=0.3)
+
+    assert actions == [StartRequest(1)]
+    assert not gate.run_reserved("a/1", now=0.31)
+
+
+def test_a_waiting_wish_gets_the_next_slot_and_an_expired_one_is_answered() -> None:
+    gate = a_gate("b")
+    gate.submit(a_request(1), now=0.0)
+    assert gate.reserve(a_wish("a/1", wait=0.05), now=0.0) == []
+    assert gate.tick(now=0.06) == [AnswerReservation("a/1", False)]
+    assert gate.reserve(a_wish("a/2", wait=0.05), now=0.1) == []
+
+    actions = gate.finished(1, succeeded=True, now=0.12)
+
+    assert actions == [AnswerReservation("a/2", True)]
+
+
+def test_a_wish_does_not_go_before_own_waiting_requests() -> None:
+    gate = a_gate("b")
+    gate.submit(a_request(1), now=0.0)
+    gate.submit(a_request(2), now=0.0)
+
+    for wait in (0.0, 0.05):
+        (refusal,) = gate.reserve(a_wish(f"a/{wait}", wait=wait), now=0.0)
+        assert refusal == AnswerReservation(f"a/{wait}", False)
+
+
+def test_a_draining_agent_takes_no_requests_of_peers() -> None:
+    gate = a_gate("b")
+    gate.submit(a_request(1), now=0.0)
+    gate.reserve(a_wish("a/1", wait=0.05), now=0.0)
+
+    assert gate.refuse_guests(now=0.01) == [AnswerReservation("a/1", False)]
+    assert gate.reserve(a_wish("a/2"), now=0.2) == [AnswerReservation("a/2", False)]
