--- a/src/siskinshift/agent/upstream_connections.py
+++ b/src/siskinshift/agent/upstream_connections.py
@@ -95,8 +95,10 @@
     # An idle connection with something to read was closed, or speaks out of turn.
     if connection.sock is None:
         return True
+    # poll, because select refuses descriptors from 1024 on and an agent has more.
+    poll = select.poll()
     try:
-        readable, _, _ = select.select([connection.sock], [], [], 0)
+        poll.register(connection.sock, select.POLLIN)
+        return bool(poll.poll(0))
     except (OSError, ValueError):
         return True
-    return bool(readable)
--- a/src/siskinshift/demo/http3_client.py
+++ b/src/siskinshift/demo/http3_client.py
@@ -115,6 +115,10 @@
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
+        # poll, because select refuses descriptors from 1024 on.
+        self._poll = select.poll()
+        self._poll.register(self._socket, select.POLLIN)
+        self._poll.register(self._wake_reader, select.POLLIN)
         self._inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
         self._exchanges_by_stream: dict[int, _Exchange] = {}
         self._waiting: list[_Exchange] = []
@@ -207,7 +211,7 @@
         timeout = WAKE_SECONDS
         if timer is not None:
             timeout = min(max(timer - time.monotonic(), 0), timeout)
-        select.select([self._socket, self._wake_reader], [], [], timeout)
+        self._poll.poll(timeout * 1000)
         now = time.monotonic()
         if timer is not None and now >= timer:
             self._quic.handle_timer(now)
--- a/src/siskinshift/standins/http_upstream.py
+++ b/src/siskinshift/standins/http_upstream.py
@@ -85,8 +85,10 @@
 
     def is_cancelled(self) -> bool:
         """Tells whether the other side closed the connection."""
-        readable, _, _ = select.select([self.connection], [], [], 0)
-        return bool(readable)
+        # poll, because select refuses descriptors from 1024 on.
+        poll = select.poll()
+        poll.register(self.connection, select.POLLIN)
+        return bool(poll.poll(0))
 
     def log_message(self, format: str, *args: object) -> None:
         """Keeps quiet."""
