--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -31,8 +31,8 @@
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.messages.core import ServiceMode
+from siskinshift.observability.telemetry import Telemetry
 from siskinshift.runtime.application import Application
-from siskinshift.runtime.counters import Counters
 from siskinshift.runtime.datagrams import DatagramSocket
 from siskinshift.runtime.drops import DropRecorder
 from siskinshift.wire.codec import EnvelopeCodec
@@ -60,7 +60,8 @@
     def __init__(self, settings: Settings) -> None:
         super().__init__(settings)
         node = settings.node
-        self.counters = Counters()
+        self._telemetry = Telemetry(settings, clock=monotonic_clock)
+        self.counters = self._telemetry.counters
         key_ring = KeyRing(settings.keys)
         self._codec = EnvelopeCodec(key_ring)
         self._lock = threading.Lock()
@@ -93,7 +94,7 @@
             held_maximum=settings.agent.connections,
             spawn=self.spawn,
             clock=monotonic_clock,
-            counters=self.counters,
+            telemetry=self._telemetry,
         )
         self._request_flows = RequestFlows(
             settings=settings.agent,
@@ -153,6 +154,8 @@
 
     def on_start(self) -> None:
         """Opens the control server and starts to take flows."""
+        self._telemetry.start()
+        self.owns(self._telemetry.stop)
         self.owns(self._socket.close)
         self.owns(self._flows.close)
         self.owns(self._connections.close)
@@ -262,7 +265,11 @@
 
     def _on_flow_end(self, digest: int) -> None:
         with self._lock:
+            service_id = self._router.service_of(digest)
             actions = self._router.flow_ended(digest, now=monotonic_clock())
+        if service_id:
+            # A process that stops with flows left cuts them.
+            self._telemetry.flow_ended(service_id, broken=self.stopping.is_set())
         self._carry_out(actions)
 
     def _carry_out(self, actions: list[FlowAction]) -> None:
--- a/src/siskinshift/agent/hand_over.py
+++ b/src/siskinshift/agent/hand_over.py
@@ -364,9 +364,11 @@
         reply.on_too_large = exchange.cancel
         self._exchanges_by_reservation[message.reservation_id] = exchange
         result = RunResult.LOST
+        since = self._clock()
         try:
             result = exchange.run().result
         finally:
+            self._runner.slot_used(call, since=since)
             self._exchanges_by_reservation.pop(message.reservation_id, None)
             self._runner.guest_ended(message.reservation_id, result)
         return _run_reply(result, reply)
--- a/src/siskinshift/agent/request_runner.py
+++ b/src/siskinshift/agent/request_runner.py
@@ -7,6 +7,9 @@
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
+import attrs
+
+from siskinshift.agent.observed_reply import ObservedReply
 from siskinshift.agent.pinned_paths import PinnedPaths
 from siskinshift.agent.upstream_exchange import ExchangeEnd
 from siskinshift.agent.upstream_exchange import UpstreamExchange
@@ -30,8 +33,9 @@
     from siskinshift.core.requests import GateAction
     from siskinshift.core.views import View
     from siskinshift.load.gate import LoadGate
+    from siskinshift.messages.core import OutcomeKind
     from siskinshift.messages.load import UsageSums
-    from siskinshift.runtime.counters import Counters
+    from siskinshift.observability.telemetry import Telemetry
 
 
 Spawner: TypeAlias = Callable[..., object]
@@ -71,7 +75,7 @@
         held_maximum: int,
         spawn: Spawner,
         clock: Clock,
-        counters: Counters,
+        telemetry: Telemetry,
     ) -> None:
         """Prepares a runner without requests.
 
@@ -81,14 +85,15 @@
             held_maximum: Requests and streams held at once.
             spawn: Runs a task on a thread.
             clock: Clock of the process.
-            counters: Counters of the process.
+            telemetry: Takes outcomes and slot time.
         """
         self._gate = gate
         self._connections = connections
         self._held_maximum = held_maximum
         self._spawn = spawn
         self._clock = clock
-        self._counters = counters
+        self._telemetry = telemetry
+        self._counters = telemetry.counters
         self._lock = threading.Lock()
         self._calls_by_id: dict[int, Call] = {}
         self._exchanges_by_id: dict[int, UpstreamExchange] = {}
@@ -107,6 +112,7 @@
         Args:
             call: The request.
         """
+        call = self._observed(call)
         request_id = call.request.request_id
         with self._lock:
             is_full = len(self._calls_by_id) >= self._held_maximum
@@ -289,11 +295,8 @@
     def _start(self, action: StartRequest) -> None:
         with self._lock:
             call = self._calls_by_id[action.request_id]
-            exchange = UpstreamExchange(
-                call=call,
-                connections=self._connections,
-                clock=self._clock,
-                on_streaming=lambda: self._hold_as_stream(action.request_id),
+            exchange = self.exchange_for(
+                call, lambda: self._hold_as_stream(action.request_id)
             )
             self._exchanges_by_id[action.request_id] = exchange
             if action.request_id in self._cancelled_early:
@@ -353,8 +356,25 @@
         if self.hand_over is not None:
             self.hand_over.answer_reservation(action)
 
+    def _observed(self, call: Call) -> Call:
+        def report(outcome: OutcomeKind) -> None:
+            self._telemetry.request_ended(call.request, outcome)
+
+        return attrs.evolve(call, reply=ObservedReply(call.reply, report))
+
+    def slot_used(self, call: Call, *, since: float) -> None:
+        """Takes the end of a run in one of the upstream's slots.
+
+        Args:
+            call: What ran, an own request or a peer's.
+            since: Clock reading at its offer, seconds.
+        """
+        seconds = self._clock() - since
+        self._telemetry.slot_used(call.request.service_id, seconds=seconds)
+
     def _run(self, request_id: int, exchange: UpstreamExchange) -> None:
         end = None
+        since = self._clock()
         try:
             end = exchange.run()
         finally:
@@ -367,6 +387,7 @@
                 if end.is_answered:
                     self._calls_by_id.pop(request_id, None)
             if is_counted:
+                self.slot_used(exchange.call, since=since)
                 self._finish(request_id, end)
 
     def _hold_as_stream(self, request_id: int) -> None:
--- a/src/siskinshift/agent/upstream_exchange.py
+++ b/src/siskinshift/agent/upstream_exchange.py
@@ -70,7 +70,7 @@
             clock: Clock of the process.
             on_streaming: Called when the answer turns out to be an event stream.
         """
-        self._call = call
+        self.call = call
         self._connections = connections
         self._clock = clock
         self._on_streaming = on_streaming
@@ -87,7 +87,7 @@
         Returns:
             How it ended; a caller that got nothing is answered by the gate's decision.
         """
-        if self._call.request.deadline <= self._clock():
+        if self.call.request.deadline <= self._clock():
             return ExchangeEnd(RunResult.NOT_OFFERED)
         try:
             response = self._offer()
@@ -115,7 +115,7 @@
         if self._connection is not None:
             self._connection.close()
         if self._is_started:
-            self._call.reply.abort()
+            self.call.reply.abort()
             return ExchangeEnd(RunResult.LOST, is_answered=True)
         # "not run" may be said only while no byte was offered to the upstream.
         offered = self._is_offered
@@ -123,7 +123,7 @@
 
     def _offer(self) -> http.client.HTTPResponse:
         kept = None
-        if self._call.request.repeatable:
+        if self.call.request.repeatable:
             kept = self._connections.take_kept(timeout=self._remaining())
         if kept is None:
             return self._offer_on(self._connections.open(timeout=self._remaining()))
@@ -149,7 +149,7 @@
                 raise UpstreamUnreachableError("cancelled before it was offered")
             # From here on some bytes may have left, whatever an error says.
             self._is_offered = True
-        call = self._call
+        call = self.call
         headers = dict(call.headers)
         headers[TIMEOUT_HEADER] = str(int(self._remaining() * 1000))
         try:
@@ -171,16 +171,16 @@
             self._socket.settimeout(STREAM_SILENCE_SECONDS)
             self._on_streaming()
         self._is_started = True
-        self._call.reply.start(response.status, _end_to_end_headers(response))
+        self.call.reply.start(response.status, _end_to_end_headers(response))
         try:
             self._pass_body(response)
         except TimeoutError as error:
             connection.close()
-            raise UpstreamTimeoutError(self._call.path) from error
+            raise UpstreamTimeoutError(self.call.path) from error
         except (OSError, http.client.HTTPException, ValueError) as error:
             connection.close()
             raise UpstreamFailedError(str(error)) from error
-        self._call.reply.end()
+        self.call.reply.end()
         if response.will_close or self._is_cancelled:
             connection.close()
         else:
@@ -189,13 +189,13 @@
 
     def _pass_body(self, response: http.client.HTTPResponse) -> None:
         while chunk := response.read1(CHUNK_SIZE):
-            self._call.reply.data(chunk)
+            self.call.reply.data(chunk)
         # read1 says nothing of an answer that ends before its announced length.
         if response.length:
             raise http.client.IncompleteRead(b"", response.length)
 
     def _remaining(self) -> float:
-        return max(self._call.request.deadline - self._clock(), 0.001)
+        return max(self.call.request.deadline - self._clock(), 0.001)
 
 
 def _whole_end(status: int) -> ExchangeEnd:
--- a/src/siskinshift/balancer/application.py
+++ b/src/siskinshift/balancer/application.py
@@ -18,10 +18,10 @@
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
+from siskinshift.observability.telemetry import Telemetry
 from siskinshift.routing.chooser import AgentChooser
 from siskinshift.routing.chooser import DropPacket
 from siskinshift.runtime.application import Application
-from siskinshift.runtime.counters import Counters
 from siskinshift.runtime.datagrams import DatagramSocket
 from siskinshift.runtime.drops import DropRecorder
 from siskinshift.wire.codec import EnvelopeCodec
@@ -53,7 +53,8 @@
     def __init__(self, settings: Settings) -> None:
         super().__init__(settings)
         node = settings.node
-        self.counters = Counters()
+        self._telemetry = Telemetry(settings, clock=monotonic_clock)
+        self.counters = self._telemetry.counters
         key_ring = KeyRing(settings.keys)
         self._codec = EnvelopeCodec(key_ring)
         self._chooser = AgentChooser()
@@ -99,6 +100,8 @@
 
     def on_start(self) -> None:
         """Opens the control server and starts forwarding."""
+        self._telemetry.start()
+        self.owns(self._telemetry.stop)
         self.owns(self._socket.close)
         self.owns(self._server.server_close)
         self.owns(self._server.close_connections)
--- a/src/siskinshift/console/commands/report.py
+++ b/src/siskinshift/console/commands/report.py
@@ -25,9 +25,10 @@
     from siskinshift.report.exceptions import MetricsUnreachableError
     from siskinshift.report.renderers import render_report
     from siskinshift.report.scrape import scrape_all
-    from siskinshift.settings.loader import load_settings
+    from siskinshift.settings.generated import ObjectivesSettings
+    from siskinshift.settings.loader import load_section
 
-    objectives = load_settings(Path(settings)).objectives
+    objectives = load_section(Path(str(settings)), ObjectivesSettings)
     endpoints = endpoints_of(targets)
     scrape = scrape_all(endpoints)
     if len(scrape.silent) == len(endpoints):
--- a/src/siskinshift/console/exceptions.py
+++ b/src/siskinshift/console/exceptions.py
@@ -10,3 +10,9 @@
     """An argument that can't be used."""
 
     kind = ErrorKind.INVALID_ARGUMENT
+
+
+class ChangeNotFoundError(SiskinshiftError):
+    """A change that is not among the latest that took effect."""
+
+    kind = ErrorKind.NOT_FOUND
--- a/src/siskinshift/flows/router.py
+++ b/src/siskinshift/flows/router.py
@@ -152,6 +152,18 @@
         actions += [DropEnvelope(ErrorKind.HELD_TOO_LONG)] * dropped
         return actions
 
+    def service_of(self, digest: int) -> str:
+        """Names the service of an owned flow.
+
+        Args:
+            digest: Hash of the flow.
+
+        Returns:
+            Service id, or an empty text when the flow is not owned.
+        """
+        state = self._find(digest)
+        return state.service_id if state is not None else ""
+
     @property
     def flow_count(self) -> int:
         """Flows owned, ended ones that linger included."""
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -251,6 +251,25 @@
     imbalance_limit: float
 
 
+@frozen
+class ClientSettings:
+    """How the operators' commands reach the API; a file of its own.
+
+    Attributes:
+        endpoint: API endpoint of a balancer.
+        token: Bearer token, 16 characters or more.
+        authority_file: Certificates in PEM that the server's certificate is checked against.
+        server_name: Name in the server's certificate; empty for the endpoint's IP number.
+        timeout: Time allowed for one call. In seconds.
+    """
+
+    endpoint: Endpoint
+    token: Secret
+    authority_file: str
+    server_name: str
+    timeout: float
+
+
 @frozen
 class Settings:
     """All settings of a process.
@@ -287,6 +306,7 @@
         name="node",
         doc="Who this process is and where it listens.",
         settings_class=NodeSettings,
+        standalone=False,
         options=(
             Option(
                 name="node_id",
@@ -321,6 +341,7 @@
         name="keys",
         doc="Shared keys that authenticate the system's processes to each other.",
         settings_class=KeysSettings,
+        standalone=False,
         options=(
             Option(
                 name="current",
@@ -339,6 +360,7 @@
         name="kv",
         doc="The platform's key-value service.",
         settings_class=KvSettings,
+        standalone=False,
         options=(
             Option(
                 name="endpoints",
@@ -414,6 +436,7 @@
         name="membership",
         doc="How members find and watch each other.",
         settings_class=MembershipSettings,
+        standalone=False,
         options=(
             Option(
                 name="seeds",
@@ -498,6 +521,7 @@
         name="agent",
         doc="The agent beside an upstream.",
         settings_class=AgentSettings,
+        standalone=False,
         options=(
             Option(
                 name="upstream_class",
@@ -596,6 +620,7 @@
         name="flows",
         doc="How flows outlive change.",
         settings_class=FlowsSettings,
+        standalone=False,
         options=(
             Option(
                 name="settle_delay",
@@ -689,6 +714,7 @@
         name="api",
         doc="The operators' API of a balancer.",
         settings_class=ApiSettings,
+        standalone=False,
         options=(
             Option(
                 name="endpoints",
@@ -734,6 +760,7 @@
         name="load",
         doc="What is let in, what waits and where work goes under load.",
         settings_class=LoadSettings,
+        standalone=False,
         options=(
             Option(
                 name="queue_limit",
@@ -824,6 +851,7 @@
         name="logs",
         doc="Logs as JSON lines on standard error.",
         settings_class=LogsSettings,
+        standalone=False,
         options=(
             Option(
                 name="level",
@@ -838,6 +866,7 @@
         name="metrics",
         doc="Metrics by OpenTelemetry; off costs nothing.",
         settings_class=MetricsSettings,
+        standalone=False,
         options=(
             Option(
                 name="exporter",
@@ -873,6 +902,7 @@
         name="objectives",
         doc="Service-level objectives that `report burn` measures against.",
         settings_class=ObjectivesSettings,
+        standalone=False,
         options=(
             Option(
                 name="unbroken_flows",
@@ -912,4 +942,42 @@
             ),
         ),
     ),
+    Section(
+        name="client",
+        doc="How the operators' commands reach the API; a file of its own.",
+        settings_class=ClientSettings,
+        standalone=True,
+        options=(
+            Option(
+                name="endpoint",
+                type="endpoint",
+                doc="API endpoint of a balancer.",
+            ),
+            Option(
+                name="token",
+                type="secret",
+                doc="Bearer token, 16 characters or more.",
+            ),
+            Option(
+                name="authority_file",
+                type="str",
+                doc="Certificates in PEM that the server's certificate is checked against.",
+            ),
+            Option(
+                name="server_name",
+                type="str",
+                default="",
+                doc="Name in the server's certificate; empty for the endpoint's IP number.",
+            ),
+            Option(
+                name="timeout",
+                type="float",
+                unit="seconds",
+                minimum=1.0,
+                maximum=300.0,
+                default=20.0,
+                doc="Time allowed for one call.",
+            ),
+        ),
+    ),
 )
--- a/src/siskinshift/settings/loader.py
+++ b/src/siskinshift/settings/loader.py
@@ -6,6 +6,7 @@
 import difflib
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import TypeVar
 
 from siskinshift.core.endpoints import parse_endpoint
 from siskinshift.settings.exceptions import SettingsError
@@ -23,6 +24,8 @@
 
 SECRET_LENGTH_MINIMUM = 16
 
+SectionT = TypeVar("SectionT")
+
 
 class SettingsLoader:
     """Turns INI text into `Settings`, collecting every fault before it refuses."""
@@ -48,6 +51,36 @@
         Raises:
             SettingsError: The text is no INI or a value is not allowed.
         """
+        parser = self._parse(text)
+        values: dict[str, Any] = {
+            section.name: self._load_section(parser, section)
+            for section in SECTIONS
+            if not section.standalone
+        }
+        self._raise_problems()
+        return Settings(**values)
+
+    def load_one(self, text: str, settings_class: type[SectionT]) -> SectionT:
+        """Reads one section; others are checked for unknown keys only.
+
+        Args:
+            text: Content of an INI file.
+            settings_class: Generated class of the section.
+
+        Returns:
+            The section's settings, checked.
+
+        Raises:
+            SettingsError: The text is no INI or a value is not allowed.
+        """
+        parser = self._parse(text)
+        section = next(s for s in SECTIONS if s.settings_class is settings_class)
+        values = self._load_section(parser, section)
+        self._raise_problems()
+        assert isinstance(values, settings_class)
+        return values
+
+    def _parse(self, text: str) -> configparser.ConfigParser:
         parser = configparser.ConfigParser(interpolation=None)
         try:
             parser.read_string(text, source=self._source)
@@ -55,12 +88,11 @@
             problem = str(error).replace("\n", " ")
             raise SettingsError((f"{self._source}: {problem}",)) from error
         self._refuse_unknown(parser)
-        values: dict[str, Any] = {
-            section.name: self._load_section(parser, section) for section in SECTIONS
-        }
+        return parser
+
+    def _raise_problems(self) -> None:
         if self._problems:
             raise SettingsError(tuple(self._problems))
-        return Settings(**values)
 
     def _refuse_unknown(self, parser: configparser.ConfigParser) -> None:
         options_by_section = {s.name: {o.name for o in s.options} for s in SECTIONS}
@@ -155,8 +187,28 @@
     Raises:
         SettingsError: The file can't be read or a value is not allowed.
     """
+    return SettingsLoader(source=str(path)).load(_read_text(path))
+
+
+def load_section(path: Path, settings_class: type[SectionT]) -> SectionT:
+    """Reads one section of a settings file.
+
+    Args:
+        path: The INI file.
+        settings_class: Generated class of the section.
+
+    Returns:
+        The section's settings, checked.
+
+    Raises:
+        SettingsError: The file can't be read or a value is not allowed.
+    """
+    loader = SettingsLoader(source=str(path))
+    return loader.load_one(_read_text(path), settings_class)
+
+
+def _read_text(path: Path) -> str:
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError((f"{path}: can't be read: {error}",)) from error
-    return SettingsLoader(source=str(path)).load(text)
--- a/src/siskinshift/settings/options.py
+++ b/src/siskinshift/settings/options.py
@@ -53,10 +53,12 @@
         name: Section name in the INI file.
         doc: What the section is for.
         settings_class: Generated class that holds the values.
+        standalone: Whether it stands in a file of its own and not in `Settings`.
         options: Keys of the section in their order.
     """
 
     name: str
     doc: str
     settings_class: type
+    standalone: bool
     options: tuple[Option, ...]
--- a/src/siskinshift/settings/printer.py
+++ b/src/siskinshift/settings/printer.py
@@ -34,6 +34,7 @@
             for option in section.options
         }
         for section in SECTIONS
+        if not section.standalone
     }
     if output == "json":
         return orjson.dumps(values_by_section, option=orjson.OPT_INDENT_2).decode()
--- /dev/null
+++ b/tests/console/test_operators.py
@@ -0,0 +1,154 @@
+"""Tests of the operators' commands against a balancer's API over TLS."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import fire
+import pytest
+
+from siskinshift.api.exceptions import OperatorsCallError
+from siskinshift.console.exceptions import ArgumentError
+from siskinshift.console.exceptions import ChangeNotFoundError
+from siskinshift.console.operators import CLIENT_FILE_VARIABLE
+from siskinshift.console.registry import load_commands
+from siskinshift.core.errors import ErrorKind
+from siskinshift.settings.exceptions import SettingsError
+from tests.api.deployment import LOOPBACK
+from tests.api.deployment import OPERATOR_TOKEN
+from tests.api.deployment import ApiDeployment
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+    from pathlib import Path
+
+
+CREATE = "service create editor --addresses 10.0.0.1:443 --mode request"
+CREATE += " --upstream-class editor"
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[ApiDeployment]:
+    deployment = ApiDeployment(tmp_path_factory.mktemp("api"))
+    yield deployment
+    deployment.stop()
+
+
+@pytest.fixture
+def run(
+    deployment: ApiDeployment,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> Callable[[str], str]:
+    authority = tmp_path / "authority.pem"
+    authority.write_bytes(deployment.certificate)
+    client_file = tmp_path / "client.ini"
+    client_file.write_text(
+        f"[client]\nendpoint = {LOOPBACK}:{deployment.balancer.operators_ports[0]}\n"
+        f"token = {OPERATOR_TOKEN}\nauthority_file = {authority}\n"
+    )
+    monkeypatch.setenv(CLIENT_FILE_VARIABLE, str(client_file))
+
+    def run_line(line: str) -> str:
+        capsys.readouterr()
+        fire.Fire(load_commands(), command=line.split(), name="siskinshift")
+        return capsys.readouterr().out.strip()
+
+    return run_line
+
+
+def test_a_service_from_creation_to_deletion(
+    run: Callable[[str], str], tmp_path: Path
+) -> None:
+    token_file = tmp_path / "token"
+    token_file.write_text("a token of the treasurers\n")
+
+    assert run(CREATE).startswith("accepted at revision")
+    run(f"group put editor treasurers --share 3 --token-file {token_file}")
+    run("group put editor volunteers --share 1")
+    run("group share editor volunteers 2")
+    changed = json.loads(run("drain start editor editor-3 --output json"))
+    assert run(f"change find {changed['change_id']}").startswith("editor: took effect")
+    _wait_for(run, changed["revision"])
+
+    (service,) = json.loads(run("service list --output json"))
+    assert service["drained"] == ["editor-3"]
+    shares = {group["group_id"]: group["share"] for group in service["groups"]}
+    assert shares == {"treasurers": 3, "volunteers": 2}
+    assert "treasurers" in run("group list editor")
+    assert "editor" in run("service list")
+
+    revision = service["revision"]
+    replaced = json.loads(
+        run(
+            f"service replace editor --revision {revision}"
+            " --addresses 10.0.0.1:443,10.0.0.2:443 --output json"
+        )
+    )
+    _wait_for(run, replaced["revision"])
+    (service,) = json.loads(run("service list --output json"))
+    assert len(service["addresses"]) == 2
+    assert len(service["groups"]) == 2
+
+    run(f"service delete editor --revision {service['revision']}")
+
+
+def test_status_names_the_node_and_the_store(run: Callable[[str], str]) -> None:
+    text = run("status")
+
+    assert "key-value service answers" in text
+    assert json.loads(run("status --output json"))["store_available"] is True
+
+
+@pytest.mark.parametrize(
+    ("line", "kind"),
+    [
+        ("service delete nothing --revision 1", ErrorKind.NOT_FOUND),
+        ("group put nothing a --share 1", ErrorKind.NOT_FOUND),
+        (f"{CREATE} --importance -5", ErrorKind.INVALID_ARGUMENT),
+    ],
+)
+def test_a_refused_change_has_a_kind(
+    run: Callable[[str], str], line: str, kind: ErrorKind
+) -> None:
+    with pytest.raises(OperatorsCallError) as caught:
+        run(line)
+
+    assert caught.value.kind is kind
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "service list --output yaml",
+        "service create editor --addresses nowhere --mode request --upstream-class e",
+        "service create editor --addresses 10.0.0.1:1 --mode tcp --upstream-class e",
+        "service replace nothing --revision 1",
+        "group put editor a --share 1 --token-file /nonexistent/token",
+    ],
+)
+def test_a_bad_argument_is_named(run: Callable[[str], str], line: str) -> None:
+    with pytest.raises(ArgumentError, match=r"allowed|not in force|can't be read"):
+        run(line)
+
+
+def test_a_change_that_never_was_is_not_found(run: Callable[[str], str]) -> None:
+    with pytest.raises(ChangeNotFoundError):
+        run("change find no-such-change")
+
+
+def test_a_client_file_that_is_not_there_is_named(run: Callable[[str], str]) -> None:
+    with pytest.raises(SettingsError, match=r"missing\.ini"):
+        run("status --client /nonexistent/missing.ini")
+
+
+def _wait_for(run: Callable[[str], str], revision: int) -> None:
+    for _ in range(200):
+        status = json.loads(run("status --output json"))
+        if status["configuration_revision"] >= revision:
+            return
+    raise AssertionError("the change did not come into force")
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -122,14 +122,16 @@
         lines += ["", ""]
     lines += ["@frozen", "class Settings:"]
     lines += ['    """All settings of a process.', "", "    Attributes:"]
-    for name, section in sections.items():
-        lines.append(f"        {name}: {section['doc']}")
+    shared = [name for name in sections if not sections[name].get("standalone")]
+    lines += [f"        {name}: {sections[name]['doc']}" for name in shared]
     lines += ['    """', ""]
-    lines += [f"    {name}: {name.capitalize()}Settings" for name in sections]
+    lines += [f"    {name}: {name.capitalize()}Settings" for name in shared]
     lines += ["", "", "SECTIONS: tuple[Section, ...] = ("]
     for name, section in sections.items():
         lines += [f"    Section(name={name!r}, doc={section['doc']!r},"]
-        lines += [f"        settings_class={name.capitalize()}Settings,", "options=("]
+        lines += [f"        settings_class={name.capitalize()}Settings,"]
+        lines += [f"        standalone={section.get('standalone', False)},"]
+        lines += ["options=("]
         for key, option in section["options"].items():
             lines.append(f"        Option(name={key!r},")
             lines += [f"            {k}={_literal(v)}," for k, v in option.items()]
