--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,9 @@
 binary: environment
 	$(PYTHON) -m tools.build_binary
 	$(PYTHON) -m pytest binary_tests
+
+print-python:
+	@echo $(PYTHON)
+
+trial: environment
+	$(PYTHON) -m siskinshift trial
--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -232,6 +232,10 @@
 
     def _on_view(self, view: View) -> None:
         self._hand_over.update(view)
+        for service in view.services_by_id.values():
+            # An agent without work counts for the imbalance as well.
+            if service.upstream_class == self.settings.agent.upstream_class:
+                self._telemetry.slot_used(service.service_id, seconds=0.0)
         self._runner.update(view, upstream_class=self.settings.agent.upstream_class)
         with self._lock:
             actions = self._router.update(view, now=monotonic_clock())
--- a/src/siskinshift/console/commands/group.py
+++ b/src/siskinshift/console/commands/group.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import hashlib
 from pathlib import Path
 
-from siskinshift.console.exceptions import ArgumentError
 from siskinshift.console.operators import is_json
 from siskinshift.console.operators import operators_client
 from siskinshift.console.operators import write_accepted
 from siskinshift.console.operators import write_json
 from siskinshift.console.operators import write_table
 from siskinshift.console.registry import command
+from siskinshift.console.tokens import token_digest
 from siskinshift.messages.core import Group
 
 
@@ -45,7 +44,7 @@
         output: text or json.
     """
     as_json = is_json(output)
-    digest = _token_digest(str(token_file)) if token_file else ""
+    digest = token_digest(Path(str(token_file))) if token_file else ""
     group = Group(group_id=str(group_id), share=share, credential_sha256=digest)
     with operators_client(client) as operators:
         change = operators.put_group(
@@ -139,13 +138,3 @@
         for group in one.groups
     ]
     return write_table(("service", "group", "share", "has token"), rows)
-
-
-def _token_digest(path: str) -> str:
-    try:
-        token = Path(path).read_text(encoding="utf-8").strip()
-    except (OSError, UnicodeDecodeError) as error:
-        raise ArgumentError(f"--token-file {path}: can't be read: {error}") from error
-    if not token:
-        raise ArgumentError(f"--token-file {path}: is empty")
-    return hashlib.sha256(token.encode()).hexdigest()
--- a/src/siskinshift/console/commands/service.py
+++ b/src/siskinshift/console/commands/service.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING
 
+import attrs
+
 from siskinshift.console.arguments import endpoints_of
 from siskinshift.console.arguments import texts_of
 from siskinshift.console.exceptions import ArgumentError
@@ -13,7 +16,9 @@
 from siskinshift.console.operators import write_json
 from siskinshift.console.operators import write_table
 from siskinshift.console.registry import command
+from siskinshift.console.tokens import token_digest
 from siskinshift.core.endpoints import format_endpoint
+from siskinshift.messages.core import Group
 from siskinshift.messages.core import Service
 from siskinshift.messages.core import ServiceMode
 
@@ -33,14 +38,16 @@
     upstream_class: str,
     importance: int = DEFAULT_IMPORTANCE,
     placement: str = "",
+    groups: str = "",
+    tokens_folder: str = "",
     change_id: str = "",
     client: str = "",
     output: str = "text",
 ) -> str:
-    """Creates a service without groups.
+    """Creates a service, with its groups if they are named.
 
     Example: siskinshift service create editor --addresses 10.0.0.1:443 \
-      --mode request --upstream-class editor
+      --mode request --upstream-class editor --groups treasurers=3,volunteers=1
 
     Args:
         service_id: Name of the service.
@@ -49,6 +56,8 @@
         upstream_class: Agents of this class serve it.
         importance: Higher goes first where services meet.
         placement: Failure domains allowed, comma-separated; empty for all.
+        groups: Groups with their shares, such as treasurers=3,volunteers=1.
+        tokens_folder: Folder with a file GROUP.token for each group; empty for none.
         change_id: Id to find the change by; empty for a new one.
         client: INI file with section [client].
         output: text or json.
@@ -57,6 +66,8 @@
     service = _service(
         service_id, addresses, mode, upstream_class, importance, placement
     )
+    named = tuple(_group(text, str(tokens_folder)) for text in texts_of(groups))
+    service = attrs.evolve(service, groups=named)
     with operators_client(client) as operators:
         change = operators.create_service(service, change_id=str(change_id))
     return write_accepted(change, as_json=as_json)
@@ -185,6 +196,16 @@
     return services[0]
 
 
+def _group(text: str, tokens_folder: str) -> Group:
+    group_id, _, share = text.partition("=")
+    if not share.isdecimal():
+        raise ArgumentError(f"--groups {text}: allowed: NAME=SHARE, a whole number")
+    digest = ""
+    if tokens_folder:
+        digest = token_digest(Path(tokens_folder) / f"{group_id}.token")
+    return Group(group_id=group_id, share=int(share), credential_sha256=digest)
+
+
 def _service(
     service_id: str,
     addresses: str,
--- a/src/siskinshift/console/commands/standin.py
+++ b/src/siskinshift/console/commands/standin.py
@@ -9,6 +9,7 @@
 
 
 DEFAULT_SEED = 1
+CALL_SECONDS = 30.0
 DEFAULT_SLOTS = 1
 
 
@@ -61,3 +62,44 @@
     run_until_signal(
         UpstreamStandIn(name=name, endpoint=endpoint_of(listen), slots=slots)
     )
+
+
+@command("standin caller")
+def run_caller(
+    address: str,
+    path: str = "/",
+    method: str = "GET",
+    body: str = "",
+    token_file: str = "",
+    count: int = 1,
+) -> None:
+    """Sends requests by HTTP/3 and prints the answers; does not check certificates.
+
+    Args:
+        address: Service address.
+        path: Path of the requests.
+        method: HTTP method.
+        body: Body of each request.
+        token_file: File with a group's token; empty for none.
+        count: Number of requests, one after the other.
+    """
+    from concurrent.futures import ThreadPoolExecutor
+    from pathlib import Path
+
+    from siskinshift.console.tokens import read_token
+    from siskinshift.demo.http3_client import Http3Client
+
+    headers: dict[str, str] = {}
+    if token_file:
+        headers["authorization"] = f"Bearer {read_token(Path(str(token_file)))}"
+    endpoint = endpoint_of(address)
+    with ThreadPoolExecutor(1, "caller") as executor:
+        client = Http3Client(endpoint, executor=executor)
+        for _ in range(count):
+            answer = client.request(
+                str(method), str(path), headers=headers, body=str(body).encode()
+            ).result(CALL_SECONDS)
+            text = answer.body.decode(errors="replace")
+            outcome = answer.fields.get("siskinshift-outcome", "answered")
+            print(f"{answer.status} {outcome} {text}")
+        client.close()
--- a/src/siskinshift/demo/deployment.py
+++ b/src/siskinshift/demo/deployment.py
@@ -7,6 +7,7 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -30,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from siskinshift.messages.core import Member
     from siskinshift.settings.generated import Settings
@@ -93,6 +95,8 @@
         upstreams_by_id: Upstream stand-ins by the id of their agent.
         services_by_id: Configured services.
         killed: Agents whose instance died.
+        certificate_path: Certificate of the service addresses, in PEM.
+        private_key_path: Its key.
     """
 
     def __init__(
@@ -102,6 +106,7 @@
         plans: tuple[ServicePlan, ...],
         balancers: int,
         failure_domains: int = 1,
+        addresses_by_service: Mapping[str, Endpoint] = MappingProxyType({}),
     ) -> None:
         """Prepares a deployment.
 
@@ -110,6 +115,7 @@
             plans: Its services.
             balancers: Number of balancers.
             failure_domains: Number of failure domains that processes are spread over.
+            addresses_by_service: Service addresses that are not to be free ports.
         """
         self._name = name
         self._failure_domains = failure_domains
@@ -118,7 +124,14 @@
         self._balancer_count = balancers
         self._seeds = [free_endpoint() for _ in range(balancers)]
         self.kv = KvStandIn(Endpoint(LOOPBACK, 0))
-        self.services_by_id = {plan.service_id: _service(plan) for plan in plans}
+        self.services_by_id = {
+            plan.service_id: _service(
+                plan,
+                addresses_by_service.get(plan.service_id)
+                or free_endpoint(socket.SOCK_DGRAM),
+            )
+            for plan in plans
+        }
         addresses = [s.addresses[0] for s in self.services_by_id.values()]
         self.fabric = FabricStandIn(
             addresses=addresses,
@@ -131,21 +144,35 @@
         self.killed: set[str] = set()
         self.upstreams_by_id: dict[str, UpstreamStandIn] = {}
         self._directory = tempfile.TemporaryDirectory(prefix="siskinshift-")
-        self._certificate, self._key = write_certificate(Path(self._directory.name))
+        self.certificate_path, self.private_key_path = write_certificate(
+            Path(self._directory.name)
+        )
 
     def start(self) -> None:
         """Starts stand-ins, writes the configuration, starts all processes."""
         self.kv.start()
         self.fabric.start()
-        store = self.operator_store()
-        for service in self.services_by_id.values():
-            store.write(service)
+        self.write_configuration()
         for index, seed in enumerate(self._seeds):
             self.start_balancer(index, seed)
         for plan in self._plans:
             for index in range(plan.upstreams):
                 self.start_agent(plan, index)
 
+    def write_configuration(self) -> None:
+        """Writes the services as an operator would."""
+        store = self.operator_store()
+        for service in self.services_by_id.values():
+            store.write(service)
+
+    def balancer_lines(self) -> list[str]:
+        """Gives settings that balancers have besides."""
+        return []
+
+    def agent_lines(self) -> list[str]:
+        """Gives settings that agents have besides."""
+        return []
+
     def start_balancer(self, index: int, control: Endpoint) -> BalancerApplication:
         """Starts a balancer and shows it to the fabric.
 
@@ -157,7 +184,8 @@
             The running balancer.
         """
         node_id = f"{self._name}-balancer-{index}"
-        balancer = BalancerApplication(self._settings(node_id, control=control))
+        settings = self._settings(node_id, control=control, extra=self.balancer_lines())
+        balancer = BalancerApplication(settings)
         balancer.start()
         self.balancers_by_id[node_id] = balancer
         self.refresh_fabric()
@@ -190,9 +218,10 @@
             f"upstream_class = {plan.service_id}",
             f"upstream_endpoint = {format_endpoint(upstream.endpoint)}",
             f"slots = {plan.slots}",
-            f"certificate_file = {self._certificate}",
-            f"private_key_file = {self._key}",
+            f"certificate_file = {self.certificate_path}",
+            f"private_key_file = {self.private_key_path}",
             f"fabric_return = {format_endpoint(self.fabric.return_endpoint)}",
+            *self.agent_lines(),
         ]
         agent = AgentApplication(self._settings(node_id, extra=agent_lines))
         agent.start()
@@ -301,10 +330,10 @@
         return SettingsLoader(source=node_id).load("\n".join(lines))
 
 
-def _service(plan: ServicePlan) -> Service:
+def _service(plan: ServicePlan, address: Endpoint) -> Service:
     return Service(
         service_id=plan.service_id,
-        addresses=(free_endpoint(socket.SOCK_DGRAM),),
+        addresses=(address,),
         mode=plan.mode,
         upstream_class=plan.upstream_class or plan.service_id,
         groups=(Group(group_id="default", share=1),),
