--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,7 @@
 binary: environment
 	$(PYTHON) -m tools.build_binary
 	$(PYTHON) -m pytest binary_tests
+
+.PHONY: bench-control
+bench-control: environment
+	$(PYTHON) -m siskinshift.bench.control
--- a/src/siskinshift/membership/assignment.py
+++ b/src/siskinshift/membership/assignment.py
@@ -32,7 +32,16 @@
 
 
 @define(eq=False)
-class _Domain:
+class DomainBalancers:
+    """Live balancers of one failure domain.
+
+    Attributes:
+        name: Region and failure domain.
+        seed: Hash of the name.
+        balancers: The balancers, ordered by id.
+        seeds: Hash of each one's id.
+    """
+
     name: str
     seed: int
     balancers: list[Member] = field(factory=list)
@@ -52,8 +61,8 @@
         Args:
             members: Known members; others than live balancers are passed over.
         """
-        self._domains_by_region: dict[str, dict[str, _Domain]] = {}
-        self._all_domains: dict[str, _Domain] = {}
+        self._domains_by_region: dict[str, dict[str, DomainBalancers]] = {}
+        self._all_domains: dict[str, DomainBalancers] = {}
         balancers = (
             member
             for member in members
@@ -74,7 +83,7 @@
         key = member.member_id.encode()
         watchers: list[Member] = []
         for domain, quota in self._quotas(member, key):
-            watchers += _ranked(domain, member.member_id, key)[:quota]
+            watchers += self.ranked(domain, member.member_id, key)[:quota]
         return tuple(watchers)
 
     def watches(self, balancer: Member, member: Member) -> bool:
@@ -91,7 +100,7 @@
         for domain, quota in self._quotas(member, key):
             if domain.name != domain_of(balancer):
                 continue
-            ranked = _ranked(domain, member.member_id, key)[:quota]
+            ranked = self.ranked(domain, member.member_id, key)[:quota]
             return any(one.member_id == balancer.member_id for one in ranked)
         return False
 
@@ -109,17 +118,41 @@
         ids = tuple(one.member_id for one in own.balancers) if own else ()
         return (tuple(sorted(self._all_domains)), ids)
 
+    def ranked(self, domain: DomainBalancers, own_id: str, key: bytes) -> list[Member]:
+        """Ranks the balancers of one failure domain for a member.
+
+        Args:
+            domain: The failure domain.
+            own_id: The member's id; it is left out.
+            key: The same as bytes.
+
+        Returns:
+            The first WATCHER_COUNT.
+        """
+        digest = xxhash.xxh3_64_intdigest
+        scored = [
+            (digest(key, seed), balancer)
+            for seed, balancer in zip(domain.seeds, domain.balancers, strict=True)
+            if balancer.member_id != own_id
+        ]
+        best = []
+        for _ in range(min(WATCHER_COUNT, len(scored))):
+            top = max(scored, key=lambda pair: pair[0])
+            scored.remove(top)
+            best.append(top[1])
+        return best
+
     def _add(self, balancer: Member) -> None:
         name = domain_of(balancer)
         domains = self._domains_by_region.setdefault(balancer.region, {})
         domain = domains.get(name)
         if domain is None:
-            domain = domains[name] = _Domain(name=name, seed=_seed_of(name))
+            domain = domains[name] = DomainBalancers(name=name, seed=_seed_of(name))
             self._all_domains[name] = domain
         domain.balancers.append(balancer)
         domain.seeds.append(_seed_of(balancer.member_id))
 
-    def _quotas(self, member: Member, key: bytes) -> list[tuple[_Domain, int]]:
+    def _quotas(self, member: Member, key: bytes) -> list[tuple[DomainBalancers, int]]:
         domains = self._domains_by_region.get(member.region, self._all_domains)
         digest = xxhash.xxh3_64_intdigest
         ranked = sorted(
@@ -130,18 +163,3 @@
             (domain, (WATCHER_COUNT - rank + count - 1) // count)
             for rank, domain in enumerate(ranked[:WATCHER_COUNT])
         ]
-
-
-def _ranked(domain: _Domain, own_id: str, key: bytes) -> list[Member]:
-    digest = xxhash.xxh3_64_intdigest
-    scored = [
-        (digest(key, seed), balancer)
-        for seed, balancer in zip(domain.seeds, domain.balancers, strict=True)
-        if balancer.member_id != own_id
-    ]
-    best = []
-    for _ in range(min(WATCHER_COUNT, len(scored))):
-        top = max(scored, key=lambda pair: pair[0])
-        scored.remove(top)
-        best.append(top[1])
-    return best
