--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import threading
+from random import Random
 from typing import TYPE_CHECKING
 
 from siskinshift.agent.datagram_flows import DatagramFlows
+from siskinshift.agent.hand_over import HandOver
 from siskinshift.agent.life import AgentLife
 from siskinshift.agent.request_flows import RequestFlows
 from siskinshift.agent.request_runner import RequestRunner
-from siskinshift.agent.slot_gate import SlotGate
 from siskinshift.agent.upstream_connections import UpstreamConnections
 from siskinshift.control.server import ControlRoutes
 from siskinshift.control.server import ControlServer
@@ -24,6 +25,7 @@
 from siskinshift.flows.actions import SendNotes
 from siskinshift.flows.courier import NotesCourier
 from siskinshift.flows.router import FlowRouter
+from siskinshift.load.gate import LoadGate
 from siskinshift.membership.node import MembershipNode
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
@@ -78,8 +80,14 @@
         )
         self._connections = UpstreamConnections(settings.agent.upstream_endpoint)
         self._runner = RequestRunner(
-            gate=SlotGate(
-                slots=settings.agent.slots, queue_maximum=settings.agent.queue_maximum
+            gate=LoadGate(
+                member_id=node.node_id,
+                incarnation=incarnation,
+                slots=settings.agent.slots,
+                ramp_time=settings.flows.ramp_duration,
+                settings=settings.load,
+                random=Random(),
+                now=monotonic_clock(),
             ),
             connections=self._connections,
             held_maximum=settings.agent.connections,
@@ -97,6 +105,17 @@
             on_flow_end=self._on_flow_end,
         )
         routes = ControlRoutes()
+        self._hand_over = HandOver(
+            member_id=node.node_id,
+            upstream_class=settings.agent.upstream_class,
+            runner=self._runner,
+            routes=routes,
+            key_ring=key_ring,
+            spawn=self.spawn,
+            clock=monotonic_clock,
+            counters=self.counters,
+            random=Random(),
+        )
         self._courier = NotesCourier(
             application=self,
             routes=routes,
@@ -137,6 +156,7 @@
         self.owns(self._socket.close)
         self.owns(self._flows.close)
         self.owns(self._connections.close)
+        self.owns(self._hand_over.close)
         self.owns(self._server.server_close)
         self.owns(self._server.close_connections)
         self.owns(self._server.shutdown)
@@ -149,12 +169,14 @@
 
     def on_stop(self) -> None:
         """Says good-bye to callers and ends exchanges with the upstream."""
-        self._request_flows.close()
+        self._request_flows.close(is_silent=self.is_abandoned)
         self._runner.cancel_all()
+        self._hand_over.cancel_all()
 
     def drain(self) -> None:
         """Gives buckets away and takes no new flows; owned flows go on."""
         self._life.drain(now=monotonic_clock())
+        self._runner.refuse_guests()
 
     def leave(self, at_once: threading.Event) -> None:
         """Drains and waits until nothing would be cut, or the time allowed is over.
@@ -170,6 +192,7 @@
 
     def _has_left(self) -> bool:
         held = len(self._flows) + len(self._request_flows) + len(self._runner)
+        held += len(self._hand_over)
         return held == 0 and self._life.is_announced_draining
 
     def _step_life(self) -> None:
@@ -205,6 +228,8 @@
         )
 
     def _on_view(self, view: View) -> None:
+        self._hand_over.update(view)
+        self._runner.update(view, upstream_class=self.settings.agent.upstream_class)
         with self._lock:
             actions = self._router.update(view, now=monotonic_clock())
         self._carry_out(actions)
--- a/src/siskinshift/agent/request_connection.py
+++ b/src/siskinshift/agent/request_connection.py
@@ -193,8 +193,9 @@
         elif isinstance(command, GoAway):
             self._go_away()
         elif isinstance(command, CloseConnection):
-            self._close()
-            self._flush()
+            if not command.is_silent:
+                self._close()
+                self._flush()
             self._is_terminated = True
         else:
             self._answer(command)
@@ -319,6 +320,9 @@
             repeatable=head.is_repeatable,
             arrived_at=now,
             deadline=now + head.timeout,
+            pinned=self._runner.pinned_paths.is_pinned(
+                head.path, head.headers, body_size=len(stream.body)
+            ),
         )
         call = Call(
             request=request,
@@ -368,5 +372,7 @@
         self._quic.close(error_code=ErrorCode.H3_NO_ERROR)
 
     def _flush(self) -> None:
+        if self._is_terminated:
+            return
         for datagram, _ in self._quic.datagrams_to_send(self._clock()):
             self._send(datagram)
