--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,7 @@
 
 trial: environment
 	$(PYTHON) -m siskinshift trial
+
+.PHONY: bench-control
+bench-control: environment
+	$(PYTHON) -m siskinshift.bench.control
