--- a/src/siskinshift/balancer/application.py
+++ b/src/siskinshift/balancer/application.py
@@ -161,6 +161,8 @@
 
     def _announce_entry_slot(self, revision: int) -> None:
         self.counters.add("kv.entry_slot_taken" if revision else "kv.entry_slot_lost")
+        if not self.stopping.is_set():
+            self.membership.announce_entry_slot(revision)
 
     def _take_services(self, services: list[Service]) -> None:
         if self.membership.services.merge_all(services):
--- a/src/siskinshift/membership/agent.py
+++ b/src/siskinshift/membership/agent.py
@@ -171,15 +171,25 @@
         """
         self._announcer.on_failure(call.endpoint, now=now)
 
-    def change_own(self, *, state: MemberState, weight: int, now: float) -> None:
+    def change_own(
+        self,
+        *,
+        state: MemberState,
+        weight: int,
+        now: float,
+        entry_slot: int | None = None,
+    ) -> None:
         """Changes what the agent says of itself.
 
         Args:
             state: New state.
             weight: New weight, 0 to 1000.
             now: Clock reading, seconds.
+            entry_slot: New revision of the entry slot held; None to keep it.
         """
-        self._announcer.change(state=state, weight=weight, now=now)
+        self._announcer.change(
+            state=state, weight=weight, now=now, entry_slot=entry_slot
+        )
         self.table.merge(self.own, now=now)
 
     def services_changed(self, *, now: float) -> None:
--- a/src/siskinshift/membership/announcer.py
+++ b/src/siskinshift/membership/announcer.py
@@ -88,16 +88,30 @@
         """Watchers announced to."""
         return tuple(self._targets_by_endpoint)
 
-    def change(self, *, state: MemberState, weight: int, now: float) -> None:
+    def change(
+        self,
+        *,
+        state: MemberState,
+        weight: int,
+        now: float,
+        entry_slot: int | None = None,
+    ) -> None:
         """Changes the own state and makes every watcher due at once.
 
         Args:
             state: New state.
             weight: New weight, 0 to 1000.
             now: Clock reading, seconds.
+            entry_slot: New revision of the entry slot held, 0 for none; None to keep
+                what was said last.
         """
-        version = own_version_above(self.own.version)
-        self.own = attrs.evolve(self.own, state=state, weight=weight, version=version)
+        self.own = attrs.evolve(
+            self.own,
+            state=state,
+            weight=weight,
+            version=own_version_above(self.own.version),
+            entry_slot=self.own.entry_slot if entry_slot is None else entry_slot,
+        )
         self._hurry(now)
 
     def refute(self, known: Stamp, *, now: float) -> bool:
--- a/src/siskinshift/membership/balancer.py
+++ b/src/siskinshift/membership/balancer.py
@@ -240,15 +240,25 @@
             case Digest() | Compare():
                 self._comparison.on_failure(call.endpoint, now=now)
 
-    def change_own(self, *, state: MemberState, weight: int, now: float) -> None:
+    def change_own(
+        self,
+        *,
+        state: MemberState,
+        weight: int,
+        now: float,
+        entry_slot: int | None = None,
+    ) -> None:
         """Changes what the balancer says of itself.
 
         Args:
             state: New state.
             weight: New weight, 0 to 1000.
             now: Clock reading, seconds.
+            entry_slot: New revision of the entry slot held; None to keep it.
         """
-        self._announcer.change(state=state, weight=weight, now=now)
+        self._announcer.change(
+            state=state, weight=weight, now=now, entry_slot=entry_slot
+        )
         self._merge(self.own, None, now)
 
     def services_changed(self, *, now: float) -> None:
--- a/src/siskinshift/membership/node.py
+++ b/src/siskinshift/membership/node.py
@@ -119,6 +119,22 @@
             self._participant.change_own(state=state, weight=weight, now=self._clock())
             self._notify()
 
+    def announce_entry_slot(self, revision: int) -> None:
+        """Tells peers of the entry slot that this balancer took or lost.
+
+        Args:
+            revision: Revision at which it was taken; 0 once it is lost.
+        """
+        with self._wake:
+            own = self._participant.own
+            self._participant.change_own(
+                state=own.state,
+                weight=own.weight,
+                now=self._clock(),
+                entry_slot=revision,
+            )
+            self._notify()
+
     def services_changed(self) -> None:
         """Passes on and publishes configuration that was merged into `services`."""
         with self._wake:
--- a/src/siskinshift/membership/participant.py
+++ b/src/siskinshift/membership/participant.py
@@ -48,7 +48,14 @@
     def on_failure(self, call: Call, *, now: float) -> None:
         """Takes note that a call was not answered."""
 
-    def change_own(self, *, state: MemberState, weight: int, now: float) -> None:
+    def change_own(
+        self,
+        *,
+        state: MemberState,
+        weight: int,
+        now: float,
+        entry_slot: int | None = None,
+    ) -> None:
         """Changes what the process says of itself."""
 
     def services_changed(self, *, now: float) -> None:
