--- a/src/siskinshift/demo/callers.py
+++ b/src/siskinshift/demo/callers.py
@@ -19,7 +19,7 @@
 # Datagrams may be lost while a balancer is dead and the fabric still sends to it;
 # a flow counts as broken when none of these gets an answer.
 TRIES = 6
-PAUSE_SECONDS = 0.4
+PAUSE_SECONDS = 0.8
 
 
 class DatagramCaller:
@@ -123,7 +123,8 @@
             ledger.add("datagrams")
             if is_answered and len(caller.owners) == 1:
                 continue
-            ledger.broken(caller.owners[0] if caller.owners else "")
+            how = "owner changed" if is_answered else "feed silent"
+            ledger.flow_ended(caller.owners[0] if caller.owners else "", how)
             self._close(caller, ledger)
             caller = self._open(ledger)
         self._close(caller, ledger)
--- a/src/siskinshift/demo/figures.py
+++ b/src/siskinshift/demo/figures.py
@@ -28,6 +28,7 @@
         flows_opened: Datagram flows and event streams that callers opened.
         flows_broken_planned: Flows that broke though their owner lived.
         flows_broken_unplanned: Flows that broke because their owner died.
+        flows_not_established: Flows that got no answer at all for several seconds.
         packets_misdelivered: Datagrams and requests at an upstream of another service.
         datagrams: Datagrams that callers had answered or gave up.
         requests: Requests that callers sent.
@@ -47,6 +48,7 @@
     flows_opened: int
     flows_broken_planned: int
     flows_broken_unplanned: int
+    flows_not_established: int
     packets_misdelivered: int
     datagrams: int
     requests: int
@@ -110,6 +112,7 @@
         flows_opened=ledger.counts["flows_opened"],
         flows_broken_planned=len(ledger.broken_owners) - unplanned,
         flows_broken_unplanned=unplanned,
+        flows_not_established=ledger.counts["flows_not_established"],
         packets_misdelivered=at_stand_ins + len(ledger.misdelivered),
         datagrams=ledger.counts["datagrams"],
         requests=ledger.counts["requests"],
--- a/src/siskinshift/demo/ledger.py
+++ b/src/siskinshift/demo/ledger.py
@@ -42,14 +42,19 @@
         with self._lock:
             self.counts[name] += amount
 
-    def broken(self, owner: str) -> None:
-        """Records a flow that broke.
+    def flow_ended(self, owner: str, how: str) -> None:
+        """Records a flow that ended against its caller's will.
 
         Args:
-            owner: Upstream that owned it.
+            owner: Upstream that owned it; empty when it was never established.
+            how: What the caller saw.
         """
         with self._lock:
-            self.broken_owners.append(owner)
+            if owner:
+                self.broken_owners.append(owner)
+            else:
+                self.counts["flows_not_established"] += 1
+            self.counts[f"ended.{how}"] += 1
 
     def answered_by(self, service_id: str, upstream: str) -> None:
         """Checks that an answer comes from the service that was called.
--- a/src/siskinshift/demo/request_callers.py
+++ b/src/siskinshift/demo/request_callers.py
@@ -26,10 +26,10 @@
 
 OK_STATUS = 200
 ANSWER_TIMEOUT_SECONDS = 10.0
-# Events come five times a second; this long without one means that the flow is dead.
+# Events come twice a second; this long without one means that the flow is dead.
 STREAM_SILENCE_SECONDS = 5.0
 # Within this time of a GOAWAY the caller has its stream on another connection.
-FIRST_EVENT_SECONDS = 5.0
+FIRST_EVENT_SECONDS = 8.0
 PAUSE_SECONDS = 0.1
 DOCUMENT_SIZE = 40_000
 
@@ -160,7 +160,13 @@
 
     def is_alive(self) -> bool:
         silence = time.monotonic() - self.last_event_at
-        return not self.future.done() and silence < STREAM_SILENCE_SECONDS
+        allowed = STREAM_SILENCE_SECONDS if self.owner else FIRST_EVENT_SECONDS
+        return not self.future.done() and silence < allowed
+
+    def how_it_ended(self) -> str:
+        if not self.owner:
+            return "stream never began"
+        return "stream ended" if self.future.done() else "stream silent"
 
     def end(self) -> None:
         self.client.cancel(self.future)
@@ -190,7 +196,7 @@
         saved_at = time.monotonic()
         while not stopping.wait(PAUSE_SECONDS):
             if not stream.is_alive():
-                self._ledger.broken(stream.owner)
+                self._ledger.flow_ended(stream.owner, stream.how_it_ended())
                 stream.end()
                 stream = self._open_stream()
             elif stream.client.goaway_received:
@@ -211,7 +217,7 @@
         while not new.owner and time.monotonic() < until:
             time.sleep(PAUSE_SECONDS)
         if not old.is_alive():
-            self._ledger.broken(old.owner)
+            self._ledger.flow_ended(old.owner, f"{old.how_it_ended()} while moving")
         self._ledger.add("streams_moved")
         self._check_owner(old)
         old.end()
--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -24,6 +24,8 @@
 
 
 BALANCERS = 3
+# All agents start at once here, and their hand-over messages have a budget.
+SETTLE_SECONDS = 6.0
 GRANTOWO = (
     ServicePlan("editor", 7, 1),
     ServicePlan("dossiers", 3, 1),
@@ -35,10 +37,10 @@
     feed_class="editor",
     writing_service="editor",
     reading_service="dossiers",
-    feeds=16,
-    streams=10,
-    writers=6,
-    readers=4,
+    feeds=12,
+    streams=6,
+    writers=4,
+    readers=2,
 )
 SUBLOCAR = (
     ServicePlan("marketplace", 7, 3),
@@ -51,10 +53,10 @@
     feed_class="marketplace",
     writing_service="marketplace",
     reading_service="plans",
-    feeds=16,
-    streams=10,
-    writers=8,
-    readers=6,
+    feeds=12,
+    streams=6,
+    writers=5,
+    readers=3,
 )
 
 
@@ -89,7 +91,8 @@
                 deployment.start()
             for deployment in self._deployments:
                 wait_until_ready(deployment)
-            self._say("both deployments are ready")
+            self._say("both deployments are ready; agents agree on their buckets")
+            time.sleep(SETTLE_SECONDS)
             for scenario in self._scenarios:
                 scenario.start_callers()
             self._change_everything()
@@ -108,7 +111,6 @@
 
     def _change_everything(self) -> None:
         grantowo, sublocar = self._scenarios
-        # Agents that all start at once have much to tell each other.
         time.sleep(3)
         self._say("a balancer joins each deployment")
         grantowo.add_balancer()
