--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,7 @@
 binary: environment
 	$(PYTHON) -m tools.build_binary
 	$(PYTHON) -m pytest binary_tests
+
+.PHONY: bench-load
+bench-load: environment
+	$(PYTHON) -m siskinshift.bench.load
--- a/src/siskinshift/load/fair_queues.py
+++ b/src/siskinshift/load/fair_queues.py
@@ -27,6 +27,9 @@
 
 
 COST_AT_START_SECONDS = 0.05
+# Answers may come within one reading of a coarse clock; a cost of 0 would make waits
+# infinite and starts free.
+COST_MINIMUM_SECONDS = 0.0001
 # Weight of a new slot time in the mean: about the last ten requests count.
 COST_GAIN = 0.1
 DEFAULT_IMPORTANCE = 100
@@ -123,7 +126,9 @@
         Returns:
             Slot seconds.
         """
-        return self._cost_by_group.get(key, COST_AT_START_SECONDS)
+        return max(
+            COST_MINIMUM_SECONDS, self._cost_by_group.get(key, COST_AT_START_SECONDS)
+        )
 
     def push(self, work: Work) -> None:
         """Adds work.
--- a/src/siskinshift/load/gate.py
+++ b/src/siskinshift/load/gate.py
@@ -276,7 +276,9 @@
         """
         actions: list[GateAction] = []
         for work in tuple(self._work_by_id.values()):
-            actions += self._tick_work(work, now=now)
+            # Work may have ended by what was decided about work before it.
+            if work.request.request_id in self._work_by_id:
+                actions += self._tick_work(work, now=now)
         actions += self._dispatch(now=now)
         for work in tuple(self._queues):
             if not self._may_search(now=now):
--- a/tests/load/test_gate.py
+++ b/tests/load/test_gate.py
@@ -140,6 +140,23 @@
     assert gate.finished(1, succeeded=True, now=0.2) == [StartRequest(2)]
 
 
+def test_answers_within_one_reading_of_the_clock_leave_the_gate_at_work() -> None:
+    """The agent's tick would fail, and every queued request hang.
+
+    All answers of a group came within one reading of a coarse clock, so its mean slot
+    time was 0 and the estimate of a wait divided by it. Found by fuzzing.
+    """
+    gate = a_gate()
+    gate.submit(a_request(1), now=0.0)
+    gate.submit(a_request(2), now=0.0)
+    gate.submit(a_request(3, deadline=0.5), now=0.0)
+    gate.finished(1, succeeded=True, now=0.0)
+
+    (refusal,) = gate.tick(now=0.5)
+
+    assert isinstance(refusal, RefuseRequest)
+
+
 def test_the_end_of_a_request_that_comes_twice_or_late_is_passed_over() -> None:
     gate = a_gate()
     gate.submit(a_request(1), now=0.0)
