--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,7 @@
 .PHONY: bench-control
 bench-control: environment
 	$(PYTHON) -m siskinshift.bench.control
+
+.PHONY: bench-load
+bench-load: environment
+	$(PYTHON) -m siskinshift.bench.load
