--- a/Makefile
+++ b/Makefile
@@ -59,3 +59,7 @@
 .PHONY: bench-load
 bench-load: environment
 	$(PYTHON) -m siskinshift.bench.load
+
+.PHONY: bench-telemetry
+bench-telemetry: environment
+	$(PYTHON) -m siskinshift.bench.telemetry
--- a/src/siskinshift/observability/logs.py
+++ b/src/siskinshift/observability/logs.py
@@ -29,6 +29,7 @@
 
     def __init__(self) -> None:
         self.level = LEVELS.index("off")
+        self.destination: object | None = None
 
     def allows(self, level: str) -> bool:
         return LEVELS.index(level) <= self.level
@@ -38,15 +39,19 @@
 
 
 def open_logs(settings: LogsSettings, stream: TextIO | None = None) -> None:
-    """Sends logs as one JSON object a line; called once at the start of a process.
+    """Sends logs as one JSON object a line; a later call replaces an earlier one.
 
     Args:
         settings: Chosen level.
         stream: Where to; standard error by default.
     """
     _switch.level = LEVELS.index(settings.level)
+    if _switch.destination is not None:
+        eliot.remove_destination(_switch.destination)
+        _switch.destination = None
     if settings.level != "off":
-        eliot.to_file(stream or sys.stderr)
+        _switch.destination = eliot.FileDestination(file=stream or sys.stderr)
+        eliot.add_destinations(_switch.destination)
 
 
 class PartLog:
