--- a/tests/configuration/simulation.py
+++ b/tests/configuration/simulation.py
@@ -32,7 +32,7 @@
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.messages.core import Service
-from tests.kv.fakes import DirectTransport
+from siskinshift.standins.kv_direct import DirectTransport
 from tests.kv.fakes import FakeClock
 from tests.kv.fakes import make_settings
 
