--- a/src/siskinshift/api/service.py
+++ b/src/siskinshift/api/service.py
@@ -25,6 +25,7 @@
 from siskinshift.configuration.exceptions import RevisionConflictError
 from siskinshift.core.errors import ANSWERS_BY_KIND
 from siskinshift.exceptions import SiskinshiftError
+from siskinshift.observability.logs import PartLog
 
 
 if TYPE_CHECKING:
@@ -35,6 +36,8 @@
     from siskinshift.settings.generated import Settings
 
 
+_log = PartLog("operators-api")
+
 # How soon a watch call notices that its client went away.
 WATCH_TICK_SECONDS = 0.5
 
@@ -225,7 +228,23 @@
             self._view_changed.notify_all()
 
     def _change(self, request: Any) -> Any:
-        accepted = self._store.apply(change_from(request), request.change_id)
+        try:
+            accepted = self._store.apply(change_from(request), request.change_id)
+        except SiskinshiftError as error:
+            _log.info(
+                "A change was not accepted.",
+                change_id=request.change_id,
+                request=type(request).__name__,
+                kind=error.code,
+            )
+            raise
+        _log.info(
+            "A change was accepted.",
+            change_id=accepted.change_id,
+            request=type(request).__name__,
+            service=accepted.service_id,
+            revision=accepted.revision,
+        )
         if accepted.service is not None:
             # In force here at once; gossip carries it on, whatever the store does.
             self._membership.services.merge(accepted.service)
--- a/src/siskinshift/balancer/application.py
+++ b/src/siskinshift/balancer/application.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from siskinshift.configuration.reader import TICK_SECONDS
 from siskinshift.configuration.reader import ConfigurationReader
 from siskinshift.configuration.store import ConfigurationStore
 from siskinshift.control.server import ControlRoutes
@@ -118,7 +119,7 @@
             return
         self.membership.views.subscribe(self._reader.update)
         self.owns(self._reader.stop)
-        self.spawn(self._reader.run_until, self.stopping)
+        self.every(TICK_SECONDS, self._reader.step)
 
     @property
     def operators_ports(self) -> list[int]:
--- a/src/siskinshift/configuration/reader.py
+++ b/src/siskinshift/configuration/reader.py
@@ -28,6 +28,7 @@
 from siskinshift.kv.port import Compare
 from siskinshift.kv.port import Put
 from siskinshift.messages.configuration import EntrySlotHolder
+from siskinshift.observability.logs import PartLog
 
 
 if TYPE_CHECKING:
@@ -45,6 +46,8 @@
     from siskinshift.settings.generated import KvSettings
 
 
+_log = PartLog("configuration")
+
 ENTRY_PREFIX = "siskinshift/entry/"
 TICK_SECONDS = 0.1
 
@@ -105,15 +108,6 @@
         self._watch: Watch | None = None
         self._is_stopped = False
 
-    def run_until(self, stopping: threading.Event) -> None:
-        """Reads until the application stops.
-
-        Args:
-            stopping: Set once it is to end.
-        """
-        while not stopping.wait(TICK_SECONDS):
-            self.step()
-
     def stop(self) -> None:
         """Ends the watch and gives the slot up, so that another balancer takes it."""
         with self._lock:
@@ -167,6 +161,8 @@
             changed = revision != self._told_revision
             self._told_revision = revision
         if changed:
+            sentence = "Took an entry slot." if revision else "Lost the entry slot."
+            _log.info(sentence, revision=revision)
             self._on_entry_slot(revision)
 
     def _carry_out_slot_action(self, action: SlotAction) -> None:
@@ -280,7 +276,9 @@
 
     def _follow(self, watch: Watch) -> None:
         compacted = False
-        failed = False
+        # Whatever ends the task, the decision hears that the watch is over; else none
+        # would be opened again.
+        failed = True
         try:
             for batch in watch:
                 self._pass_on(batch.entries)
@@ -289,10 +287,15 @@
                     self._reading.on_watched(
                         root_revision=root_revision, revision=batch.revision
                     )
+            failed = False
         except StoreCompactedError:
             compacted = True
-        except StoreUnavailableError:
-            failed = True
+        except StoreUnavailableError as error:
+            _log.repeated("watch", "A watch broke.", error=str(error))
+        finally:
+            self._end_watch(watch, compacted=compacted, failed=failed)
+
+    def _end_watch(self, watch: Watch, *, compacted: bool, failed: bool) -> None:
         with self._lock:
             if self._watch is not watch:
                 return
@@ -302,7 +305,9 @@
                 self._reading.on_failed(now=self._clock())
 
     def _pass_on(self, entries: tuple[Entry, ...]) -> None:
-        services, _ = decode_services(entries)
+        services, unreadable = decode_services(entries)
+        for key in unreadable:
+            _log.repeated("record", "A record can't be read.", record=key)
         if services:
             self._on_services(services)
 
--- a/tests/configuration/test_reader.py
+++ b/tests/configuration/test_reader.py
@@ -177,3 +177,27 @@
     _run(node, world, 3)
 
     assert node.table.services_by_id["editor"].addresses == EDITOR.addresses
+
+
+def test_a_watch_is_opened_again_whatever_ended_it(world: World, node: Node) -> None:
+    """Changes come into force only with the next root check, seconds late.
+
+    A fault while records are taken ends the task of the watch; nobody tells the
+    decision, which believes the watch open for ever.
+    """
+    _run(node, world, 5)
+    take = node.table.merge_all
+
+    def fail(_: object) -> bool:
+        raise RuntimeError
+
+    node.reader._on_services = fail
+    world.create()
+    with pytest.raises(RuntimeError):
+        _run(node, world, 5)
+    node.reader._on_services = take
+    watches = world.state.calls_by_path["/v3/watch"]
+    _run(node, world, 5)
+
+    assert world.state.calls_by_path["/v3/watch"] > watches
+    assert "editor" in node.table.services_by_id
