--- a/src/siskinshift/bench/flow_network.py
+++ b/src/siskinshift/bench/flow_network.py
@@ -21,6 +21,7 @@
 from siskinshift.flows.actions import DropEnvelope
 from siskinshift.flows.actions import ForwardToAgent
 from siskinshift.flows.actions import SendNotes
+from siskinshift.flows.bucket_differences import to_differences
 from siskinshift.flows.router import FlowRouter
 from siskinshift.membership.ordering import is_newer
 from siskinshift.messages.core import Endpoint
@@ -620,7 +621,7 @@
     def _count_bytes(self, sender_id: str, notes: FlowNotes) -> None:
         if not self._sizes:
             return
-        size = len(encode_message(notes))
+        size = len(encode_message(to_differences(notes)))
         self.notes_bytes += size
         known = self.notes_bytes_by_sender.get(sender_id, 0)
         self.notes_bytes_by_sender[sender_id] = known + size
--- a/src/siskinshift/flows/claim_keeper.py
+++ b/src/siskinshift/flows/claim_keeper.py
@@ -32,6 +32,8 @@
 # A peer that answers but does not agree is waited for this many timeouts: its view
 # is old, and it may still create flows.
 DISAGREEMENT_TIMEOUTS = 6
+# Pause after nothing was found to ask for; below the first pause of a claim.
+ASK_IDLE_SECONDS = 0.25
 # Permissions in buckets given up are told again for this long: they cover packets
 # still on their way to the peer that was allowed.
 GRANT_SECONDS = 30.0
@@ -156,13 +158,13 @@
         Returns:
             Messages to send.
         """
+        if now < state.ask_idle_until or not state.unsettled:
+            return []
         due = {
             peer_id
             for peer_id in self._peers.live_ids
             if state.ask_at_by_peer.get(peer_id, 0.0) <= now
         }
-        if not due or not state.unsettled:
-            return []
         buckets_by_question: dict[tuple[str, int], list[int]] = {}
         for bucket in sorted(state.unsettled):
             claim = state.claims_by_bucket[bucket]
@@ -171,6 +173,10 @@
             for peer_id in _to_ask(claim) & due:
                 question = (peer_id, claim.version)
                 buckets_by_question.setdefault(question, []).append(bucket)
+        if not buckets_by_question:
+            # Looking through thousands of buckets at each tick of 50 ms takes the
+            # processor that answers need.
+            state.ask_idle_until = now + ASK_IDLE_SECONDS
         actions = []
         for (peer_id, version), buckets in sorted(buckets_by_question.items()):
             message = FlowNotes(
@@ -278,6 +284,7 @@
             self._settle(state, bucket, now=now)
             if claim.pending == {claim.previous_id}:
                 state.ask_at_by_peer[claim.previous_id] = now
+                state.ask_idle_until = now
         return self.ask(state, now=now)
 
     def skip_silent_peers(self, state: ServiceFlows, *, now: float) -> None:
--- a/src/siskinshift/flows/courier.py
+++ b/src/siskinshift/flows/courier.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import threading
-from collections import deque
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 from siskinshift.control.client import ControlClient
 from siskinshift.control.codec import encode_message
 from siskinshift.control.exceptions import BadMessageError
 from siskinshift.control.exceptions import PeerUnreachableError
+from siskinshift.flows.bucket_differences import from_differences
+from siskinshift.flows.bucket_differences import to_differences
 from siskinshift.flows.pacing import ByteBudget
 from siskinshift.messages.flows import FlowNotes
 from siskinshift.messages.flows import FlowNotesReceipt
@@ -36,12 +38,52 @@
 # A peer's task ends after this long without a message.
 IDLE_SECONDS = 5.0
 
+# Service, kind, version or sequence, buckets: what a repeated message is known by.
+Matter: TypeAlias = tuple[str, str, int, tuple[int, ...]]
+
 
 class _Mailbox:
+    """Messages to one peer, oldest first; a repeated one takes its elder's place.
+
+    Pattern of load: a whole service starts, the budget is spent, and the decisions
+    send again what still waits here. Without this the queue grows by copies, and
+    buckets settle many seconds late.
+    """
+
     def __init__(self) -> None:
-        self.queue: deque[FlowNotes] = deque()
         self.waiting = threading.Condition()
-        self.open = True
+        self._notes_by_matter: dict[Matter, FlowNotes] = {}
+
+    def __len__(self) -> int:
+        return len(self._notes_by_matter)
+
+    def put(self, notes: FlowNotes) -> bool:
+        matter = _matter_of(notes)
+        if notes.listed_buckets:
+            # Lists go in the order of their sequence: receivers refuse older ones.
+            self._notes_by_matter.pop(matter, None)
+        if matter not in self._notes_by_matter and len(self) >= QUEUE_LIMIT:
+            return False
+        self._notes_by_matter[matter] = notes
+        return True
+
+    def take(self) -> FlowNotes | None:
+        if not self._notes_by_matter:
+            return None
+        return self._notes_by_matter.pop(next(iter(self._notes_by_matter)))
+
+
+def _matter_of(notes: FlowNotes) -> Matter:
+    if notes.claimed_buckets:
+        return (notes.service_id, "claim", notes.claim_version, ())
+    if notes.listed_buckets:
+        version = notes.confirmed_version
+        return (notes.service_id, "list", version, notes.listed_buckets)
+    if notes.accepted_buckets:
+        return (notes.service_id, "acceptance", notes.accepted_sequence, ())
+    if notes.audited_buckets:
+        return (notes.service_id, "audit", 0, ())
+    return (notes.service_id, "empty", 0, ())
 
 
 class NotesCourier:
@@ -92,23 +134,25 @@
         """
         if self._application.stopping.is_set():
             return
+        endpoint = action.agent.control
+        notes = to_differences(action.notes)
         with self._lock:
-            mailbox = self._mailboxes_by_endpoint.get(action.agent.control)
+            mailbox = self._mailboxes_by_endpoint.get(endpoint)
+            is_new = mailbox is None
             if mailbox is None:
                 mailbox = _Mailbox()
-                self._mailboxes_by_endpoint[action.agent.control] = mailbox
-                self._application.spawn(
-                    self._send_until_idle, action.agent.control, mailbox
-                )
+                self._mailboxes_by_endpoint[endpoint] = mailbox
             with mailbox.waiting:
-                if len(mailbox.queue) >= QUEUE_LIMIT:
+                if not mailbox.put(notes):
                     self.dropped_messages += 1
-                    return
-                mailbox.queue.append(action.notes)
                 mailbox.waiting.notify()
+        if is_new:
+            # Not under the lock: a busy process takes long to start a thread, and
+            # all that route packets or answer peers would wait for it.
+            self._application.spawn(self._send_until_idle, endpoint, mailbox)
 
     def _receive(self, notes: FlowNotes) -> FlowNotesReceipt:
-        self._on_notes(notes)
+        self._on_notes(from_differences(notes))
         return FlowNotesReceipt(service_id=notes.service_id)
 
     def _send_until_idle(self, endpoint: Endpoint, mailbox: _Mailbox) -> None:
@@ -126,13 +170,14 @@
         idle_since = self._clock()
         while not stopping.is_set():
             with mailbox.waiting:
-                if mailbox.queue:
-                    return mailbox.queue.popleft()
+                notes = mailbox.take()
+                if notes is not None:
+                    return notes
                 mailbox.waiting.wait(0.2)
             if self._clock() - idle_since < IDLE_SECONDS:
                 continue
             with self._lock:
-                if not mailbox.queue:
+                if not len(mailbox):
                     del self._mailboxes_by_endpoint[endpoint]
                     return None
         return None
--- a/src/siskinshift/flows/service_flows.py
+++ b/src/siskinshift/flows/service_flows.py
@@ -88,6 +88,7 @@
         unsent_by_bucket: Lists that primaries have not accepted yet.
         ask_at_by_peer: When to claim from a peer (again), seconds.
         asked_by_peer: Times a peer was asked in vain.
+        ask_idle_until: Nothing is to be asked before, seconds.
         released: Buckets whose held packets may go on.
         doubted_bucket: Bucket whose notes were audited last in turn.
     """
@@ -103,6 +104,7 @@
     unsent_by_bucket: dict[int, UnsentList] = Factory(dict)
     ask_at_by_peer: dict[str, float] = Factory(dict)
     asked_by_peer: dict[str, int] = Factory(dict)
+    ask_idle_until: float = 0.0
     released: list[ReleasedBucket] = Factory(list)
     doubted_bucket: int = -1
 
@@ -158,6 +160,7 @@
             now: Clock reading, seconds.
         """
         self.ask_at_by_peer[peer_id] = now
+        self.ask_idle_until = now
         self.asked_by_peer[peer_id] = 0
 
     def forget_owner(self, owner_id: str) -> None:
