--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,16 @@
 	$(PYTHON) -m tools.build_binary
 	$(PYTHON) -m pytest binary_tests
 
+print-python:
+	@echo $(PYTHON)
+
+trial: environment
+	$(PYTHON) -m siskinshift trial
+
+.PHONY: bench-control
+bench-control: environment
+	$(PYTHON) -m siskinshift.bench.control
+
 .PHONY: bench-load
 bench-load: environment
 	$(PYTHON) -m siskinshift.bench.load
