--- a/src/siskinshift/membership/gossip.py
+++ b/src/siskinshift/membership/gossip.py
@@ -226,10 +226,13 @@
         return link
 
     def _forget_old(self, now: float) -> None:
-        for news, added_at in tuple(self._recent_by_news.items()):
-            if now - added_at <= RECENT_SECONDS:
+        # Oldest first, without a copy: after a start there are thousands.
+        recent = self._recent_by_news
+        while recent:
+            oldest = next(iter(recent))
+            if now - recent[oldest] <= RECENT_SECONDS:
                 return
-            del self._recent_by_news[news]
+            del recent[oldest]
 
     def _take(self, link: _Link, now: float) -> tuple[NewsKey, ...]:
         link.batches.refill(now)
