--- a/src/siskinshift/bench/control.py
+++ b/src/siskinshift/bench/control.py
@@ -65,13 +65,13 @@
         for role in ("agent", "balancer")
     ]
     baselines = [one for plan in plans for one in measure_baselines(plan, costs)]
+    _print_rows("one message, real sockets", [asdict(costs)])
+    _print_rows("one process, real sockets", [asdict(one) for one in processes])
+    _print_rows("plain ways, worked out", [asdict(one) for one in baselines])
     with ProcessPoolExecutor(len(plans), mp_context=get_context("spawn")) as executor:
         futures = [executor.submit(play_plan, plan, costs) for plan in plans]
         figures = [one for future in futures for one in future.result()]
-    _print_rows("one message, real sockets", [asdict(costs)])
-    _print_rows("one process, real sockets", [asdict(one) for one in processes])
     _print_rows("scenarios", [asdict(one) for one in figures])
-    _print_rows("plain ways, worked out", [asdict(one) for one in baselines])
     document = {
         "costs": asdict(costs),
         "processes": [asdict(one) for one in processes],
