--- a/src/siskinshift/demo/deployment.py
+++ b/src/siskinshift/demo/deployment.py
@@ -38,6 +38,11 @@
 LOOPBACK = "127.0.0.1"
 FABRIC_SEED = 7
 RAMP_SECONDS = 0.0
+# The processes of the demo share one interpreter: less of what is said again anyway.
+USAGE_SECONDS = 2.0
+# Above the default: all agents start at once, and open claims cost processor time,
+# which one interpreter has little of.
+NOTES_BYTES_PER_SECOND = 100_000
 
 
 @frozen
@@ -294,6 +299,9 @@
             f"endpoints = {format_endpoint(self.kv.endpoint)}",
             "[flows]",
             f"ramp_duration = {RAMP_SECONDS}",
+            f"notes_bytes_per_second = {NOTES_BYTES_PER_SECOND}",
+            "[load]",
+            f"usage_interval = {USAGE_SECONDS}",
             "[membership]",
             f"seeds = {seeds}",
             *(extra or []),
--- a/src/siskinshift/demo/http3_client.py
+++ b/src/siskinshift/demo/http3_client.py
@@ -174,8 +174,8 @@
         self._post(lambda: self._cancel(future))
 
     def close(self) -> None:
-        """Closes the connection in order."""
-        self._post(lambda: self._quic.close(error_code=ErrorCode.H3_NO_ERROR))
+        """Closes the connection in order, without waiting for a peer that is dead."""
+        self._post(self._close)
 
     def vanish(self) -> None:
         """Ends without a word, as a caller does whose instance dies."""
@@ -245,6 +245,10 @@
         if has_body:
             self._http.send_data(stream_id, exchange.body, end_stream=True)
 
+    def _close(self) -> None:
+        self._quic.close(error_code=ErrorCode.H3_NO_ERROR)
+        self._ended.set()
+
     def _cancel(self, future: Future[Answer]) -> None:
         for stream_id, exchange in tuple(self._exchanges_by_stream.items()):
             if exchange.future is future:
--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -4,6 +4,7 @@
 
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 import orjson
@@ -37,9 +38,9 @@
     feed_class="editor",
     writing_service="editor",
     reading_service="dossiers",
-    feeds=12,
-    streams=6,
-    writers=4,
+    feeds=8,
+    streams=4,
+    writers=3,
     readers=2,
 )
 SUBLOCAR = (
@@ -53,10 +54,10 @@
     feed_class="marketplace",
     writing_service="marketplace",
     reading_service="plans",
-    feeds=12,
-    streams=6,
-    writers=5,
-    readers=3,
+    feeds=8,
+    streams=4,
+    writers=3,
+    readers=2,
 )
 
 
@@ -98,11 +99,14 @@
             self._change_everything()
             self._say("callers end")
             for scenario in self._scenarios:
-                scenario.stop_callers()
+                scenario.end_callers()
+            for scenario in self._scenarios:
+                scenario.join_callers()
             return work_out(self._ledger, self._scenarios)
         finally:
-            for deployment in self._deployments:
-                deployment.stop()
+            with ThreadPoolExecutor(len(self._deployments), "stop") as executor:
+                for deployment in self._deployments:
+                    executor.submit(deployment.stop)
 
     @property
     def details(self) -> dict[str, int]:
@@ -111,7 +115,7 @@
 
     def _change_everything(self) -> None:
         grantowo, sublocar = self._scenarios
-        time.sleep(3)
+        time.sleep(2)
         self._say("a balancer joins each deployment")
         grantowo.add_balancer()
         sublocar.add_balancer()
@@ -123,7 +127,7 @@
         releases = [s.hold_views(0) for s in self._scenarios]
         grantowo.drain_upstream("editor-1")
         sublocar.drain_upstream("marketplace-1")
-        time.sleep(6)
+        time.sleep(4)
         for release in releases:
             release()
         time.sleep(2)
@@ -137,7 +141,7 @@
         time.sleep(1)
         grantowo.kill_upstream("editor-2")
         sublocar.kill_upstream("marketplace-2")
-        time.sleep(7)
+        time.sleep(5)
         for scenario in self._scenarios:
             scenario.cut_store(available=True)
         self._say("the key-value service is back; operators add an address again")
