--- a/src/siskinshift/load/gate.py
+++ b/src/siskinshift/load/gate.py
@@ -114,6 +114,7 @@
         self._guest_ids = itertools.count(-1, -1)
         self._is_draining = False
         self._refuses_guests = False
+        self._is_drained = False
         self._work_by_id: dict[int, Work] = {}
         # Requests for which peers are asked for a slot that is free now.
         self._searching_ids: set[int] = set()
@@ -155,10 +156,15 @@
                 for group in service.groups
             }
         )
+        # Operators drain an agent by the configuration; it stays ready all the while.
+        drained = {member_id for s in services for member_id in s.drained}
+        self._is_drained = self._member_id in drained
         self._peers.configure(
             agent.member_id
             for agent in view.agents_by_class.get(upstream_class, ())
-            if agent.state is MemberState.READY and agent.member_id != self._member_id
+            if agent.state is MemberState.READY
+            and agent.member_id not in drained
+            and agent.member_id != self._member_id
         )
 
     def submit(self, request: Request, *, now: float) -> list[GateAction]:
@@ -756,7 +762,7 @@
         )
 
     def _takes_guest(self, work: Work, *, waits: bool, now: float) -> bool:
-        if self._refuses_guests or work.request.deadline <= now:
+        if self._refuses_guests or self._is_drained or work.request.deadline <= now:
             return False
         if self._watch.looks_sick or self._watch.is_slow(self._recent):
             return False
@@ -796,6 +802,8 @@
         )
 
     def _least_offer(self, *, now: float) -> float:
+        if self._is_drained:
+            return 1.0
         if self._watch.looks_sick or self._watch.is_slow(self._recent):
             return OFFER_WHEN_SLOW
         return min(OFFER_WHEN_SLOW, 1.0 - self._ramp.part(now=now))
--- a/tests/load/test_hand_over.py
+++ b/tests/load/test_hand_over.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from siskinshift.core.errors import ErrorKind
 from siskinshift.core.requests import AnswerReservation
 from siskinshift.core.requests import CancelAtUpstream
@@ -18,6 +20,7 @@
 from tests.load.builders import SERVICE
 from tests.load.builders import a_gate
 from tests.load.builders import a_request
+from tests.load.builders import a_service
 
 
 if TYPE_CHECKING:
@@ -270,3 +273,18 @@
 
     assert gate.refuse_guests(now=0.01) == [AnswerReservation("a/1", False)]
     assert gate.reserve(a_wish("a/2"), now=0.2) == [AnswerReservation("a/2", False)]
+
+
+def test_an_agent_that_operators_drain_gets_no_requests_of_peers() -> None:
+    """An upstream that is to be stopped would get work for as long as it is ready.
+
+    The operators' drain is in the configuration; the member's state stays ready, and a
+    peer with a full slot asks it.
+    """
+    service = attrs.evolve(a_service(), drained=("b",))
+    drained = a_gate("b", peers=("a",), services=(service,))
+    peer = a_gate("a", peers=("b",), services=(service,))
+    peer.submit(a_request(1), now=0.0)
+
+    assert drained.reserve(a_wish(), now=0.0) == [AnswerReservation("a/1", False)]
+    assert peer.submit(a_request(2), now=0.0) == []
