--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -12,12 +12,8 @@
 from siskinshift.agent.request_flows import RequestFlows
 from siskinshift.agent.request_runner import RequestRunner
 from siskinshift.agent.upstream_connections import UpstreamConnections
-from siskinshift.control.server import ControlRoutes
-from siskinshift.control.server import ControlServer
 from siskinshift.core.clocks import monotonic_clock
-from siskinshift.core.clocks import unix_milliseconds
 from siskinshift.core.errors import ErrorKind
-from siskinshift.core.keyring import KeyRing
 from siskinshift.core.packets import Packet
 from siskinshift.flows.actions import DeliverToFlow
 from siskinshift.flows.actions import DropEnvelope
@@ -26,16 +22,10 @@
 from siskinshift.flows.courier import NotesCourier
 from siskinshift.flows.router import FlowRouter
 from siskinshift.load.gate import LoadGate
-from siskinshift.membership.node import MembershipNode
-from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.messages.core import ServiceMode
-from siskinshift.observability.telemetry import Telemetry
-from siskinshift.runtime.application import Application
-from siskinshift.runtime.datagrams import DatagramSocket
-from siskinshift.runtime.drops import DropRecorder
-from siskinshift.wire.codec import EnvelopeCodec
+from siskinshift.runtime.node_application import NodeApplication
 from siskinshift.wire.exceptions import WireError
 
 
@@ -49,29 +39,26 @@
 TICK_SECONDS = 0.05
 
 
-class AgentApplication(Application):
-    """The process beside one upstream.
-
-    Attributes:
-        counters: What happened to datagrams.
-        membership: The agent's part in membership.
-    """
+class AgentApplication(NodeApplication):
+    """The process beside one upstream."""
 
     def __init__(self, settings: Settings) -> None:
-        super().__init__(settings)
+        super().__init__(
+            settings,
+            role=Role.AGENT,
+            state=MemberState.JOINING,
+            weight=0,
+            upstream_class=settings.agent.upstream_class,
+            slots=settings.agent.slots,
+        )
         node = settings.node
-        self._telemetry = Telemetry(settings, clock=monotonic_clock)
-        self.counters = self._telemetry.counters
-        key_ring = KeyRing(settings.keys)
-        self._codec = EnvelopeCodec(key_ring)
         self._lock = threading.Lock()
-        incarnation = unix_milliseconds()
         self._router = FlowRouter(
-            member_id=node.node_id, incarnation=incarnation, settings=settings.flows
+            member_id=node.node_id,
+            incarnation=self.incarnation,
+            settings=settings.flows,
         )
-        self._drops = DropRecorder(part="agent", counters=self.counters)
         self._life = AgentLife(settings.flows)
-        self._socket = DatagramSocket(node.data_endpoint)
         self._flows = DatagramFlows(
             upstream=settings.agent.upstream_endpoint,
             idle_timeout=settings.agent.flow_idle_timeout,
@@ -83,7 +70,7 @@
         self._runner = RequestRunner(
             gate=LoadGate(
                 member_id=node.node_id,
-                incarnation=incarnation,
+                incarnation=self.incarnation,
                 slots=settings.agent.slots,
                 ramp_time=settings.flows.ramp_duration,
                 settings=settings.load,
@@ -94,7 +81,7 @@
             held_maximum=settings.agent.connections,
             spawn=self.spawn,
             clock=monotonic_clock,
-            telemetry=self._telemetry,
+            telemetry=self.telemetry,
         )
         self._request_flows = RequestFlows(
             settings=settings.agent,
@@ -105,13 +92,12 @@
             send_answer=self._send_answer,
             on_flow_end=self._on_flow_end,
         )
-        routes = ControlRoutes()
         self._hand_over = HandOver(
             member_id=node.node_id,
             upstream_class=settings.agent.upstream_class,
             runner=self._runner,
-            routes=routes,
-            key_ring=key_ring,
+            routes=self.routes,
+            key_ring=self.key_ring,
             spawn=self.spawn,
             clock=monotonic_clock,
             counters=self.counters,
@@ -119,54 +105,21 @@
         )
         self._courier = NotesCourier(
             application=self,
-            routes=routes,
-            key_ring=key_ring,
+            routes=self.routes,
+            key_ring=self.key_ring,
             clock=monotonic_clock,
             on_notes=self._on_notes,
         )
-        self._server = ControlServer(
-            endpoint=node.control_endpoint,
-            routes=routes,
-            key_ring=key_ring,
-            executor=self.executor,
-        )
-        member = Member(
-            member_id=node.node_id,
-            role=Role.AGENT,
-            incarnation=incarnation,
-            version=1,
-            state=MemberState.JOINING,
-            region=node.region,
-            failure_domain=node.failure_domain,
-            control=node.control_endpoint,
-            data=self._socket.endpoint,
-            upstream_class=settings.agent.upstream_class,
-            weight=0,
-            slots=settings.agent.slots,
-        )
-        self.membership = MembershipNode(
-            application=self,
-            member=member,
-            routes=routes,
-            key_ring=key_ring,
-            clock=monotonic_clock,
-        )
 
     def on_start(self) -> None:
         """Opens the control server and starts to take flows."""
-        self._telemetry.start()
-        self.owns(self._telemetry.stop)
-        self.owns(self._socket.close)
         self.owns(self._flows.close)
         self.owns(self._connections.close)
         self.owns(self._hand_over.close)
-        self.owns(self._server.server_close)
-        self.owns(self._server.close_connections)
-        self.owns(self._server.shutdown)
-        self.spawn(self._server.serve_forever, 0.1)
+        self.open_node()
         self.membership.views.subscribe(self._on_view)
         self.membership.start()
-        self.spawn(self._socket.receive_until, self.stopping, self._on_datagram)
+        self.spawn(self.data_socket.receive_until, self.stopping, self._on_datagram)
         self.spawn(self._flows.relay_until, self.stopping)
         self.every(TICK_SECONDS, self._tick)
 
@@ -235,7 +188,7 @@
         for service in view.services_by_id.values():
             # An agent without work counts for the imbalance as well.
             if service.upstream_class == self.settings.agent.upstream_class:
-                self._telemetry.slot_used(service.service_id, seconds=0.0)
+                self.telemetry.slot_used(service.service_id, seconds=0.0)
         self._runner.update(view, upstream_class=self.settings.agent.upstream_class)
         with self._lock:
             actions = self._router.update(view, now=monotonic_clock())
@@ -243,12 +196,12 @@
 
     def _on_datagram(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
-            envelope = self._codec.unpack_envelope(datagram)
+            envelope = self.codec.unpack_envelope(datagram)
         except WireError as error:
-            self._drops.dropped(error.kind, host=source[0], port=source[1])
+            self.drops.dropped(error.kind, host=source[0], port=source[1])
             return
         if envelope.hop_count > self.settings.flows.max_hops:
-            self._drops.dropped(ErrorKind.HOP_LIMIT, host=source[0], port=source[1])
+            self.drops.dropped(ErrorKind.HOP_LIMIT, host=source[0], port=source[1])
             return
         with self._lock:
             actions = self._router.on_envelope(envelope, now=monotonic_clock())
@@ -273,7 +226,7 @@
             actions = self._router.flow_ended(digest, now=monotonic_clock())
         if service_id:
             # A process that stops with flows left cuts them.
-            self._telemetry.flow_ended(service_id, broken=self.stopping.is_set())
+            self.telemetry.flow_ended(service_id, broken=self.stopping.is_set())
         self._carry_out(actions)
 
     def _carry_out(self, actions: list[FlowAction]) -> None:
@@ -283,18 +236,18 @@
                 self._deliver(action)
             elif isinstance(action, ForwardToAgent):
                 self.counters.add("forwarded")
-                datagram = self._codec.pack_envelope(action.envelope)
-                self._socket.send(datagram, action.agent.data)
+                datagram = self.codec.pack_envelope(action.envelope)
+                self.data_socket.send(datagram, action.agent.data)
             elif isinstance(action, SendNotes):
                 self._courier.send(action)
             elif isinstance(action, DropEnvelope):
-                self._drops.dropped(action.error)
+                self.drops.dropped(action.error)
 
     def _deliver(self, action: DeliverToFlow) -> None:
         view = self.membership.views.current
         service = view.services_by_id.get(action.service_id)
         if service is None:
-            self._drops.dropped(ErrorKind.UNKNOWN_ADDRESS)
+            self.drops.dropped(ErrorKind.UNKNOWN_ADDRESS)
         elif service.mode is ServiceMode.REQUEST:
             self._request_flows.deliver(action.flow_hash, service, action.packet)
         else:
@@ -306,5 +259,5 @@
             service_address=packet.caller,
             payload=packet.payload,
         )
-        datagram = self._codec.pack(answer)
-        self._socket.send(datagram, self.settings.agent.fabric_return)
+        datagram = self.codec.pack(answer)
+        self.data_socket.send(datagram, self.settings.agent.fabric_return)
--- a/src/siskinshift/agent/life.py
+++ b/src/siskinshift/agent/life.py
@@ -12,6 +12,7 @@
 
 from attrs import frozen
 
+from siskinshift.core.members import FULL_WEIGHT
 from siskinshift.messages.core import MemberState
 
 
@@ -19,7 +20,6 @@
     from siskinshift.settings.generated import FlowsSettings
 
 
-FULL_WEIGHT = 1000
 # Doubling: the first step shows whether the upstream works at all.
 RAMP_WEIGHTS = (125, 250, 500, FULL_WEIGHT)
 # Two steps before none: with at most 3 s allowed, more would not settle in between.
--- a/src/siskinshift/balancer/application.py
+++ b/src/siskinshift/balancer/application.py
@@ -7,25 +7,16 @@
 from siskinshift.configuration.reader import TICK_SECONDS
 from siskinshift.configuration.reader import ConfigurationReader
 from siskinshift.configuration.store import ConfigurationStore
-from siskinshift.control.server import ControlRoutes
-from siskinshift.control.server import ControlServer
 from siskinshift.core.clocks import monotonic_clock
-from siskinshift.core.clocks import unix_milliseconds
-from siskinshift.core.keyring import KeyRing
+from siskinshift.core.members import FULL_WEIGHT
 from siskinshift.core.packets import Envelope
 from siskinshift.kv.etcd import EtcdStore
 from siskinshift.kv.guard import CallClass
-from siskinshift.membership.node import MembershipNode
-from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
-from siskinshift.observability.telemetry import Telemetry
 from siskinshift.routing.chooser import AgentChooser
 from siskinshift.routing.chooser import DropPacket
-from siskinshift.runtime.application import Application
-from siskinshift.runtime.datagrams import DatagramSocket
-from siskinshift.runtime.drops import DropRecorder
-from siskinshift.wire.codec import EnvelopeCodec
+from siskinshift.runtime.node_application import NodeApplication
 from siskinshift.wire.exceptions import WireError
 
 
@@ -43,75 +34,34 @@
 LEAVE_SECONDS_MAXIMUM = 30.0
 
 
-class BalancerApplication(Application):
-    """One entry instance.
-
-    Attributes:
-        counters: What happened to datagrams.
-        membership: The balancer's part in membership.
-    """
+class BalancerApplication(NodeApplication):
+    """One entry instance."""
 
     def __init__(self, settings: Settings) -> None:
-        super().__init__(settings)
-        node = settings.node
-        self._telemetry = Telemetry(settings, clock=monotonic_clock)
-        self.counters = self._telemetry.counters
-        key_ring = KeyRing(settings.keys)
-        self._codec = EnvelopeCodec(key_ring)
+        super().__init__(
+            settings, role=Role.BALANCER, state=MemberState.READY, weight=FULL_WEIGHT
+        )
         self._chooser = AgentChooser()
         self._view_version = 0
         self._received_at = monotonic_clock()
-        self._drops = DropRecorder(part="balancer", counters=self.counters)
         self._operators: OperatorsServer | None = None
-        self._socket = DatagramSocket(node.data_endpoint)
-        routes = ControlRoutes()
-        self._server = ControlServer(
-            endpoint=node.control_endpoint,
-            routes=routes,
-            key_ring=key_ring,
-            executor=self.executor,
-        )
-        member = Member(
-            member_id=node.node_id,
-            role=Role.BALANCER,
-            incarnation=unix_milliseconds(),
-            version=1,
-            state=MemberState.READY,
-            region=node.region,
-            failure_domain=node.failure_domain,
-            control=node.control_endpoint,
-            data=self._socket.endpoint,
-        )
         self._store = EtcdStore(settings.kv)
         self._reader = ConfigurationReader(
             settings=settings.kv,
             store=self._store,
-            member=member,
+            member=self.member,
             on_services=self._take_services,
             on_entry_slot=self._announce_entry_slot,
             spawn=self.spawn,
         )
-        self.membership = MembershipNode(
-            application=self,
-            member=member,
-            routes=routes,
-            key_ring=key_ring,
-            clock=monotonic_clock,
-        )
 
     def on_start(self) -> None:
         """Opens the control server and starts forwarding."""
-        self._telemetry.start()
-        self.owns(self._telemetry.stop)
-        self.owns(self._socket.close)
-        self.owns(self._server.server_close)
-        self.owns(self._server.close_connections)
-        self.owns(self._server.shutdown)
-        self.spawn(self._server.serve_forever, 0.1)
+        self.open_node()
         self.membership.views.subscribe(self._on_view)
         self.membership.start()
         self._start_reader()
-        self.spawn(self._socket.receive_until, self.stopping, self._on_datagram)
+        self.spawn(self.data_socket.receive_until, self.stopping, self._on_datagram)
         self._start_operators_api()
 
     def _start_reader(self) -> None:
@@ -175,14 +125,14 @@
     def _on_datagram(self, datagram: bytes, source: tuple[str, int]) -> None:
         self._received_at = monotonic_clock()
         try:
-            packet = self._codec.unpack(datagram)
+            packet = self.codec.unpack(datagram)
         except WireError as error:
-            self._drops.dropped(error.kind, host=source[0], port=source[1])
+            self.drops.dropped(error.kind, host=source[0], port=source[1])
             return
         choice = self._chooser.choose(packet)
         if isinstance(choice, DropPacket):
-            self._drops.dropped(choice.error, caller=packet.caller.host)
+            self.drops.dropped(choice.error, caller=packet.caller.host)
             return
         envelope = Envelope(packet=packet, view_version=self._view_version)
-        self._socket.send(self._codec.pack_envelope(envelope), choice.agent.data)
+        self.data_socket.send(self.codec.pack_envelope(envelope), choice.agent.data)
         self.counters.add("forwarded")
--- a/src/siskinshift/demo/readiness.py
+++ b/src/siskinshift/demo/readiness.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from siskinshift.agent.life import FULL_WEIGHT
+from siskinshift.core.members import FULL_WEIGHT
 from siskinshift.messages.core import MemberState
 
 
--- a/tests/agent/test_life.py
+++ b/tests/agent/test_life.py
@@ -8,9 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from siskinshift.agent.life import FULL_WEIGHT
 from siskinshift.agent.life import AgentLife
 from siskinshift.agent.life import LifeStep
+from siskinshift.core.members import FULL_WEIGHT
 from siskinshift.messages.core import MemberState
 from siskinshift.settings.loader import SettingsLoader
 from tests.conftest import SETTINGS_TEXT
