--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -82,6 +82,7 @@
             spawn=self.spawn,
             clock=monotonic_clock,
             telemetry=self.telemetry,
+            is_leaving=lambda: self._life.sends_callers_away(now=monotonic_clock()),
         )
         self._request_flows = RequestFlows(
             settings=settings.agent,
--- a/src/siskinshift/agent/request_runner.py
+++ b/src/siskinshift/agent/request_runner.py
@@ -76,6 +76,7 @@
         spawn: Spawner,
         clock: Clock,
         telemetry: Telemetry,
+        is_leaving: Callable[[], bool],
     ) -> None:
         """Prepares a runner without requests.
 
@@ -86,6 +87,7 @@
             spawn: Runs a task on a thread.
             clock: Clock of the process.
             telemetry: Takes outcomes and slot time.
+            is_leaving: Whether callers are being sent away by now.
         """
         self._gate = gate
         self._connections = connections
@@ -93,6 +95,7 @@
         self._spawn = spawn
         self._clock = clock
         self._telemetry = telemetry
+        self._is_leaving = is_leaving
         self._counters = telemetry.counters
         self._lock = threading.Lock()
         self._calls_by_id: dict[int, Call] = {}
@@ -112,6 +115,11 @@
         Args:
             call: The request.
         """
+        if self._is_leaving():
+            # Failure: an upstream that left got work long after; on a starved instance
+            # the tick that ends admission came a second late. The time decides, not
+            # the tick.
+            self.drain()
         call = self._observed(call)
         request_id = call.request.request_id
         with self._lock:
--- a/tests/agent/test_hand_over.py
+++ b/tests/agent/test_hand_over.py
@@ -147,6 +147,7 @@
             spawn=executor.submit,
             clock=monotonic_clock,
             telemetry=Telemetry(settings, clock=monotonic_clock),
+            is_leaving=lambda: False,
         )
         self.hand_over = HandOver(
             member_id="a",
--- /dev/null
+++ b/tests/agent/test_request_runner.py
@@ -0,0 +1,82 @@
+"""Tests of how requests enter the agent."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from siskinshift.agent.calls import Call
+from siskinshift.agent.collected_reply import CollectedReply
+from siskinshift.agent.request_runner import RequestRunner
+from siskinshift.agent.upstream_connections import UpstreamConnections
+from siskinshift.core.errors import ErrorKind
+from siskinshift.core.requests import Request
+from siskinshift.load.gate import LoadGate
+from siskinshift.messages.core import Endpoint
+from siskinshift.observability.telemetry import Telemetry
+
+
+if TYPE_CHECKING:
+    from siskinshift.settings.generated import Settings
+
+
+NOW = 100.0
+REQUEST = Request(
+    request_id=1,
+    service_id="editor",
+    group_id="treasurers",
+    caller="127.0.0.1",
+    key="",
+    repeatable=False,
+    arrived_at=NOW,
+    deadline=NOW + 10,
+)
+
+
+class _Reply(CollectedReply):
+    errors: list[ErrorKind]
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.errors = []
+
+    def fail(self, error: ErrorKind, *, retry_after: float | None) -> None:
+        self.errors.append(error)
+
+
+@pytest.mark.parametrize("is_leaving", [True, False])
+def test_a_request_after_the_time_to_leave_is_refused_though_no_tick_came(
+    settings: Settings, is_leaving: bool
+) -> None:
+    """A drained upstream got a save more than five seconds after its drain began.
+
+    Order: the drain begins; the instance starves, so the tick that ends admission is
+    late; a caller's save arrives on its old connection and is let in.
+    Cause: admission ended with the tick and not with the time.
+    """
+    spawned: list[object] = []
+    runner = RequestRunner(
+        gate=LoadGate(
+            member_id="editor-1",
+            incarnation=1,
+            slots=1,
+            ramp_time=0.0,
+            settings=settings.load,
+            random=Random(1),
+            now=NOW,
+        ),
+        connections=UpstreamConnections(Endpoint("127.0.0.1", 1)),
+        held_maximum=10,
+        spawn=lambda *task: spawned.append(task),
+        clock=lambda: NOW,
+        telemetry=Telemetry(settings, clock=lambda: NOW),
+        is_leaving=lambda: is_leaving,
+    )
+    reply = _Reply()
+
+    runner.submit(Call(REQUEST, "POST", "/saves", (), b"", reply))
+
+    assert reply.errors == ([ErrorKind.DRAINING] if is_leaving else [])
+    assert len(spawned) == (0 if is_leaving else 1)
