--- a/binary_tests/test_binary.py
+++ b/binary_tests/test_binary.py
@@ -85,6 +85,33 @@
     assert "site-packages" not in mapped
 
 
+def test_a_peer_that_goes_away_does_not_end_the_process(settings_path: Path) -> None:
+    """A balancer of the binary ended without a word when a peer closed a connection.
+
+    Order: a peer's connection breaks; the balancer answers on it; the system sends
+    SIGPIPE. Cause: an isolated interpreter leaves that signal at its default.
+    """
+    process = subprocess.Popen(
+        [str(BINARY), "balancer", str(settings_path)], env=ENVIRONMENT, cwd="/"
+    )
+    port = _control_port(settings_path)
+    until = time.monotonic() + WAIT_SECONDS
+    while not _listens(port) and time.monotonic() < until:
+        time.sleep(0.05)
+    ignored = _ignored_signals(process.pid)
+    process.send_signal(signal.SIGTERM)
+
+    assert process.wait(timeout=WAIT_SECONDS) == 0
+    assert signal.SIGPIPE in ignored
+
+
+def _ignored_signals(pid: int) -> set[int]:
+    status = Path(f"/proc/{pid}/status").read_text()
+    line = next(one for one in status.splitlines() if one.startswith("SigIgn:"))
+    mask = int(line.split()[1], 16)
+    return {number for number in range(1, 65) if mask >> (number - 1) & 1}
+
+
 def test_the_demo_keeps_its_promises() -> None:
     done = _run("demo")
 
--- a/tools/binary/launcher.c
+++ b/tools/binary/launcher.c
@@ -40,6 +40,9 @@
     PyStatus status;
     PyConfig_InitIsolatedConfig(config);
     config->parse_argv = 0;
+    /* Failure: a peer that closes its connection ends the whole process by SIGPIPE.
+     * The interpreter's handlers ignore that signal; an isolated one leaves them out. */
+    config->install_signal_handlers = 1;
     config->write_bytecode = 0;
     config->module_search_paths_set = 1;
     config->buffered_stdio = 0;
