--- a/src/siskinshift/core/requests.py
+++ b/src/siskinshift/core/requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers, their outcome, and the actions of admission."""
+"""Requests of callers, and the actions of admission."""
 
 from __future__ import annotations
 
@@ -9,7 +9,6 @@
 from attrs import frozen
 
 from siskinshift.core.errors import ErrorKind
-from siskinshift.messages.core import OutcomeKind
 
 
 class RunResult(StrEnum):
@@ -53,21 +52,6 @@
     pinned: bool = False
 
 
-@frozen
-class Outcome:
-    """What became of a request.
-
-    Attributes:
-        kind: Answered, not run or unknown.
-        error: Why, when it was not answered.
-        retry_after: Seconds after which a new try is welcome; None without a hint.
-    """
-
-    kind: OutcomeKind
-    error: ErrorKind | None = None
-    retry_after: float | None = None
-
-
 @frozen
 class StartRequest:
     """Action: offer the request to the agent's own upstream now.
--- a/src/siskinshift/demo/http3_client.py
+++ b/src/siskinshift/demo/http3_client.py
@@ -177,11 +177,6 @@
         """Closes the connection in order, without waiting for a peer that is dead."""
         self._post(self._close)
 
-    def vanish(self) -> None:
-        """Ends without a word, as a caller does whose instance dies."""
-        self._ended.set()
-        self._wake()
-
     def _post(self, action: Callable[[], None]) -> None:
         self._inbox.put(action)
         self._wake()
