--- /dev/null
+++ b/src/siskinshift/connections/actions.py
@@ -0,0 +1,60 @@
+"""What the decisions about connections ask of the process around them."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+from attrs import frozen
+
+
+@frozen
+class ToPeer:
+    """Send a message to another node.
+
+    Attributes:
+        address: Host and port of the node.
+        datagram: The message.
+    """
+
+    address: tuple[str, int]
+    datagram: bytes
+
+
+@frozen
+class ToUpstream:
+    """Hand a caller's packet to the upstream.
+
+    Attributes:
+        datagram: The packet.
+    """
+
+    datagram: bytes
+
+
+@frozen
+class ToCaller:
+    """Send an upstream's packet to its caller.
+
+    Attributes:
+        flow: The flow.
+        datagram: The packet.
+    """
+
+    flow: bytes
+    datagram: bytes
+
+
+@frozen
+class ResetCaller:
+    """Tell a caller that its flow has ended, so that it need not wait in vain.
+
+    Attributes:
+        flow: The flow.
+        acknowledged: What the caller acknowledged last.
+    """
+
+    flow: bytes
+    acknowledged: int
+
+
+Action: TypeAlias = ToPeer | ToUpstream | ToCaller | ResetCaller
--- /dev/null
+++ b/src/siskinshift/connections/agent_flows.py
@@ -0,0 +1,333 @@
+"""Decides at an agent what becomes of each packet: the owner's side of a flow.
+
+A flow belongs to the upstream whose first sequence number the caller acknowledged. The
+agent sees that number in the upstream's answer, so it tells its own flows from those
+that another upstream won without asking anybody. An agent that was restarted knows no
+flow; its upstream is the truth: it returns a packet of a flow that it does not hold.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from siskinshift.connections.actions import ResetCaller
+from siskinshift.connections.actions import ToCaller
+from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.peer_messages import FlowVerdict
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import encode_verdict
+from siskinshift.connections.routes import service_tag
+from siskinshift.connections.segment import ACK
+from siskinshift.connections.segment import BOUNCED
+from siskinshift.connections.segment import FIN
+from siskinshift.connections.segment import RESET
+from siskinshift.connections.segment import SYN
+from siskinshift.connections.segment import flow_name
+from siskinshift.connections.segment import is_near
+
+
+if TYPE_CHECKING:
+    from siskinshift.connections.actions import Action
+    from siskinshift.connections.peer_messages import Forward
+    from siskinshift.connections.segment import Segment
+    from siskinshift.connections.upstream_life import UpstreamLife
+    from siskinshift.observability.event_log import EventLog
+
+
+# An ended flow is remembered this long: late copies of its last packets find it.
+LINGER_SECONDS = 3.0
+# How long a flow that the upstream returned counts as foreign without asking again.
+FOREIGN_SECONDS = 10.0
+# Flows and foreign flows are looked through this often, seconds.
+SWEEP_SECONDS = 2.0
+# A flow that was silent for this long is forgotten; flows live a minute at most.
+IDLE_SECONDS = 90.0
+FOREIGN_MAXIMUM = 20_000
+
+
+@define(eq=False)
+class OwnedFlow:
+    """A flow of the agent's upstream.
+
+    Attributes:
+        used_at: When a packet was last seen, seconds.
+        reference: Newest sequence number of the upstream; None before its answer.
+        opener: Balancer that brought the opening packet; None once it was told.
+        acknowledged: What the caller acknowledged last.
+        bare_packet: A caller's packet without data: it can be sent to the upstream
+            again at any time to see whether it still holds the flow.
+        is_running: Whether the caller waits for an answer.
+        ends_seen: FIN of the caller (1) and of the upstream (2).
+        ended_at: When the flow ended; 0 while it is open.
+    """
+
+    used_at: float
+    reference: int | None = None
+    opener: tuple[str, int] | None = None
+    acknowledged: int = 0
+    bare_packet: bytes = b""
+    is_running: bool = False
+    ends_seen: int = 0
+    ended_at: float = 0.0
+
+
+class AgentFlows:
+    """Flows of the upstream beside one agent."""
+
+    def __init__(self, *, life: UpstreamLife, log: EventLog) -> None:
+        """Starts without any flow.
+
+        Args:
+            life: The upstream.
+            log: Takes a line for each decision.
+        """
+        self._life = life
+        self._log = log
+        self._flows: dict[bytes, OwnedFlow] = {}
+        self._offered: dict[bytes, tuple[str, int]] = {}
+        self._foreign_until: dict[bytes, float] = {}
+        self._open_count = 0
+        self._running_count = 0
+        self._swept_at = 0.0
+        self.is_pausing = False
+
+    def __len__(self) -> int:
+        return self._open_count
+
+    @property
+    def load(self) -> Load:
+        """Open flows, and those on which a caller waits."""
+        return Load(self._open_count, self._running_count)
+
+    def on_forward(
+        self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
+    ) -> list[Action]:
+        """Takes a caller's packet from a balancer.
+
+        Args:
+            forward: What the balancer asks.
+            segment: The packet.
+            sender: The balancer.
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        if forward.purpose is Purpose.OPEN:
+            return self._on_opening(forward, segment, sender, now=now)
+        if segment.flags & (SYN | BOUNCED):
+            return []
+        flow = self._flows.get(segment.flow)
+        if flow is None:
+            return self._offer(segment, sender, now=now)
+        if flow.reference is None or not is_near(segment.ack, flow.reference):
+            # Another upstream's answer reached the caller first.
+            if segment.flags & RESET:
+                return []
+            return [self._say(Verdict.NOT_MINE, segment.flow, sender, segment.datagram)]
+        self._note_caller_packet(flow, segment, now=now)
+        actions: list[Action] = [ToUpstream(segment.datagram)]
+        if forward.purpose is Purpose.SEARCH:
+            actions.append(self._say(Verdict.MINE, segment.flow, sender))
+        return actions
+
+    def on_upstream_segment(self, segment: Segment, *, now: float) -> list[Action]:
+        """Takes a packet of the upstream.
+
+        Args:
+            segment: The packet; one that it returned carries the flag BOUNCED.
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        if segment.flags & BOUNCED:
+            return self._on_bounce(segment, now=now)
+        actions: list[Action] = [ToCaller(segment.flow, segment.datagram)]
+        flow = self._flows.get(segment.flow)
+        if flow is None:
+            if segment.flags & RESET:
+                return actions
+            flow = self._add(segment.flow, now=now)
+            self._foreign_until.pop(segment.flow, None)
+        asker = self._offered.pop(segment.flow, None)
+        if asker is not None:
+            actions.append(self._say(Verdict.MINE, segment.flow, asker))
+        if flow.opener is not None and segment.flags & SYN:
+            actions.append(self._say(Verdict.ACCEPTED, segment.flow, flow.opener))
+            flow.opener = None
+        flow.reference = segment.seq
+        flow.used_at = now
+        if segment.length:
+            self._set_running(flow, is_running=False)
+        if segment.flags & RESET:
+            self._end(flow, now=now)
+        elif segment.flags & FIN:
+            flow.ends_seen |= 2
+            self._end_if_closed(flow, now=now)
+        return actions
+
+    def verify_all(self, *, now: float) -> list[Action]:
+        """Asks the upstream about each flow; those that it lost are reset in turn.
+
+        Guards against callers that wait for an incarnation that has ended: they would
+        find out at the deadline of their next request.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            A packet of each flow that has one to repeat.
+        """
+        return [
+            ToUpstream(flow.bare_packet)
+            for flow in self._flows.values()
+            if flow.bare_packet and not flow.ended_at
+        ]
+
+    def upstream_ended(self, *, now: float) -> list[Action]:
+        """Resets all flows of an upstream whose process is gone for certain.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            The resets.
+        """
+        actions: list[Action] = []
+        for name, flow in self._flows.items():
+            if not flow.ended_at:
+                actions.append(ResetCaller(name, flow.acknowledged))
+                self._end(flow, now=now)
+        self._log.decision("flows reset", reason="upstream gone", flows=len(actions))
+        self._flows.clear()
+        return actions
+
+    def tick(self, *, now: float) -> None:
+        """Forgets what is over.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        if now - self._swept_at < SWEEP_SECONDS:
+            return
+        self._swept_at = now
+        for name, flow in tuple(self._flows.items()):
+            if flow.ended_at and now - flow.ended_at > LINGER_SECONDS:
+                del self._flows[name]
+            elif now - flow.used_at > IDLE_SECONDS:
+                self._end(flow, now=now)
+                del self._flows[name]
+        self._foreign_until = {
+            name: until for name, until in self._foreign_until.items() if until > now
+        }
+        self._offered.clear()
+
+    def _on_opening(
+        self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
+    ) -> list[Action]:
+        if segment.flags & (SYN | ACK | BOUNCED) != SYN:
+            return []
+        if forward.service_tag != service_tag(self._life.service_id):
+            return [self._refuse(Verdict.WRONG_SERVICE, segment.flow, sender)]
+        flow = self._flows.get(segment.flow)
+        if flow is None and (self.is_pausing or not self._life.accepts(now=now)):
+            return [self._refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
+        if flow is None:
+            flow = self._add(segment.flow, now=now)
+        flow.opener = sender
+        return [ToUpstream(segment.datagram)]
+
+    def _offer(
+        self, segment: Segment, sender: tuple[str, int], *, now: float
+    ) -> list[Action]:
+        if segment.flags & RESET:
+            return []
+        if self._foreign_until.get(segment.flow, 0.0) > now:
+            return [self._say(Verdict.NOT_MINE, segment.flow, sender, segment.datagram)]
+        self._offered[segment.flow] = sender
+        return [ToUpstream(segment.datagram)]
+
+    def _on_bounce(self, segment: Segment, *, now: float) -> list[Action]:
+        flow = self._flows.get(segment.flow)
+        if segment.flags & SYN:
+            if flow is None or flow.opener is None:
+                return []
+            sender = flow.opener
+            self._end(flow, now=now)
+            del self._flows[segment.flow]
+            return [self._refuse(Verdict.FULL, segment.flow, sender)]
+        asker = self._offered.pop(segment.flow, None)
+        if asker is not None:
+            if len(self._foreign_until) < FOREIGN_MAXIMUM:
+                self._foreign_until[segment.flow] = now + FOREIGN_SECONDS
+            return [self._say(Verdict.NOT_MINE, segment.flow, asker, segment.datagram)]
+        if flow is None or flow.ended_at:
+            return []
+        # The caller acknowledged this upstream's own numbers, so no other upstream
+        # can hold the flow.
+        acknowledged = flow.acknowledged
+        self._end(flow, now=now)
+        self._log.decision(
+            "reset", flow=flow_name(segment.flow), reason="upstream lost the flow"
+        )
+        return [ResetCaller(segment.flow, acknowledged)]
+
+    def _note_caller_packet(
+        self, flow: OwnedFlow, segment: Segment, *, now: float
+    ) -> None:
+        flow.used_at = now
+        flow.acknowledged = segment.ack
+        if segment.flags & RESET:
+            self._end(flow, now=now)
+        elif segment.flags & FIN:
+            flow.ends_seen |= 1
+            self._end_if_closed(flow, now=now)
+        elif segment.length:
+            self._set_running(flow, is_running=True)
+        else:
+            flow.bare_packet = segment.datagram
+
+    def _end_if_closed(self, flow: OwnedFlow, *, now: float) -> None:
+        if flow.ends_seen == 3:
+            self._end(flow, now=now)
+
+    def _add(self, name: bytes, *, now: float) -> OwnedFlow:
+        flow = OwnedFlow(now)
+        self._flows[name] = flow
+        self._open_count += 1
+        return flow
+
+    def _end(self, flow: OwnedFlow, *, now: float) -> None:
+        if flow.ended_at:
+            return
+        self._set_running(flow, is_running=False)
+        flow.ended_at = now
+        self._open_count -= 1
+
+    def _set_running(self, flow: OwnedFlow, *, is_running: bool) -> None:
+        if flow.is_running != is_running and not flow.ended_at:
+            flow.is_running = is_running
+            self._running_count += 1 if is_running else -1
+
+    def _refuse(
+        self, verdict: Verdict, flow: bytes, sender: tuple[str, int]
+    ) -> ToPeer:
+        self._log.decision(
+            "refused",
+            flow=flow_name(flow),
+            reason=verdict.name.lower(),
+            upstream=self._life.upstream_id,
+        )
+        return self._say(verdict, flow, sender)
+
+    def _say(
+        self, verdict: Verdict, flow: bytes, address: tuple[str, int], packet: bytes = b""
+    ) -> ToPeer:
+        message = encode_verdict(FlowVerdict(verdict, flow, self.load, packet))
+        return ToPeer(address, message)
--- /dev/null
+++ b/src/siskinshift/connections/agent_node.py
@@ -0,0 +1,225 @@
+"""The agent of connection flows: the process beside an upstream."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+from siskinshift.connections.agent_flows import AgentFlows
+from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
+from siskinshift.connections.node import ConnectionNode
+from siskinshift.connections.peer_messages import Forward
+from siskinshift.connections.upstream_life import Heartbeat
+from siskinshift.connections.upstream_life import HeartbeatEffect
+from siskinshift.connections.upstream_life import UpstreamLife
+from siskinshift.control.exceptions import BadMessageError
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+from siskinshift.platform.heartbeats import ACKNOWLEDGEMENT
+from siskinshift.platform.heartbeats import EndNotice
+from siskinshift.platform.heartbeats import decode_upstream_call
+from siskinshift.platform.packets import decode_from_caller
+from siskinshift.platform.packets import decode_from_upstream
+from siskinshift.runtime.event_loop import open_datagram_socket
+from siskinshift.runtime.http_server import HttpReply
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinshift.connections.actions import Action
+    from siskinshift.connections.node_settings import NodeSettings
+    from siskinshift.connections.peer_messages import Load
+    from siskinshift.connections.peer_messages import PeerMessage
+    from siskinshift.runtime.http_server import HttpRequest
+
+
+# An upstream's call is answered within a second or it calls again.
+CALL_SECONDS = 0.8
+# A leaving agent lets requests that run end; its successor is up within a second and
+# most requests take less than this.
+LEAVE_SECONDS_MAXIMUM = 1.0
+LEAVE_STEP_SECONDS = 0.02
+# A heartbeat that is late by this much lets the agent look whether the upstream's
+# process is still there.
+LATE_SECONDS = 0.25
+PROBE_INTERVAL_SECONDS = 0.5
+PROBE_TIMEOUT_SECONDS = 0.3
+
+
+class AgentNode(ConnectionNode):
+    """Owns the flows of the upstream on its instance."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Binds the sockets.
+
+        Args:
+            settings: Settings of the node; upstream and outlet are required.
+        """
+        super().__init__(settings, role=Role.AGENT)
+        assert settings.upstream is not None
+        assert settings.upstream_outlet is not None
+        self.life = UpstreamLife(
+            service_id=settings.service_id,
+            heartbeat_interval=settings.heartbeat_interval,
+        )
+        self.flows = AgentFlows(life=self.life, log=self.log)
+        outlet = settings.upstream_outlet
+        self._upstream_socket = open_datagram_socket(outlet.host, outlet.port)
+        self.owns(self._upstream_socket.close)
+        self._upstream_address = (settings.upstream.host, settings.upstream.port)
+        self._told_at = float("-inf")
+        self._heartbeat_at = float("-inf")
+        self._probed_at = float("-inf")
+        self._is_probing = False
+        self._left_by = float("inf")
+
+    def on_start(self) -> None:
+        """Starts to listen to the upstream and to peers."""
+        super().on_start()
+        self.loop.add_socket(self._upstream_socket, self._on_upstream_datagram)
+        if self.node_settings.heartbeats is not None:
+            self.serve(self.node_settings.heartbeats, self._answer_upstream)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the upstream takes new flows."""
+        return not self.is_leaving and self.life.accepts(now=self.clock())
+
+    @property
+    def load(self) -> Load:
+        """Load of the upstream as its flows show it."""
+        return self.flows.load
+
+    def begin_leaving(self) -> None:
+        """Takes no new flow and ends as soon as no request runs."""
+        now = self.clock()
+        self._left_by = now
+        self.flows.is_pausing = True
+        if self.life.is_gone:
+            self.perform(self.flows.upstream_ended(now=now))
+        else:
+            self._left_by += LEAVE_SECONDS_MAXIMUM
+        self._tell_change(now)
+
+    def on_message(
+        self, message: PeerMessage, source: tuple[str, int], now: float
+    ) -> Iterable[Action]:
+        """Takes a caller's packet from a balancer."""
+        if not isinstance(message, Forward):
+            return ()
+        segment = decode_from_caller(message.datagram)
+        if segment is None:
+            return ()
+        return self.flows.on_forward(message, segment, source, now=now)
+
+    def on_due(self, now: float) -> float:
+        """Tells balancers of this agent, looks after the upstream."""
+        self.flows.tick(now=now)
+        self._update_member(now)
+        if now - self._told_at >= STATUS_INTERVAL_SECONDS:
+            self._told_at = now
+            self.send_status(self.fleet.balancers())
+        due = self._told_at + STATUS_INTERVAL_SECONDS
+        if not self.is_leaving:
+            self._probe_if_late(now)
+            return due
+        if now >= self._left_by or not self.flows.load.running:
+            self.stopping.set()
+        return min(due, now + LEAVE_STEP_SECONDS)
+
+    def send_to_upstream(self, datagram: bytes) -> None:
+        """Hands a packet to the upstream."""
+        try:
+            self._upstream_socket.sendto(datagram, self._upstream_address)
+        except OSError as error:
+            self.log.decision("upstream send failed", error=str(error))
+
+    def _on_upstream_datagram(
+        self, datagram: bytes, source: tuple[str, int], now: float
+    ) -> None:
+        segment = decode_from_upstream(datagram)
+        if segment is None:
+            self.log.decision("packet unreadable", source=source[0])
+            return
+        self.perform(self.flows.on_upstream_segment(segment, now=now))
+
+    def _answer_upstream(self, request: HttpRequest) -> HttpReply:
+        try:
+            call = decode_upstream_call(request)
+        except BadMessageError as error:
+            self.log.fact("heartbeat refused", error=str(error))
+            return HttpReply(400)
+        if call is None:
+            return HttpReply(404)
+        # Acknowledged only when it is in force: balancers were told, and the agent
+        # itself refuses new flows from now on if the upstream leaves.
+        self.loop.call(lambda: self._on_upstream_call(call)).result(CALL_SECONDS)
+        return HttpReply(200, ACKNOWLEDGEMENT)
+
+    def _on_upstream_call(self, call: Heartbeat | EndNotice) -> None:
+        now = self.clock()
+        if isinstance(call, EndNotice):
+            is_current = self.life.on_end(call.upstream_id)
+            self.log.fact("upstream ends", upstream=call.upstream_id, now=is_current)
+            self._update_member(now)
+            return
+        self._heartbeat_at = now
+        effect = self.life.on_heartbeat(call, now=now)
+        if effect is HeartbeatEffect.NONE:
+            return
+        self.log.fact(
+            "upstream",
+            upstream=call.upstream_id,
+            sequence=call.sequence,
+            leaving=call.is_leaving,
+            effect=effect.name.lower(),
+        )
+        self._update_member(now)
+        if effect is HeartbeatEffect.REPLACED:
+            self.perform(self.flows.verify_all(now=now))
+
+    def _update_member(self, now: float) -> None:
+        state = self.life.state(now=now)
+        if self.is_leaving:
+            state = MemberState.GONE if self.life.is_gone else MemberState.JOINING
+        weight = self.life.weight(now=now)
+        if self.change_member(state=state, weight=weight, slots=self.life.slots):
+            self._tell_change(now)
+
+    def _tell_change(self, now: float) -> None:
+        self._told_at = now
+        self.send_status(self.fleet.balancers())
+
+    def _probe_if_late(self, now: float) -> None:
+        """Looks for the upstream's process when its heartbeat is late.
+
+        Guards against callers that wait for an upstream that crashed: a port without
+        a listener proves that the process is gone, and its flows can be reset.
+        """
+        late_at = self._heartbeat_at + self.node_settings.heartbeat_interval
+        is_late = self.life.upstream_id and now > late_at + LATE_SECONDS
+        if not is_late or self._is_probing or not len(self.flows):
+            return
+        if now - self._probed_at >= PROBE_INTERVAL_SECONDS:
+            self._probed_at = now
+            self._is_probing = True
+            self.spawn(self._probe)
+
+    def _probe(self) -> None:
+        try:
+            connection = socket.create_connection(
+                self._upstream_address, PROBE_TIMEOUT_SECONDS
+            )
+            connection.close()
+        except ConnectionRefusedError:
+            self.log.fact("upstream process gone", upstream=self.life.upstream_id)
+            self.loop.call(self._on_process_gone)
+        except OSError as error:
+            # No proof either way: it may be slow, or the instance is.
+            self.log.fact("upstream probe failed", error=str(error))
+        finally:
+            self._is_probing = False
+
+    def _on_process_gone(self) -> None:
+        self.perform(self.flows.upstream_ended(now=self.clock()))
--- /dev/null
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -0,0 +1,472 @@
+"""Decides at a balancer what becomes of each packet of a caller.
+
+A balancer's memory of flows is a cache: the agents own them, and what a balancer does
+not know it asks them. Pattern: callers open flows while agents die, restart and fill
+up. Without retries of its own a packet to a dead agent costs the caller the 200 ms to
+its next copy; with the agents' verdicts it costs milliseconds if refused, and the
+`RETRY_AFTER_SECONDS` if nothing comes back.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from attrs import Factory
+from attrs import define
+
+from siskinshift.connections.actions import ResetCaller
+from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import encode_forward
+from siskinshift.connections.routes import service_tag
+from siskinshift.connections.segment import ACK
+from siskinshift.connections.segment import BOUNCED
+from siskinshift.connections.segment import RESET
+from siskinshift.connections.segment import SYN
+from siskinshift.connections.segment import flow_name
+from siskinshift.connections.segment import service_address
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinshift.connections.actions import Action
+    from siskinshift.connections.fleet import Fleet
+    from siskinshift.connections.fleet import Peer
+    from siskinshift.connections.peer_messages import FlowVerdict
+    from siskinshift.connections.placement import AgentPlacement
+    from siskinshift.connections.routes import ConnectionRoute
+    from siskinshift.connections.routes import RouteTable
+    from siskinshift.connections.segment import Segment
+    from siskinshift.observability.event_log import EventLog
+
+
+# A verdict takes one to three milliseconds; a busy instance answers within this. An
+# objective of 100 ms is still met by the second agent.
+RETRY_AFTER_SECONDS = 0.04
+# Agents asked for one flow at most: three that are dead at once are an outage.
+ATTEMPTS_MAXIMUM = 4
+# How long a caller's opening packet is kept while no agent can take it. Callers send
+# a copy after 200 ms; what waits longer is found again with that copy.
+HOLD_SECONDS = 0.25
+# Opening packets held at most, 1 KB each.
+HELD_MAXIMUM = 2000
+# A record is dropped when its flow was silent for one to two of these.
+GENERATION_SECONDS = 60.0
+# Flows of a balancer at which it forgets the older half early; 0.6 KB each.
+RECORDS_MAXIMUM = 50_000
+
+
+@define(eq=False)
+class Attempt:
+    """An agent that was asked to take a flow.
+
+    Attributes:
+        agent: The agent.
+        verdict: Its word; None before it came.
+    """
+
+    agent: Peer
+    verdict: Verdict | None = None
+
+
+@define(eq=False)
+class FlowRecord:
+    """What a balancer remembers of a flow.
+
+    Attributes:
+        flow: The flow.
+        service_id: Service that was drawn for it; empty when it was not seen to open.
+        owner: The agent whose upstream holds it, once known.
+        opening: The opening packet, until the flow is open.
+        opened_at: When that came, seconds.
+        attempts: Agents asked to take it.
+        pending: Agents that were asked whether they own it and have not said no.
+        asked: All agents that were asked whether they own it.
+        acknowledged: What the caller acknowledged last.
+    """
+
+    flow: bytes
+    service_id: str = ""
+    owner: Peer | None = None
+    opening: bytes = b""
+    opened_at: float = 0.0
+    attempts: list[Attempt] = Factory(list)
+    pending: set[str] = Factory(set)
+    asked: set[str] = Factory(set)
+    acknowledged: int = 0
+
+    def attempt_with(self, agent: Peer) -> Attempt | None:
+        """Finds the attempt with an agent."""
+        for attempt in self.attempts:
+            if attempt.agent is agent:
+                return attempt
+        return None
+
+
+class BalancerFlows:
+    """Flows as one balancer sees them."""
+
+    def __init__(
+        self, *, fleet: Fleet, placement: AgentPlacement, log: EventLog
+    ) -> None:
+        """Starts without a configuration.
+
+        Args:
+            fleet: The agents.
+            placement: Chooses among them.
+            log: Takes a line for each decision.
+        """
+        self._fleet = fleet
+        self._placement = placement
+        self._log = log
+        self._routes: RouteTable | None = None
+        self._dropped_addresses: set[bytes] = set()
+        self._tags: dict[str, int] = {}
+        self._young: dict[bytes, FlowRecord] = {}
+        self._old: dict[bytes, FlowRecord] = {}
+        self._generation_at = 0.0
+        self._retries: deque[tuple[float, FlowRecord, Attempt]] = deque()
+        self._held: deque[FlowRecord] = deque()
+
+    def __len__(self) -> int:
+        return len(self._young) + len(self._old)
+
+    @property
+    def routes(self) -> RouteTable | None:
+        """The configuration in force; None before the first."""
+        return self._routes
+
+    def configure(self, routes: RouteTable) -> bool:
+        """Takes a configuration; an older one than before is ignored.
+
+        Args:
+            routes: The configuration.
+
+        Returns:
+            Whether it is in force now.
+        """
+        if self._routes is not None:
+            if routes.version <= self._routes.version:
+                return False
+            self._dropped_addresses |= set(self._routes.routes_by_address)
+        self._dropped_addresses -= set(routes.routes_by_address)
+        self._routes = routes
+        return True
+
+    def on_segment(self, segment: Segment, *, now: float) -> list[Action]:
+        """Takes a caller's packet.
+
+        Args:
+            segment: The packet.
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        flags = segment.flags
+        if self._routes is None or flags & BOUNCED or flags & (SYN | ACK) == SYN | ACK:
+            # Callers send neither; an upstream would take it for forged.
+            return []
+        route = self._routes.routes_by_address.get(service_address(segment.flow))
+        if route is None:
+            return self._without_route(segment)
+        if flags & SYN:
+            return self._on_opening(route, segment, now=now)
+        record = self._find(segment.flow)
+        if record is None:
+            record = self._add(FlowRecord(segment.flow))
+        record.acknowledged = segment.ack
+        if record.owner is not None:
+            return [self._forward(record.owner, Purpose.OWNED, segment.datagram)]
+        return self._find_owner(route, record, segment, now=now)
+
+    def on_verdict(
+        self, agent: Peer, verdict: FlowVerdict, *, now: float
+    ) -> list[Action]:
+        """Takes an agent's word about a flow.
+
+        Args:
+            agent: The agent.
+            verdict: Its word.
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        self._fleet.answered(agent, now=now)
+        self._fleet.took_load(agent, verdict.load)
+        record = self._find(verdict.flow)
+        if record is None:
+            return []
+        if verdict.verdict is Verdict.MINE:
+            record.owner = agent
+            record.pending.clear()
+            self._log.decision(
+                "owner found", flow=flow_name(record.flow), agent=agent.member.member_id
+            )
+            return []
+        if verdict.verdict is Verdict.NOT_MINE:
+            return self._on_not_mine(agent, record, verdict.packet, now=now)
+        return self._on_opening_verdict(agent, record, verdict.verdict, now=now)
+
+    def retry_held(self, *, now: float) -> list[Action]:
+        """Places opening packets that found no agent; call it when one has come.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        actions: list[Action] = []
+        for _ in range(len(self._held)):
+            record = self._held.popleft()
+            if record.owner is None and record.opening:
+                actions += self._try_next(record, now=now)
+        return actions
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Lets time pass.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            What has become due.
+        """
+        actions: list[Action] = []
+        while self._retries and self._retries[0][0] <= now:
+            _, record, attempt = self._retries.popleft()
+            if attempt.verdict is None and self._find(record.flow) is record:
+                attempt.agent.unanswered += 1
+                if len(record.attempts) < ATTEMPTS_MAXIMUM:
+                    actions += self._try_next(record, now=now)
+        while self._held and now - self._held[0].opened_at > HOLD_SECONDS:
+            actions += self._give_up(self._held.popleft())
+        if now - self._generation_at > GENERATION_SECONDS:
+            self._next_generation(now=now)
+        return actions
+
+    def next_due(self) -> float:
+        """Says when `tick` is needed next.
+
+        Returns:
+            Clock reading, seconds.
+        """
+        due = self._generation_at + GENERATION_SECONDS
+        if self._retries:
+            due = min(due, self._retries[0][0])
+        if self._held:
+            due = min(due, self._held[0].opened_at + HOLD_SECONDS)
+        return due
+
+    def _without_route(self, segment: Segment) -> list[Action]:
+        if segment.flags & RESET:
+            return []
+        is_first_copy = segment.flags & SYN and segment.ack == 0
+        was_dropped = service_address(segment.flow) in self._dropped_addresses
+        if is_first_copy and not was_dropped:
+            # The route may have been added a moment ago: the caller's next copy,
+            # 200 ms later, finds it in force or is refused.
+            return []
+        self._drop(segment.flow)
+        self._log.decision(
+            "reset",
+            flow=flow_name(segment.flow),
+            reason="no route",
+            configuration=self._routes.version if self._routes else 0,
+        )
+        return [ResetCaller(segment.flow, segment.ack)]
+
+    def _on_opening(
+        self, route: ConnectionRoute, segment: Segment, *, now: float
+    ) -> list[Action]:
+        record = self._find(segment.flow)
+        if record is None or not record.attempts:
+            record = self._add(FlowRecord(segment.flow))
+            record.service_id = route.service_for(segment.flow)
+            record.opening = segment.datagram
+            record.opened_at = now
+            return self._try_next(record, now=now)
+        taken = [a for a in record.attempts if a.verdict is Verdict.ACCEPTED]
+        if taken:
+            # Its answer to the caller was lost; the upstream answers a copy again.
+            return [self._forward(a.agent, Purpose.OPEN, segment.datagram, record) for a in taken]
+        record.opened_at = now
+        return self._try_next(record, now=now)
+
+    def _try_next(self, record: FlowRecord, *, now: float) -> list[Action]:
+        tried = {attempt.agent.member.member_id for attempt in record.attempts}
+        agents = self._fleet.agents_of(record.service_id)
+        agent = self._placement.choose(agents, tried=tried, now=now)
+        if agent is None:
+            return self._hold(record, now=now)
+        attempt = Attempt(agent)
+        record.attempts.append(attempt)
+        agent.placed += 1
+        self._retries.append((now + RETRY_AFTER_SECONDS, record, attempt))
+        self._log.decision(
+            "open",
+            flow=flow_name(record.flow),
+            agent=agent.member.member_id,
+            attempt=len(record.attempts),
+            load=agent.load.flows,
+            running=agent.load.running,
+            load_age=round(now - agent.heard_at, 3),
+        )
+        return [self._forward(agent, Purpose.OPEN, record.opening, record)]
+
+    def _hold(self, record: FlowRecord, *, now: float) -> list[Action]:
+        if any(attempt.verdict is None for attempt in record.attempts):
+            return []
+        if len(self._held) >= HELD_MAXIMUM or now - record.opened_at > HOLD_SECONDS:
+            return self._give_up(record)
+        # All agents were asked and refused; each may be asked once more.
+        record.attempts.clear()
+        self._held.append(record)
+        return []
+
+    def _give_up(self, record: FlowRecord) -> list[Action]:
+        if self._find(record.flow) is not record or record.owner is not None:
+            return []
+        self._drop(record.flow)
+        self._log.decision(
+            "reset",
+            flow=flow_name(record.flow),
+            reason="no agent takes it",
+            agents=len(self._fleet.agents_of(record.service_id)),
+        )
+        return [ResetCaller(record.flow, 0)]
+
+    def _on_opening_verdict(
+        self, agent: Peer, record: FlowRecord, verdict: Verdict, *, now: float
+    ) -> list[Action]:
+        attempt = record.attempt_with(agent)
+        if attempt is None:
+            return []
+        attempt.verdict = verdict
+        self._log.decision(
+            "opening answered",
+            flow=flow_name(record.flow),
+            agent=agent.member.member_id,
+            verdict=verdict.name.lower(),
+        )
+        if verdict is Verdict.ACCEPTED:
+            return []
+        if any(a.verdict in (None, Verdict.ACCEPTED) for a in record.attempts):
+            return []
+        return self._try_next(record, now=now)
+
+    def _find_owner(
+        self, route: ConnectionRoute, record: FlowRecord, segment: Segment, *, now: float
+    ) -> list[Action]:
+        candidates = [a for a in record.attempts if a.verdict is Verdict.ACCEPTED]
+        if len(candidates) == 1 and len(record.attempts) == 1:
+            record.owner = candidates[0].agent
+            record.opening = b""
+            return [self._forward(record.owner, Purpose.OWNED, segment.datagram)]
+        if not record.pending:
+            record.pending = {a.agent.member.member_id for a in record.attempts}
+            record.asked = set(record.pending)
+        if not record.pending:
+            for target in route.targets:
+                self._ask_agents(record, self._fleet.agents_of(target.service_id))
+        if not record.pending:
+            self._ask_agents(record, self._fleet.agents())
+        return self._search(record, segment.datagram)
+
+    def _ask_agents(self, record: FlowRecord, agents: list[Peer]) -> None:
+        for agent in agents:
+            if agent.member.member_id not in record.asked:
+                record.asked.add(agent.member.member_id)
+                record.pending.add(agent.member.member_id)
+
+    def _search(self, record: FlowRecord, datagram: bytes) -> list[Action]:
+        agents = [self._fleet.peers_by_id.get(i) for i in sorted(record.pending)]
+        return [self._forward(a, Purpose.SEARCH, datagram) for a in agents if a]
+
+    def _on_not_mine(
+        self, agent: Peer, record: FlowRecord, packet: bytes, *, now: float
+    ) -> list[Action]:
+        member_id = agent.member.member_id
+        if record.owner is agent:
+            record.owner = None
+            record.asked = {member_id}
+            record.pending = set()
+        elif member_id not in record.pending:
+            return []
+        record.pending.discard(member_id)
+        if self._still_pending(record, now=now):
+            return []
+        asked_before = set(record.asked)
+        route = None
+        if self._routes is not None:
+            route = self._routes.routes_by_address.get(service_address(record.flow))
+        for target in route.targets if route else ():
+            self._ask_agents(record, self._fleet.agents_of(target.service_id))
+        if record.asked == asked_before:
+            self._ask_agents(record, self._fleet.agents())
+        if record.pending and packet:
+            return self._search(record, packet)
+        if record.pending:
+            return []
+        self._drop(record.flow)
+        self._log.decision(
+            "reset",
+            flow=flow_name(record.flow),
+            reason="no upstream holds the flow",
+            asked=len(record.asked),
+        )
+        return [ResetCaller(record.flow, record.acknowledged)]
+
+    def _still_pending(self, record: FlowRecord, *, now: float) -> bool:
+        for member_id in tuple(record.pending):
+            peer = self._fleet.peers_by_id.get(member_id)
+            if peer is None or peer.is_silent(now=now):
+                record.pending.discard(member_id)
+        return bool(record.pending)
+
+    def _forward(
+        self,
+        agent: Peer,
+        purpose: Purpose,
+        datagram: bytes,
+        record: FlowRecord | None = None,
+    ) -> ToPeer:
+        tag = self._tag_of(record.service_id) if record is not None else 0
+        return ToPeer(agent.address, encode_forward(purpose, tag, datagram))
+
+    def _tag_of(self, service_id: str) -> int:
+        tag = self._tags.get(service_id)
+        if tag is None:
+            tag = self._tags[service_id] = service_tag(service_id)
+        return tag
+
+    def _find(self, flow: bytes) -> FlowRecord | None:
+        record = self._young.get(flow)
+        if record is not None:
+            return record
+        record = self._old.pop(flow, None)
+        if record is not None:
+            self._young[flow] = record
+        return record
+
+    def _add(self, record: FlowRecord) -> FlowRecord:
+        if len(self._young) >= RECORDS_MAXIMUM // 2:
+            self._old = self._young
+            self._young = {}
+        self._old.pop(record.flow, None)
+        self._young[record.flow] = record
+        return record
+
+    def _drop(self, flow: bytes) -> None:
+        self._young.pop(flow, None)
+        self._old.pop(flow, None)
+
+    def _next_generation(self, *, now: float) -> None:
+        self._generation_at = now
+        self._old = self._young
+        self._young = {}
--- /dev/null
+++ b/src/siskinshift/connections/balancer_node.py
@@ -0,0 +1,212 @@
+"""The balancer of connection flows: an entry instance of the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinshift.connections.balancer_flows import BalancerFlows
+from siskinshift.connections.configuration_follower import ConfigurationFollower
+from siskinshift.connections.node import ConnectionNode
+from siskinshift.connections.peer_messages import FlowVerdict
+from siskinshift.connections.placement import AgentPlacement
+from siskinshift.control.exceptions import BadMessageError
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+from siskinshift.platform.configuration import CONFIGURATION_KEY
+from siskinshift.platform.configuration import decode_configuration
+from siskinshift.platform.packets import decode_from_caller
+from siskinshift.runtime.event_loop import open_datagram_socket
+from siskinshift.runtime.http_client import HttpClient
+from siskinshift.runtime.http_server import HttpReply
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinshift.connections.actions import Action
+    from siskinshift.connections.fleet import Peer
+    from siskinshift.connections.node_settings import NodeSettings
+    from siskinshift.connections.peer_messages import PeerMessage
+    from siskinshift.runtime.http_server import HttpRequest
+
+
+CONFIGURATION_PATH = "/configuration"
+# Agents only need to know that the balancer is there, and hear it with each flow.
+AGENT_STATUS_SECONDS = 5.0
+# Balancers tell each other the version that they hold: one that the store turns away
+# is behind for this long and the time to fetch it.
+BALANCER_STATUS_SECONDS = 0.5
+FETCH_TIMEOUT_SECONDS = 0.5
+# Two misses of a probe each half second take a balancer out of rotation; packets on
+# their way come after that.
+LEAVE_SECONDS_MINIMUM = 1.6
+QUIET_SECONDS = 0.5
+# Left of the time until the process is killed, for its clean-up.
+LEAVE_RESERVE_SECONDS = 1.0
+
+
+class BalancerNode(ConnectionNode):
+    """Takes callers' packets and passes each to an agent."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Binds the sockets.
+
+        Args:
+            settings: Settings of the node.
+        """
+        super().__init__(settings, role=Role.BALANCER)
+        placement = AgentPlacement(
+            failure_domain=settings.failure_domain, random=self.random
+        )
+        self._flows = BalancerFlows(
+            fleet=self.fleet, placement=placement, log=self.log
+        )
+        caller_packets = settings.caller_packets
+        self._caller_socket = open_datagram_socket(
+            caller_packets.host, caller_packets.port
+        )
+        self.owns(self._caller_socket.close)
+        self._follower = ConfigurationFollower(
+            store=self.store,
+            key=CONFIGURATION_KEY,
+            on_value=self._take_configuration,
+            random=self.random,
+            log=self.log,
+        )
+        self._configuration_value = b""
+        self._is_fetching = False
+        self._told_agents_at = float("-inf")
+        self._told_balancers_at = float("-inf")
+        self._received_at = self.clock()
+        self._leave_at = float("inf")
+        self._left_by = float("inf")
+
+    def on_start(self) -> None:
+        """Starts to forward; readiness follows with configuration and agents."""
+        super().on_start()
+        own = Endpoint(self.node_settings.host, self.node_settings.peer_port)
+        self.serve(own, self._answer_peer)
+        self.loop.add_socket(self._caller_socket, self._on_caller_datagram)
+        self.spawn(self._follower.follow_until, self.stopping)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether flows can be placed: a configuration and one ready agent."""
+        if self.is_leaving or self._flows.routes is None:
+            return False
+        states = (agent.member.state for agent in self.fleet.agents())
+        return MemberState.READY in states
+
+    @property
+    def configuration_version(self) -> int:
+        """Version in force; 0 before the first."""
+        return self._flows.routes.version if self._flows.routes else 0
+
+    def begin_leaving(self) -> None:
+        """Says not ready and forwards until the routers have noticed."""
+        now = self.clock()
+        self._leave_at = now + LEAVE_SECONDS_MINIMUM
+        self._left_by = now + max(
+            0.0, self.node_settings.leave_seconds - LEAVE_RESERVE_SECONDS
+        )
+
+    def on_message(
+        self, message: PeerMessage, source: tuple[str, int], now: float
+    ) -> Iterable[Action]:
+        """Takes an agent's word about a flow."""
+        agent = self.fleet.peers_by_address.get(source)
+        if agent is None or not isinstance(message, FlowVerdict):
+            return ()
+        return self._flows.on_verdict(agent, message, now=now)
+
+    def on_peer_status(self, peer: Peer, now: float) -> Iterable[Action]:
+        """Learns of a newer configuration or of an agent that takes flows."""
+        if peer.member.role is Role.BALANCER:
+            self._fetch_if_newer(peer)
+            return ()
+        if peer.member.state is MemberState.READY:
+            return self._flows.retry_held(now=now)
+        return ()
+
+    def on_due(self, now: float) -> float:
+        """Tells peers of this balancer and lets flows time out."""
+        self.perform(self._flows.tick(now=now))
+        if now - self._told_balancers_at >= BALANCER_STATUS_SECONDS:
+            self._told_balancers_at = now
+            self.send_status(self.fleet.balancers())
+        if now - self._told_agents_at >= AGENT_STATUS_SECONDS:
+            self._told_agents_at = now
+            self.send_status(self.fleet.agents())
+        quiet_at = max(self._leave_at, self._received_at + QUIET_SECONDS)
+        leave_at = min(quiet_at, self._left_by)
+        if now >= leave_at:
+            self.stopping.set()
+        return min(
+            self._flows.next_due(),
+            self._told_balancers_at + BALANCER_STATUS_SECONDS,
+            leave_at,
+        )
+
+    def send_to_upstream(self, datagram: bytes) -> None:
+        """A balancer has no upstream."""
+        raise AssertionError("no upstream beside a balancer")
+
+    def _on_caller_datagram(
+        self, datagram: bytes, source: tuple[str, int], now: float
+    ) -> None:
+        self._received_at = now
+        segment = decode_from_caller(datagram)
+        if segment is None:
+            self.log.decision("packet unreadable", source=source[0])
+            return
+        self.perform(self._flows.on_segment(segment, now=now))
+
+    def _take_configuration(self, value: bytes) -> None:
+        try:
+            routes = decode_configuration(value)
+        except BadMessageError as error:
+            # Keeps the version in force: an older one is better than none.
+            self.log.fact("configuration refused", error=str(error))
+            return
+
+        def take() -> None:
+            if self._flows.configure(routes):
+                self._configuration_value = value
+                self.log.fact(
+                    "configuration in force",
+                    version=routes.version,
+                    routes=len(routes.routes_by_address),
+                )
+                self.send_status(self.fleet.balancers())
+
+        self.loop.call(take)
+
+    def _fetch_if_newer(self, peer: Peer) -> None:
+        is_newer = peer.configuration_version > self.configuration_version
+        if is_newer and not self._is_fetching:
+            self._is_fetching = True
+            self.spawn(self._fetch, peer.member.control)
+
+    def _fetch(self, endpoint: Endpoint) -> None:
+        client = HttpClient(
+            endpoint.host, endpoint.port, connect_timeout=FETCH_TIMEOUT_SECONDS
+        )
+        try:
+            answer = client.call(
+                "GET", CONFIGURATION_PATH, timeout=FETCH_TIMEOUT_SECONDS
+            )
+            if answer.status == 200:
+                self._take_configuration(answer.body)
+        except OSError as error:
+            # The store's own watch goes on; the peer's next status tries again.
+            self.log.fact("configuration fetch failed", error=str(error))
+        finally:
+            client.close()
+            self._is_fetching = False
+
+    def _answer_peer(self, request: HttpRequest) -> HttpReply:
+        if request.path != CONFIGURATION_PATH:
+            return HttpReply(404)
+        value = self._configuration_value
+        return HttpReply(200, value) if value else HttpReply(503)
--- /dev/null
+++ b/src/siskinshift/connections/fleet.py
@@ -0,0 +1,263 @@
+"""What a node knows of its peers, by which evidence and how old it is.
+
+Two sources tell of a peer: its entry in the store, and what it says itself. Its own
+words go first: the store may lose an entry without a word while the peer lives, and
+keeps that of a dead peer until the lease ends.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from siskinshift.connections.peer_messages import Load
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinshift.connections.peer_messages import Status
+    from siskinshift.messages.core import Member
+
+
+# Members say something of themselves at least this often, seconds. At twice the rate
+# a dead agent is seen sooner, but its opening packets are retried elsewhere after
+# tens of milliseconds anyway.
+STATUS_INTERVAL_SECONDS = 0.5
+# Five statuses lost in a row are no chance on a link that loses one in forty.
+SILENT_AFTER_SECONDS = 2.6
+# A peer that is neither registered nor heard of for this long is forgotten. Entries
+# that lapsed with the store away are back within two seconds of its return.
+FORGET_AFTER_SECONDS = 6.0
+NEVER = float("-inf")
+
+
+@define(eq=False)
+class Peer:
+    """A member with the evidence for it.
+
+    Attributes:
+        member: Its newest record.
+        address: Where its datagrams go.
+        heard_at: When it last said something itself, seconds.
+        registered_at: When the store last showed its entry, seconds.
+        is_registered: Whether the newest reading of the store shows it.
+        load: Its newest load.
+        placed: New flows sent to it since that load was told.
+        configuration_version: Newest configuration that it holds.
+        unanswered: Opening packets in a row that it did not answer.
+    """
+
+    member: Member
+    address: tuple[str, int]
+    heard_at: float = NEVER
+    registered_at: float = NEVER
+    is_registered: bool = False
+    load: Load = Load()
+    placed: int = 0
+    configuration_version: int = 0
+    unanswered: int = 0
+
+    def is_silent(self, *, now: float) -> bool:
+        """Says whether the peer should have spoken by now.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            Whether neither itself nor a fresh entry speaks for it.
+        """
+        evidence = max(self.heard_at, self.registered_at)
+        return now - evidence > SILENT_AFTER_SECONDS
+
+
+class Fleet:
+    """The peers of a node.
+
+    Attributes:
+        peers_by_id: All known peers.
+        peers_by_address: The same by where their datagrams come from.
+    """
+
+    def __init__(self, own: Member) -> None:
+        """Knows nobody yet.
+
+        Args:
+            own: The node itself; it is no peer of its own.
+        """
+        self._own = own
+        self.peers_by_id: dict[str, Peer] = {}
+        self.peers_by_address: dict[tuple[str, int], Peer] = {}
+        self._agents_by_class: dict[str, list[Peer]] = {}
+
+    def agents_of(self, service_id: str) -> list[Peer]:
+        """Lists the agents beside upstreams of a service.
+
+        Args:
+            service_id: The service.
+
+        Returns:
+            Its agents in any state.
+        """
+        return self._agents_by_class.get(service_id, [])
+
+    def agents(self) -> list[Peer]:
+        """Lists all agents."""
+        return [p for p in self.peers_by_id.values() if p.member.role is Role.AGENT]
+
+    def balancers(self) -> list[Peer]:
+        """Lists all other balancers, or all balancers for an agent."""
+        return [p for p in self.peers_by_id.values() if p.member.role is Role.BALANCER]
+
+    def heard(self, status: Status, *, now: float) -> Peer | None:
+        """Takes a member's own words.
+
+        Args:
+            status: Its words.
+            now: Clock reading, seconds.
+
+        Returns:
+            The peer; None for words of the node itself.
+        """
+        peer = self._merge(status.member, is_own_word=True)
+        if peer is None:
+            return None
+        if status.member.state is MemberState.GONE:
+            self._remove(peer)
+            return peer
+        peer.heard_at = now
+        peer.unanswered = 0
+        peer.configuration_version = status.configuration_version
+        self.took_load(peer, status.load)
+        return peer
+
+    def took_load(self, peer: Peer, load: Load) -> None:
+        """Takes an agent's load.
+
+        Args:
+            peer: The agent.
+            load: Its load.
+        """
+        peer.load = load
+        peer.placed = 0
+
+    def answered(self, peer: Peer, *, now: float) -> None:
+        """Takes note of any other message of a peer.
+
+        Args:
+            peer: The peer.
+            now: Clock reading, seconds.
+        """
+        peer.heard_at = now
+        peer.unanswered = 0
+
+    def registered(self, members: Iterable[Member], *, now: float) -> list[Peer]:
+        """Takes a whole reading of the store.
+
+        Args:
+            members: All entries.
+            now: Clock reading, seconds.
+
+        Returns:
+            Peers that were not known before.
+        """
+        known = set(self.peers_by_id)
+        seen: set[str] = set()
+        for member in members:
+            peer = self._merge(member, is_own_word=False)
+            if peer is None:
+                continue
+            seen.add(member.member_id)
+            peer.is_registered = True
+            peer.registered_at = now
+        for member_id, peer in self.peers_by_id.items():
+            if member_id not in seen:
+                peer.is_registered = False
+        return [self.peers_by_id[i] for i in sorted(seen - known)]
+
+    def introduced(self, members: Iterable[Member], *, now: float) -> list[Peer]:
+        """Takes members that a peer knows; they still have to speak themselves.
+
+        Args:
+            members: Their records.
+            now: Clock reading, seconds.
+
+        Returns:
+            Peers that were not known before.
+        """
+        added = []
+        for member in members:
+            if member.member_id in self.peers_by_id:
+                continue
+            peer = self._merge(member, is_own_word=False)
+            if peer is not None:
+                peer.registered_at = now
+                added.append(peer)
+        return added
+
+    def forget_silent(self, *, now: float) -> list[Peer]:
+        """Forgets peers for which nothing speaks any more.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            Who was forgotten.
+        """
+        gone = [
+            peer
+            for peer in self.peers_by_id.values()
+            if not peer.is_registered
+            and now - max(peer.heard_at, peer.registered_at) > FORGET_AFTER_SECONDS
+        ]
+        for peer in gone:
+            self._remove(peer)
+        return gone
+
+    def _merge(self, member: Member, *, is_own_word: bool) -> Peer | None:
+        if member.member_id == self._own.member_id:
+            return None
+        peer = self.peers_by_id.get(member.member_id)
+        if peer is None:
+            peer = Peer(member, (member.data.host, member.data.port))
+            self.peers_by_id[member.member_id] = peer
+            self.peers_by_address[peer.address] = peer
+            self._index()
+            return peer
+        if not _replaces(member, peer.member, is_own_word=is_own_word):
+            return peer
+        moved = peer.member.data != member.data
+        reclassed = peer.member.upstream_class != member.upstream_class
+        peer.member = member
+        if moved:
+            self.peers_by_address.pop(peer.address, None)
+            peer.address = (member.data.host, member.data.port)
+            self.peers_by_address[peer.address] = peer
+        if reclassed:
+            self._index()
+        return peer
+
+    def _remove(self, peer: Peer) -> None:
+        self.peers_by_id.pop(peer.member.member_id, None)
+        if self.peers_by_address.get(peer.address) is peer:
+            del self.peers_by_address[peer.address]
+        self._index()
+
+    def _index(self) -> None:
+        self._agents_by_class = {}
+        for member_id in sorted(self.peers_by_id):
+            peer = self.peers_by_id[member_id]
+            if peer.member.role is Role.AGENT:
+                service_id = peer.member.upstream_class
+                self._agents_by_class.setdefault(service_id, []).append(peer)
+
+
+def _replaces(new: Member, old: Member, *, is_own_word: bool) -> bool:
+    if new.incarnation == old.incarnation:
+        return new.version > old.version
+    # Incarnations are drawn from the time of day, which jumps: a restarted member
+    # may look older than before. What it says itself is believed all the same.
+    return is_own_word or new.incarnation > old.incarnation
--- /dev/null
+++ b/src/siskinshift/connections/node.py
@@ -0,0 +1,336 @@
+"""What balancers and agents of connection flows have in common."""
+
+from __future__ import annotations
+
+import signal
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from siskinshift.connections.actions import ResetCaller
+from siskinshift.connections.actions import ToCaller
+from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
+from siskinshift.connections.fleet import Fleet
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import Members
+from siskinshift.connections.peer_messages import Status
+from siskinshift.connections.peer_messages import decode_peer_message
+from siskinshift.connections.peer_messages import encode_members
+from siskinshift.connections.peer_messages import encode_status
+from siskinshift.connections.registration import Registration
+from siskinshift.connections.segment import caller_host
+from siskinshift.core.clocks import monotonic_clock
+from siskinshift.core.clocks import unix_milliseconds
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import MemberState
+from siskinshift.observability.event_log import EventLog
+from siskinshift.platform.heartbeats import READINESS_PATH
+from siskinshift.platform.packets import encode_reset
+from siskinshift.platform.store import PlatformStore
+from siskinshift.runtime.application import Application
+from siskinshift.runtime.event_loop import EventLoop
+from siskinshift.runtime.event_loop import open_datagram_socket
+from siskinshift.runtime.http_server import HttpReply
+from siskinshift.runtime.http_server import HttpServer
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinshift.connections.actions import Action
+    from siskinshift.connections.fleet import Peer
+    from siskinshift.connections.node_settings import NodeSettings
+    from siskinshift.connections.peer_messages import PeerMessage
+    from siskinshift.messages.core import Role
+    from siskinshift.runtime.http_server import HttpRequest
+
+
+# Nodes that a peer is told of at most: they fit into a datagram, and who hears them
+# is told of more.
+INTRODUCED_MAXIMUM = 100
+# Seeds are asked again until one answered.
+SEED_INTERVAL_SECONDS = 0.5
+FORGET_INTERVAL_SECONDS = 1.0
+
+
+class ConnectionNode(Application):
+    """Sockets, peers, registration and life of a node on the platform."""
+
+    def __init__(self, settings: NodeSettings, *, role: Role) -> None:
+        """Binds the sockets.
+
+        Args:
+            settings: Settings of the node.
+            role: Balancer or agent.
+        """
+        super().__init__(name=settings.node_id)
+        self.node_settings = settings
+        self.random = Random()
+        self.clock = monotonic_clock
+        self.log = EventLog(process=settings.node_id, clock=self.clock)
+        self.spawn(self.log.write_until, self.stopping)
+        self.loop = EventLoop(clock=self.clock, log=self.log)
+        own = Endpoint(settings.host, settings.peer_port)
+        self.member = Member(
+            member_id=settings.node_id,
+            role=role,
+            incarnation=unix_milliseconds(),
+            version=1,
+            state=MemberState.JOINING,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            control=own,
+            data=own,
+            upstream_class=settings.service_id,
+        )
+        self.fleet = Fleet(self.member)
+        self.peer_socket = open_datagram_socket(settings.host, settings.peer_port)
+        self.owns(self.peer_socket.close)
+        self.store = PlatformStore(settings.store, stopping=self.stopping)
+        self.owns(self.store.close)
+        self._registration = Registration(
+            store=self.store,
+            own=lambda: self.member,
+            on_members=self._take_registered,
+            random=self.random,
+            log=self.log,
+        )
+        self._caller_port = settings.caller_packets.port
+        self._seeds_asked_at = float("-inf")
+        self._forgot_at = float("-inf")
+        self.is_leaving = False
+
+    def on_start(self) -> None:
+        """Serves readiness, joins the others, starts the loop's handlers."""
+        self.log.fact(
+            "started", role=self.member.role.value, incarnation=self.member.incarnation
+        )
+        self.loop.add_socket(self.peer_socket, self._on_peer_datagram)
+        self.loop.add_timer(self._tick)
+        if self.node_settings.readiness is not None:
+            self.serve(self.node_settings.readiness, self._answer_readiness)
+        self.spawn(self._keep_registered)
+
+    def run(self) -> None:
+        """Runs the loop on the calling thread until the application stops."""
+        signal.signal(signal.SIGTERM, lambda *_: self.loop.call(self._leave))
+        signal.signal(signal.SIGINT, lambda *_: self.loop.call(self._leave))
+        signal.signal(signal.SIGHUP, lambda *_: self.loop.call(self.on_reload))
+        self.loop.run_until(self.stopping)
+
+    def serve(self, endpoint: Endpoint, handler: object) -> None:
+        """Serves HTTP at an endpoint.
+
+        Args:
+            endpoint: Where.
+            handler: Answers the requests.
+        """
+        server = HttpServer(self, endpoint.host, endpoint.port, handler, log=self.log)
+        self.owns(server.close)
+        server.start()
+
+    def on_stop(self) -> None:
+        """Logs the end; threads see `stopping`."""
+        self.log.fact("stopped", dropped_lines_total=self.log.dropped)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the platform may send work to this node."""
+        raise NotImplementedError
+
+    @property
+    def load(self) -> Load:
+        """The node's load for its peers."""
+        return Load()
+
+    @property
+    def configuration_version(self) -> int:
+        """Newest configuration that the node holds; 0 for none."""
+        return 0
+
+    def begin_leaving(self) -> None:
+        """Hook: the process was told to end; sets `stopping` when it may."""
+        raise NotImplementedError
+
+    def on_reload(self) -> None:
+        """Hook: the settings file may have changed."""
+
+    def on_message(
+        self, message: PeerMessage, source: tuple[str, int], now: float
+    ) -> Iterable[Action]:
+        """Hook: takes a message about a flow."""
+        raise NotImplementedError
+
+    def on_peer_status(self, peer: Peer, now: float) -> Iterable[Action]:
+        """Hook: a peer said something of itself."""
+        return ()
+
+    def on_due(self, now: float) -> float:
+        """Hook: does what is due; returns when it is due next."""
+        raise NotImplementedError
+
+    def change_member(self, *, state: MemberState, weight: int, slots: int) -> bool:
+        """Changes the node's own record.
+
+        Args:
+            state: New state.
+            weight: New weight.
+            slots: New slots.
+
+        Returns:
+            Whether anything is different.
+        """
+        changed = attrs.evolve(self.member, state=state, weight=weight, slots=slots)
+        if changed == self.member:
+            return False
+        self.member = attrs.evolve(changed, version=self.member.version + 1)
+        self.log.fact("state", state=state.value, weight=weight, slots=slots)
+        return True
+
+    def send_status(
+        self, peers: Iterable[Peer], *, wants_members: bool = False
+    ) -> None:
+        """Tells peers of this node.
+
+        Args:
+            peers: Who is told.
+            wants_members: Whether they should answer.
+        """
+        datagram = self._own_status(wants_members=wants_members)
+        for peer in peers:
+            self.send_datagram(datagram, peer.address)
+
+    def send_datagram(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Sends a message to a node; one that can't be sent counts as lost.
+
+        Args:
+            datagram: The message.
+            address: Host and port.
+        """
+        try:
+            self.peer_socket.sendto(datagram, address)
+        except OSError as error:
+            self.log.decision("send failed", address=address[0], error=str(error))
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        """Does what a decision asked for.
+
+        Args:
+            actions: What to do.
+        """
+        for action in actions:
+            if type(action) is ToPeer:
+                self.send_datagram(action.datagram, action.address)
+            elif type(action) is ToUpstream:
+                self.send_to_upstream(action.datagram)
+            elif type(action) is ToCaller:
+                self.send_to_caller(action.flow, action.datagram)
+            elif type(action) is ResetCaller:
+                reset = encode_reset(action.flow, seq=action.acknowledged)
+                self.send_to_caller(action.flow, reset)
+
+    def send_to_upstream(self, datagram: bytes) -> None:
+        """Hook: hands a packet to the upstream."""
+        raise NotImplementedError
+
+    def send_to_caller(self, flow: bytes, datagram: bytes) -> None:
+        """Sends a packet to the flow's caller.
+
+        Args:
+            flow: The flow.
+            datagram: The packet.
+        """
+        self.send_datagram(datagram, (caller_host(flow), self._caller_port))
+
+    def _own_status(self, *, wants_members: bool = False) -> bytes:
+        return encode_status(
+            Status(
+                self.member, self.load, self.configuration_version, wants_members
+            )
+        )
+
+    def _on_peer_datagram(
+        self, datagram: bytes, source: tuple[str, int], now: float
+    ) -> None:
+        message = decode_peer_message(datagram)
+        if message is None:
+            self.log.decision("message unreadable", source=source[0])
+        elif isinstance(message, Status):
+            self._on_status(message, source, now)
+        elif isinstance(message, Members):
+            self._greet(self.fleet.introduced(message.members, now=now))
+        else:
+            self.perform(self.on_message(message, source, now))
+
+    def _on_status(self, status: Status, source: tuple[str, int], now: float) -> None:
+        is_new = status.member.member_id not in self.fleet.peers_by_id
+        peer = self.fleet.heard(status, now=now)
+        if peer is None:
+            return
+        if is_new:
+            self.log.fact("peer found", peer=status.member.member_id, source="itself")
+        if status.wants_members:
+            self.send_datagram(self._own_status(), source)
+            known = [peer.member for peer in self.fleet.peers_by_id.values()]
+            self.random.shuffle(known)
+            members = tuple(known[:INTRODUCED_MAXIMUM])
+            self.send_datagram(encode_members(members), source)
+        self.perform(self.on_peer_status(peer, now))
+
+    def _greet(self, peers: list[Peer]) -> None:
+        for peer in peers:
+            self.log.fact("peer found", peer=peer.member.member_id, source="others")
+        self.send_status(peers, wants_members=True)
+
+    def _take_registered(self, members: list[Member]) -> None:
+        def take() -> None:
+            self._greet(self.fleet.registered(members, now=self.clock()))
+
+        self.loop.call(take)
+
+    def _tick(self, now: float) -> float:
+        if now - self._seeds_asked_at >= SEED_INTERVAL_SECONDS:
+            self._ask_seeds(now)
+        if now - self._forgot_at >= FORGET_INTERVAL_SECONDS:
+            self._forgot_at = now
+            for peer in self.fleet.forget_silent(now=now):
+                self.log.fact("peer forgotten", peer=peer.member.member_id)
+        due = min(self._forgot_at + FORGET_INTERVAL_SECONDS, self.on_due(now))
+        if self._seeds_asked_at != float("inf"):
+            due = min(due, self._seeds_asked_at + SEED_INTERVAL_SECONDS)
+        return due
+
+    def _ask_seeds(self, now: float) -> None:
+        """Asks seeds for members until somebody was heard.
+
+        Guards against a start while the store is away: nodes would not find each
+        other until it is back.
+        """
+        if any(peer.heard_at > 0 for peer in self.fleet.peers_by_id.values()):
+            self._seeds_asked_at = float("inf")
+            return
+        self._seeds_asked_at = now
+        datagram = self._own_status(wants_members=True)
+        for host in self.node_settings.seed_hosts:
+            if host != self.node_settings.host:
+                self.send_datagram(datagram, (host, self.node_settings.peer_port))
+
+    def _keep_registered(self) -> None:
+        while not self.stopping.is_set():
+            self.stopping.wait(self._registration.step(now=self.clock()))
+
+    def _answer_readiness(self, request: HttpRequest) -> HttpReply:
+        if request.path != READINESS_PATH:
+            return HttpReply(404)
+        return HttpReply(200 if self.is_ready else 503)
+
+    def _leave(self) -> None:
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        self.log.fact("leaving")
+        self.begin_leaving()
--- /dev/null
+++ b/src/siskinshift/connections/peer_messages.py
@@ -0,0 +1,325 @@
+"""Datagrams between balancers and agents.
+
+Packets, verdicts and load go in a fixed binary layout, since there is one for each
+packet or each new flow; what members say of themselves goes as JSON. An unknown or
+broken datagram is dropped by the receiver.
+"""
+
+from __future__ import annotations
+
+import struct
+from enum import IntEnum
+from typing import TypeAlias
+
+import orjson
+from attrs import frozen
+
+from siskinshift.connections.segment import FLOW_SIZE
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+
+
+class _Kind(IntEnum):
+    FORWARD = 1
+    VERDICT = 2
+    STATUS = 3
+    MEMBERS = 4
+
+
+class Purpose(IntEnum):
+    """What a balancer wants of an agent with a packet.
+
+    OPEN: begin a flow. OWNED: the agent owns the flow. SEARCH: deliver the packet if
+    the flow is the agent's, and say so either way.
+    """
+
+    OPEN = 1
+    OWNED = 2
+    SEARCH = 3
+
+
+class Verdict(IntEnum):
+    """What an agent says of a flow.
+
+    ACCEPTED: its upstream answered the opening packet. MINE: its upstream holds the
+    flow. FULL, UNAVAILABLE, WRONG_SERVICE: the opening packet was not taken.
+    NOT_MINE: its upstream does not hold the flow, for certain.
+    """
+
+    ACCEPTED = 1
+    MINE = 2
+    FULL = 3
+    UNAVAILABLE = 4
+    WRONG_SERVICE = 5
+    NOT_MINE = 6
+
+
+@frozen
+class Forward:
+    """A caller's packet on its way to an agent.
+
+    Attributes:
+        purpose: What is asked of the agent.
+        service_tag: Hash of the service that is meant, so that an address that went
+            to another service does not get it.
+        datagram: The packet.
+    """
+
+    purpose: Purpose
+    service_tag: int
+    datagram: bytes
+
+
+@frozen
+class Load:
+    """What an agent sees of its upstream's load.
+
+    Attributes:
+        flows: Open flows.
+        running: Flows on which the caller waits for an answer.
+    """
+
+    flows: int = 0
+    running: int = 0
+
+
+@frozen
+class FlowVerdict:
+    """An agent's word about a flow.
+
+    Attributes:
+        verdict: The word.
+        flow: The flow.
+        load: The agent's load as it answered.
+        packet: The packet that the agent could not use, for another agent; may be
+            empty.
+    """
+
+    verdict: Verdict
+    flow: bytes
+    load: Load
+    packet: bytes = b""
+
+
+@frozen
+class Status:
+    """What a member says of itself.
+
+    Attributes:
+        member: Its record.
+        load: Its load; that of an agent.
+        configuration_version: Newest configuration it holds; 0 for none.
+        wants_members: Whether the receiver is asked for all members that it knows.
+    """
+
+    member: Member
+    load: Load = Load()
+    configuration_version: int = 0
+    wants_members: bool = False
+
+
+@frozen
+class Members:
+    """Members that a peer knows.
+
+    Attributes:
+        members: Their records.
+    """
+
+    members: tuple[Member, ...]
+
+
+PeerMessage: TypeAlias = Forward | FlowVerdict | Status | Members
+
+_FORWARD_HEADER = struct.Struct("!BBI")
+_VERDICT = struct.Struct(f"!BB{FLOW_SIZE}sHH")
+_COUNT_MAXIMUM = 0xFFFF
+_PURPOSES = tuple(Purpose)
+_VERDICTS = tuple(Verdict)
+
+
+def encode_forward(purpose: Purpose, service_tag: int, datagram: bytes) -> bytes:
+    """Writes a packet for an agent.
+
+    Args:
+        purpose: What is asked of the agent.
+        service_tag: Hash of the service that is meant.
+        datagram: The packet.
+
+    Returns:
+        The message.
+    """
+    return _FORWARD_HEADER.pack(_Kind.FORWARD, purpose, service_tag) + datagram
+
+
+def encode_verdict(verdict: FlowVerdict) -> bytes:
+    """Writes an agent's word about a flow.
+
+    Args:
+        verdict: The word.
+
+    Returns:
+        The message.
+    """
+    header = _VERDICT.pack(
+        _Kind.VERDICT,
+        verdict.verdict,
+        verdict.flow,
+        min(verdict.load.flows, _COUNT_MAXIMUM),
+        min(verdict.load.running, _COUNT_MAXIMUM),
+    )
+    return header + verdict.packet
+
+
+def encode_status(status: Status) -> bytes:
+    """Writes what a member says of itself.
+
+    Args:
+        status: Its words.
+
+    Returns:
+        The message.
+    """
+    body = {
+        "member": member_document(status.member),
+        "flows": status.load.flows,
+        "running": status.load.running,
+        "configuration": status.configuration_version,
+        "wants_members": status.wants_members,
+    }
+    return bytes((_Kind.STATUS,)) + orjson.dumps(body)
+
+
+def encode_members(members: tuple[Member, ...]) -> bytes:
+    """Writes members for a peer.
+
+    Args:
+        members: Their records; a few dozen fit into a datagram.
+
+    Returns:
+        The message.
+    """
+    body = [member_document(member) for member in members]
+    return bytes((_Kind.MEMBERS,)) + orjson.dumps(body)
+
+
+def decode_peer_message(datagram: bytes) -> PeerMessage | None:
+    """Takes a message apart.
+
+    Args:
+        datagram: What came from a peer.
+
+    Returns:
+        The message, or None for one that can't be read.
+    """
+    if not datagram:
+        return None
+    try:
+        if datagram[0] == _Kind.FORWARD:
+            return _decode_forward(datagram)
+        if datagram[0] == _Kind.VERDICT:
+            return _decode_verdict(datagram)
+        if datagram[0] == _Kind.STATUS:
+            return _decode_status(datagram)
+        if datagram[0] == _Kind.MEMBERS:
+            body = orjson.loads(datagram[1:])
+            return Members(tuple(member_from_document(item) for item in body))
+    except (KeyError, TypeError, ValueError, IndexError, struct.error):
+        return None
+    return None
+
+
+def _decode_forward(datagram: bytes) -> Forward:
+    _, purpose, service_tag = _FORWARD_HEADER.unpack_from(datagram)
+    if purpose < 1:
+        raise ValueError(purpose)
+    packet = datagram[_FORWARD_HEADER.size :]
+    return Forward(_PURPOSES[purpose - 1], service_tag, packet)
+
+
+def _decode_verdict(datagram: bytes) -> FlowVerdict:
+    _, verdict, flow, flows, running = _VERDICT.unpack_from(datagram)
+    if verdict < 1:
+        raise ValueError(verdict)
+    packet = datagram[_VERDICT.size :]
+    return FlowVerdict(_VERDICTS[verdict - 1], flow, Load(flows, running), packet)
+
+
+def _decode_status(datagram: bytes) -> Status:
+    body = orjson.loads(datagram[1:])
+    return Status(
+        member=member_from_document(body["member"]),
+        load=Load(_number(body["flows"]), _number(body["running"])),
+        configuration_version=_number(body["configuration"]),
+        wants_members=body["wants_members"] is True,
+    )
+
+
+def member_document(member: Member) -> dict[str, str | int]:
+    """Turns a member's record into a JSON object, for peers and for the store.
+
+    Args:
+        member: The record.
+
+    Returns:
+        The object.
+    """
+    return {
+        "member_id": member.member_id,
+        "role": member.role.value,
+        "incarnation": member.incarnation,
+        "version": member.version,
+        "state": member.state.value,
+        "region": member.region,
+        "failure_domain": member.failure_domain,
+        "host": member.data.host,
+        "port": member.data.port,
+        "upstream_class": member.upstream_class,
+        "weight": member.weight,
+        "slots": member.slots,
+    }
+
+
+def member_from_document(document: dict[str, object]) -> Member:
+    """Reads a member's record.
+
+    Args:
+        document: A JSON object of `member_document`.
+
+    Returns:
+        The record; messages and datagrams go to one port number.
+
+    Raises:
+        KeyError: A field is missing.
+        TypeError: A field has another type.
+        ValueError: A value is not allowed.
+    """
+    endpoint = Endpoint(_text(document["host"]), _number(document["port"]))
+    return Member(
+        member_id=_text(document["member_id"]),
+        role=Role(document["role"]),
+        incarnation=_number(document["incarnation"]),
+        version=_number(document["version"]),
+        state=MemberState(document["state"]),
+        region=_text(document["region"]),
+        failure_domain=_text(document["failure_domain"]),
+        control=endpoint,
+        data=endpoint,
+        upstream_class=_text(document["upstream_class"]),
+        weight=_number(document["weight"]),
+        slots=_number(document["slots"]),
+    )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError("not a text")
+    return value
+
+
+def _number(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise TypeError("not a count")
+    return value
--- /dev/null
+++ b/src/siskinshift/connections/registration.py
@@ -0,0 +1,184 @@
+"""A node's entry in the store, by which nodes find each other at their start.
+
+The entry lives under a lease. While the store is away nodes go on with what they
+know; when it is back a lapsed entry is written again within the pause between two
+tries. The store may also take an entry away while its lease lives and say so to
+nobody: the members are read now and then, and a missing own entry is written again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import orjson
+
+from siskinshift.connections.peer_messages import member_document
+from siskinshift.connections.peer_messages import member_from_document
+from siskinshift.kv.exceptions import StoreOutcomeUnknownError
+from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.guard import Backoff
+from siskinshift.kv.port import Put
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from siskinshift.kv.port import Lease
+    from siskinshift.kv.port import Snapshot
+    from siskinshift.kv.port import TransactionResult
+    from siskinshift.messages.core import Member
+    from siskinshift.observability.event_log import EventLog
+
+
+MEMBERS_PREFIX = "siskinshift/members/"
+# A node that was killed comes back within seconds and replaces its entry; a shorter
+# life would cost more renewals, a longer one keeps lost nodes in the list.
+LEASE_SECONDS = 10.0
+# Three tries fit into a lease.
+RENEW_SECONDS = 3.0
+# A read of all members costs a tenth of a call when it may be old; nodes also hear of
+# new peers from those themselves.
+READ_SECONDS = 3.0
+# Within the two seconds that an entry may be missing after the store's return.
+RETRY = Backoff(0.2, 0.8)
+
+
+class MemberStore(Protocol):
+    """The calls of a store that registration needs; see KeyValueStore."""
+
+    def list_prefix(self, prefix: str) -> Snapshot:
+        """Reads all entries with a prefix."""
+
+    def list_prefix_cheaply(self, prefix: str) -> Snapshot:
+        """Reads all entries with a prefix, seconds old."""
+
+    def transact(
+        self, compares: tuple[()], operations: tuple[Put, ...]
+    ) -> TransactionResult:
+        """Writes."""
+
+    def grant_lease(self, ttl: float) -> Lease:
+        """Makes a lease."""
+
+    def keep_alive(self, lease_id: int) -> float:
+        """Prolongs a lease."""
+
+
+class Registration:
+    """Keeps the entry and reads the others'."""
+
+    def __init__(
+        self,
+        *,
+        store: MemberStore,
+        own: Callable[[], Member],
+        on_members: Callable[[list[Member]], object],
+        random: Random,
+        log: EventLog,
+    ) -> None:
+        """Starts without an entry.
+
+        Args:
+            store: The store.
+            own: Gives the node's record.
+            on_members: Takes each whole reading.
+            random: Source of the jitter.
+            log: Takes a line when the store is lost or regained.
+        """
+        self._store = store
+        self._own = own
+        self._on_members = on_members
+        self._random = random
+        self._log = log
+        self._lease_id = 0
+        self._failures = 0
+        self._renew_at = 0.0
+        self._read_at = 0.0
+        self._has_fresh_reading = False
+        self._missing_readings = 0
+
+    def step(self, *, now: float) -> float:
+        """Does what is due; blocks for as long as the store's calls take.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            Seconds until the next step.
+        """
+        try:
+            if not self._lease_id:
+                self._register(now=now)
+            elif now >= self._renew_at:
+                self._renew(now=now)
+            if now >= self._read_at or not self._has_fresh_reading:
+                self._read(now=now)
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            return self._on_failure(error)
+        if self._failures:
+            self._log.fact("store regained", failures=self._failures)
+            self._failures = 0
+        if not self._lease_id:
+            return 0.0
+        return max(0.0, min(self._renew_at, self._read_at) - now)
+
+    def _register(self, *, now: float) -> None:
+        lease = self._store.grant_lease(LEASE_SECONDS)
+        own = self._own()
+        value = orjson.dumps(member_document(own))
+        key = MEMBERS_PREFIX + own.member_id
+        # Without a condition: there is one process of this name, and a lost answer is
+        # followed by the same write with the next lease.
+        self._store.transact((), (Put(key, value, lease.lease_id),))
+        self._lease_id = lease.lease_id
+        self._renew_at = now + RENEW_SECONDS
+        self._missing_readings = 0
+        self._log.fact("registered", lease=lease.lease_id)
+
+    def _renew(self, *, now: float) -> None:
+        if self._store.keep_alive(self._lease_id) <= 0:
+            self._log.fact("entry lapsed", lease=self._lease_id)
+            self._lease_id = 0
+            self._register(now=now)
+        self._renew_at = now + RENEW_SECONDS
+
+    def _read(self, *, now: float) -> None:
+        # The first reading after a start or an outage must show who registered before
+        # this node did: those it finds hear of it, the others find it themselves.
+        if self._has_fresh_reading:
+            snapshot = self._store.list_prefix_cheaply(MEMBERS_PREFIX)
+        else:
+            snapshot = self._store.list_prefix(MEMBERS_PREFIX)
+        self._has_fresh_reading = True
+        self._read_at = now + READ_SECONDS * self._random.uniform(0.8, 1.2)
+        members = _members_of(snapshot)
+        self._on_members(members)
+        own_id = self._own().member_id
+        if any(member.member_id == own_id for member in members):
+            self._missing_readings = 0
+            return
+        # One reading may be older than the entry.
+        self._missing_readings += 1
+        if self._missing_readings > 1:
+            self._log.fact("entry missing", lease=self._lease_id)
+            self._lease_id = 0
+
+    def _on_failure(self, error: Exception) -> float:
+        if not self._failures:
+            self._log.fact("store lost", error=str(error))
+        self._failures += 1
+        self._has_fresh_reading = False
+        return RETRY.pause(self._failures, self._random)
+
+
+def _members_of(snapshot: Snapshot) -> list[Member]:
+    members = []
+    for entry in snapshot.entries:
+        try:
+            members.append(member_from_document(orjson.loads(entry.value)))
+        except (KeyError, TypeError, ValueError):
+            # Written by another version of the product: it finds us by its own ways.
+            continue
+    return members
--- /dev/null
+++ b/src/siskinshift/connections/segment.py
@@ -0,0 +1,111 @@
+"""A packet of a connection as the decisions see it."""
+
+from __future__ import annotations
+
+import socket
+
+from attrs import frozen
+
+
+SYN = 1
+ACK = 2
+FIN = 4
+RESET = 8
+BOUNCED = 16
+
+FLOW_SIZE = 12
+# An end sends less than this between two looks at its flow; sequence numbers are
+# drawn from 2 ** 32, so that a foreign number falls inside once in 32 flows at most
+# and a check of the answer by the upstream follows.
+SEQUENCE_WINDOW = 1 << 26
+_SEQUENCE_SPACE = 1 << 32
+
+
+@frozen
+class Segment:
+    """A packet of a connection.
+
+    Attributes:
+        flow: Identity of the flow, the same for both directions: the caller's port,
+            the service's address, the caller's address, the service's port.
+        flags: SYN, ACK, FIN, RESET and BOUNCED.
+        seq: Sequence number of the sender.
+        ack: What the sender has of the other end; in a SYN, the number of its copy.
+        length: Bytes of data.
+        datagram: The packet, unchanged.
+    """
+
+    flow: bytes
+    flags: int
+    seq: int
+    ack: int
+    length: int
+    datagram: bytes
+
+
+def caller_host(flow: bytes) -> str:
+    """Reads the caller's address.
+
+    Args:
+        flow: The flow.
+
+    Returns:
+        Its IP number as text.
+    """
+    return socket.inet_ntoa(flow[6:10])
+
+
+def service_address(flow: bytes) -> bytes:
+    """Reads the service's address and port, packed.
+
+    Args:
+        flow: The flow.
+
+    Returns:
+        Six bytes.
+    """
+    return flow[2:6] + flow[10:12]
+
+
+def pack_service_address(host: str, port: int) -> bytes:
+    """Packs an address as `service_address` gives it.
+
+    Args:
+        host: IP number, text.
+        port: Port.
+
+    Returns:
+        Six bytes.
+    """
+    return socket.inet_aton(host) + port.to_bytes(2, "big")
+
+
+def flow_name(flow: bytes) -> str:
+    """Writes a flow for logs.
+
+    Args:
+        flow: The flow.
+
+    Returns:
+        The caller's and the service's endpoints.
+    """
+    caller_port = int.from_bytes(flow[0:2], "big")
+    service_port = int.from_bytes(flow[10:12], "big")
+    service_host = socket.inet_ntoa(flow[2:6])
+    return f"{caller_host(flow)}:{caller_port}>{service_host}:{service_port}"
+
+
+def is_near(number: int, reference: int) -> bool:
+    """Says whether two numbers can belong to one end of one flow.
+
+    Args:
+        number: A sequence number.
+        reference: Another.
+
+    Returns:
+        Whether they lie within the window of each other.
+    """
+    difference = (number - reference) % _SEQUENCE_SPACE
+    return (
+        difference < SEQUENCE_WINDOW or difference > _SEQUENCE_SPACE - SEQUENCE_WINDOW
+    )
--- a/src/siskinshift/kv/guard.py
+++ b/src/siskinshift/kv/guard.py
@@ -8,6 +8,7 @@
 
 from enum import StrEnum
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from attrs import frozen
 
@@ -15,8 +16,6 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from siskinshift.settings.generated import KvSettings
-
 
 # Three in a row: one lost call is ordinary, three are an outage.
 FAILURES_TO_OPEN = 3
@@ -27,6 +26,18 @@
 OPERATORS_PART = 0.25
 
 
+class CallRates(Protocol):
+    """Settings of a store's client that the guard needs."""
+
+    @property
+    def call_rate(self) -> float:
+        """Calls a second on average."""
+
+    @property
+    def call_burst(self) -> int:
+        """Calls at once."""
+
+
 class CallClass(StrEnum):
     """Who waits for a call."""
 
@@ -113,12 +124,19 @@
     comes back. While open it lets one probe through after a jittered pause.
     """
 
-    def __init__(self, settings: KvSettings, *, random: Random) -> None:
+    def __init__(
+        self,
+        settings: CallRates,
+        *,
+        random: Random,
+        open_maximum: float = OPEN_SECONDS_MAXIMUM,
+    ) -> None:
         """Starts closed.
 
         Args:
             settings: Rates.
             random: Source of jitter.
+            open_maximum: Longest time without a probe, seconds.
         """
         self._bucket = TokenBucket(
             rate=settings.call_rate, burst=float(settings.call_burst)
@@ -126,7 +144,8 @@
         # A burst of one token has no room for a reserve.
         self._reserve = (settings.call_burst - 1) * OPERATORS_PART
         self._random = random
-        self._backoff = Backoff(OPEN_SECONDS_MINIMUM, OPEN_SECONDS_MAXIMUM)
+        self._open_maximum = open_maximum
+        self._backoff = Backoff(min(OPEN_SECONDS_MINIMUM, open_maximum), open_maximum)
         self._failures = 0
         self._open_until = float("-inf")
 
@@ -152,7 +171,7 @@
             return Admission.OVER_BUDGET
         if self._failures >= FAILURES_TO_OPEN:
             # This call is the probe; others wait for its end.
-            self._open_until = now + OPEN_SECONDS_MAXIMUM
+            self._open_until = now + self._open_maximum
         return Admission.ADMITTED
 
     def succeeded(self) -> None:
--- a/src/siskinshift/observability/logs.py
+++ b/src/siskinshift/observability/logs.py
@@ -8,8 +8,6 @@
 from typing import TextIO
 from typing import TypeAlias
 
-import eliot
-
 from siskinshift.core.clocks import monotonic_clock
 from siskinshift.observability.rate_bound import RateBound
 
@@ -45,6 +43,10 @@
         settings: Chosen level.
         stream: Where to; standard error by default.
     """
+    # Imported here and in `_write`: the library takes a tenth of a second to load on
+    # a small instance, which a restarted node without these logs need not wait for.
+    import eliot
+
     _switch.level = LEVELS.index(settings.level)
     if _switch.destination is not None:
         eliot.remove_destination(_switch.destination)
@@ -106,6 +108,8 @@
         self._write("error", sentence, fields | {"suppressed": permit.suppressed})
 
     def _write(self, level: str, sentence: str, fields: dict[str, LogValue]) -> None:
+        import eliot
+
         eliot.log_message(
             message_type=f"siskinshift:{self._part}",
             level=level,
--- a/src/siskinshift/runtime/application.py
+++ b/src/siskinshift/runtime/application.py
@@ -15,8 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from siskinshift.settings.generated import Settings
-
 
 THREADS_MAXIMUM = 4096
 
@@ -25,19 +23,22 @@
     """Base of the processes; hooks run in the order start, stopping, stop.
 
     Attributes:
-        settings: All settings of the process.
         stopping: Set once the application is to end.
         is_abandoned: Whether it ends without a word, as a process does that dies.
     """
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, *, name: str) -> None:
+        """Prepares without any task.
+
+        Args:
+            name: Name of the process, for its threads.
+        """
         self.stopping = threading.Event()
         self.is_abandoned = False
         self._clean_ups = ExitStack()
         self._log = PartLog("runtime")
         self.executor = ThreadPoolExecutor(
-            max_workers=THREADS_MAXIMUM, thread_name_prefix=settings.node.node_id
+            max_workers=THREADS_MAXIMUM, thread_name_prefix=name
         )
 
     def start(self) -> None:
--- /dev/null
+++ b/src/siskinshift/runtime/event_loop.py
@@ -0,0 +1,167 @@
+"""One thread that owns decisions: datagrams, timers and calls from other threads."""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import threading
+from collections import deque
+from concurrent.futures import Future
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinshift.core.clocks import Clock
+    from siskinshift.observability.event_log import EventLog
+
+
+DATAGRAM_SIZE_MAXIMUM = 65535
+# Room for half a second of the busiest link's packets while the process starts or
+# stands still; the kernel may allow less.
+RECEIVE_BUFFER_BYTES = 1 << 20
+# Datagrams of one socket taken before the others get their turn.
+BATCH_DATAGRAMS = 64
+WAIT_MAXIMUM_SECONDS = 1.0
+
+ResultT = TypeVar("ResultT")
+
+
+def open_datagram_socket(host: str, port: int) -> socket.socket:
+    """Binds a UDP socket that never blocks.
+
+    Args:
+        host: Own IP number.
+        port: Port; 0 takes a free one.
+
+    Returns:
+        The socket.
+    """
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    opened.bind((host, port))
+    opened.setblocking(False)
+    return opened
+
+
+class EventLoop:
+    """Runs handlers one after the other, so that they need no locks."""
+
+    def __init__(self, *, clock: Clock, log: EventLog) -> None:
+        """Prepares without any socket.
+
+        Args:
+            clock: Clock of the process.
+            log: Takes a line for a handler that failed.
+        """
+        self._clock = clock
+        self._log = log
+        self._selector = selectors.DefaultSelector()
+        self._calls: deque[tuple[Future[Any], Callable[[], Any]]] = deque()
+        self._wake_receiver, self._wake_sender = socket.socketpair()
+        self._wake_receiver.setblocking(False)
+        self._wake_sender.setblocking(False)
+        self._selector.register(self._wake_receiver, selectors.EVENT_READ, None)
+        self._timers: list[Callable[[float], float]] = []
+
+    def add_socket(
+        self,
+        opened: socket.socket,
+        handle: Callable[[bytes, tuple[str, int], float], None],
+    ) -> None:
+        """Hands a socket's datagrams to a handler.
+
+        Args:
+            opened: A socket of `open_datagram_socket`; the caller closes it.
+            handle: Takes the datagram, its source and the time.
+        """
+        self._selector.register(opened, selectors.EVENT_READ, handle)
+
+    def add_timer(self, step: Callable[[float], float]) -> None:
+        """Calls a step after each turn.
+
+        Args:
+            step: Takes the time, does what is due, returns when it is due next.
+        """
+        self._timers.append(step)
+
+    def call(self, function: Callable[[], ResultT]) -> Future[ResultT]:
+        """Runs a function on the loop's thread; other threads call this.
+
+        Args:
+            function: The function.
+
+        Returns:
+            Its result.
+        """
+        future: Future[ResultT] = Future()
+        self._calls.append((future, function))
+        try:
+            self._wake_sender.send(b"\0")
+        except BlockingIOError:
+            pass  # Wake-ups wait already, so the loop will see the call.
+        return future
+
+    def run_until(self, stopping: threading.Event) -> None:
+        """Runs until told to stop; `call` after setting the event ends a wait.
+
+        Args:
+            stopping: Ends the loop when set.
+        """
+        while not stopping.is_set():
+            now = self._clock()
+            due = min((self._run_timer(step, now) for step in self._timers), default=now)
+            wait = min(max(due - self._clock(), 0.0), WAIT_MAXIMUM_SECONDS)
+            for key, _ in self._selector.select(wait):
+                if key.data is None:
+                    self._run_calls()
+                else:
+                    self._receive(key.fileobj, key.data)
+
+    def close(self) -> None:
+        """Closes what the loop opened."""
+        self._selector.close()
+        self._wake_receiver.close()
+        self._wake_sender.close()
+
+    def _run_timer(self, step: Callable[[float], float], now: float) -> float:
+        try:
+            return step(now)
+        except Exception as error:
+            # Guards against one failed step that ends the process's data path.
+            self._log.fact("timer failed", error=repr(error))
+            return now + WAIT_MAXIMUM_SECONDS
+
+    def _run_calls(self) -> None:
+        try:
+            self._wake_receiver.recv(DATAGRAM_SIZE_MAXIMUM)
+        except BlockingIOError:
+            pass
+        while self._calls:
+            future, function = self._calls.popleft()
+            try:
+                future.set_result(function())
+            except Exception as error:
+                self._log.fact("call failed", error=repr(error))
+                future.set_exception(error)
+
+    def _receive(
+        self,
+        opened: Any,
+        handle: Callable[[bytes, tuple[str, int], float], None],
+    ) -> None:
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                datagram, source = opened.recvfrom(DATAGRAM_SIZE_MAXIMUM)
+            except OSError:
+                # Nothing left, or the error of an earlier datagram that met no
+                # listener; the socket is good either way.
+                return
+            try:
+                handle(datagram, source, self._clock())
+            except Exception as error:
+                # Guards against one datagram that ends the process's data path.
+                self._log.fact("handler failed", error=repr(error))
--- /dev/null
+++ b/src/siskinshift/runtime/http_client.py
@@ -0,0 +1,149 @@
+"""A small HTTP/1.1 client: one kept connection, a time-out of our own for each call."""
+
+from __future__ import annotations
+
+import socket
+import time
+
+import httptools
+from attrs import Factory
+from attrs import define
+from attrs import frozen
+
+
+READ_BYTES = 262144
+ANSWER_MAXIMUM_BYTES = 64 << 20
+
+
+class CallNotSentError(OSError):
+    """The connection could not be made, so the call took no effect."""
+
+
+class AnswerLostError(OSError):
+    """The call was sent and no whole answer came: it may have taken effect."""
+
+
+@frozen
+class HttpAnswer:
+    """Answer to a call.
+
+    Attributes:
+        status: HTTP status.
+        body: Body of the answer.
+    """
+
+    status: int
+    body: bytes
+
+
+@define
+class _AnswerReader:
+    """Collects one answer; the parser calls its hooks."""
+
+    parts: list[bytes] = Factory(list)
+    size: int = 0
+    is_complete: bool = False
+
+    def on_body(self, body: bytes) -> None:
+        self.size += len(body)
+        if self.size > ANSWER_MAXIMUM_BYTES:
+            raise ValueError("answer too large")
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        self.is_complete = True
+
+
+class HttpClient:
+    """Calls one endpoint; not for use by several threads at once.
+
+    A kept connection may go silent for good while new ones work. So each failure
+    closes it, and the next call makes a new one.
+    """
+
+    def __init__(self, host: str, port: int, *, connect_timeout: float) -> None:
+        """Prepares; connects with the first call.
+
+        Args:
+            host: IP number of the endpoint.
+            port: Its port.
+            connect_timeout: Time allowed for a connection, seconds.
+        """
+        self._address = (host, port)
+        self._connect_timeout = connect_timeout
+        self._socket: socket.socket | None = None
+
+    def call(
+        self, method: str, target: str, body: bytes = b"", *, timeout: float
+    ) -> HttpAnswer:
+        """Makes a call.
+
+        Args:
+            method: HTTP method.
+            target: Path with query.
+            body: Body, JSON.
+            timeout: Time allowed for the whole answer, seconds.
+
+        Returns:
+            The answer, whatever its status.
+
+        Raises:
+            CallNotSentError: No connection.
+            AnswerLostError: No whole answer in time.
+        """
+        until = time.monotonic() + timeout
+        connection = self._connect(timeout)
+        head = (
+            f"{method} {target} HTTP/1.1\r\n"
+            f"Host: {self._address[0]}:{self._address[1]}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        try:
+            connection.settimeout(timeout)
+            connection.sendall(head.encode() + body)
+            return self._read(connection, until)
+        except (OSError, ValueError, httptools.HttpParserError) as error:
+            self.close()
+            raise AnswerLostError(str(error)) from error
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def wake(self) -> None:
+        """Ends a call that waits in another thread."""
+        if self._socket is not None:
+            try:
+                self._socket.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                return  # It was closed already.
+
+    def _connect(self, timeout: float) -> socket.socket:
+        if self._socket is None:
+            try:
+                self._socket = socket.create_connection(
+                    self._address, min(timeout, self._connect_timeout)
+                )
+            except OSError as error:
+                raise CallNotSentError(str(error)) from error
+            self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return self._socket
+
+    def _read(self, connection: socket.socket, until: float) -> HttpAnswer:
+        reader = _AnswerReader()
+        parser = httptools.HttpResponseParser(reader)
+        while not reader.is_complete:
+            left = until - time.monotonic()
+            if left <= 0:
+                raise TimeoutError("answer too slow")
+            connection.settimeout(left)
+            data = connection.recv(READ_BYTES)
+            if not data:
+                raise ConnectionResetError("closed before the answer's end")
+            parser.feed_data(data)
+        if not parser.should_keep_alive():
+            self.close()
+        return HttpAnswer(parser.get_status_code(), b"".join(reader.parts))
