--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -77,7 +77,11 @@
 
 
 class AgentFlows:
-    """Flows of the upstream beside one agent."""
+    """Flows of the upstream beside one agent.
+
+    Attributes:
+        is_pausing: Whether new flows are refused because the agent ends soon.
+    """
 
     def __init__(self, *, life: UpstreamLife, log: EventLog) -> None:
         """Starts without any flow.
@@ -94,11 +98,17 @@
         self._open_count = 0
         self._running_count = 0
         self._swept_at = 0.0
+        self._knows_all = False
         self.is_pausing = False
 
     def __len__(self) -> int:
         return self._open_count
 
+    @property
+    def waits_for_upstream(self) -> bool:
+        """Whether the upstream owes an answer or holds flows."""
+        return bool(self._open_count or self._offered)
+
     @property
     def load(self) -> Load:
         """Open flows, and those on which a caller waits."""
@@ -193,18 +203,27 @@
     def upstream_ended(self, *, now: float) -> list[Action]:
         """Resets all flows of an upstream whose process is gone for certain.
 
+        From then on the agent knows all flows of whatever upstream follows.
+
         Args:
             now: Clock reading, seconds.
 
         Returns:
-            The resets.
+            The resets, and a word to those who asked for flows in the meantime.
         """
-        actions: list[Action] = []
+        self._knows_all = True
+        actions: list[Action] = [
+            self._say(Verdict.NOT_MINE, flow, asker)
+            for flow, asker in self._offered.items()
+        ]
+        self._offered.clear()
         for name, flow in self._flows.items():
             if not flow.ended_at:
                 actions.append(ResetCaller(name, flow.acknowledged))
                 self._end(flow, now=now)
-        self._log.decision("flows reset", reason="upstream gone", flows=len(actions))
+        self._log.decision(
+            "flows reset", reason="upstream gone", flows=len(self._flows)
+        )
         self._flows.clear()
         return actions
 
@@ -248,7 +267,7 @@
     ) -> list[Action]:
         if segment.flags & RESET:
             return []
-        if self._foreign_until.get(segment.flow, 0.0) > now:
+        if self._knows_all or self._foreign_until.get(segment.flow, 0.0) > now:
             return [self._say(Verdict.NOT_MINE, segment.flow, sender, segment.datagram)]
         self._offered[segment.flow] = sender
         return [ToUpstream(segment.datagram)]
@@ -315,9 +334,7 @@
             flow.is_running = is_running
             self._running_count += 1 if is_running else -1
 
-    def _refuse(
-        self, verdict: Verdict, flow: bytes, sender: tuple[str, int]
-    ) -> ToPeer:
+    def _refuse(self, verdict: Verdict, flow: bytes, sender: tuple[str, int]) -> ToPeer:
         self._log.decision(
             "refused",
             flow=flow_name(flow),
@@ -327,7 +344,11 @@
         return self._say(verdict, flow, sender)
 
     def _say(
-        self, verdict: Verdict, flow: bytes, address: tuple[str, int], packet: bytes = b""
+        self,
+        verdict: Verdict,
+        flow: bytes,
+        address: tuple[str, int],
+        packet: bytes = b"",
     ) -> ToPeer:
         message = encode_verdict(FlowVerdict(verdict, flow, self.load, packet))
         return ToPeer(address, message)
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -43,7 +43,9 @@
 # A heartbeat that is late by this much lets the agent look whether the upstream's
 # process is still there.
 LATE_SECONDS = 0.25
-PROBE_INTERVAL_SECONDS = 0.5
+PROBE_INTERVAL_SECONDS = 0.2
+# How often the agent looks after its upstream.
+LOOK_INTERVAL_SECONDS = 0.1
 PROBE_TIMEOUT_SECONDS = 0.3
 
 
@@ -123,7 +125,7 @@
         due = self._told_at + STATUS_INTERVAL_SECONDS
         if not self.is_leaving:
             self._probe_if_late(now)
-            return due
+            return min(due, now + LOOK_INTERVAL_SECONDS)
         if now >= self._left_by or not self.flows.load.running:
             self.stopping.set()
         return min(due, now + LEAVE_STEP_SECONDS)
@@ -198,10 +200,9 @@
         a listener proves that the process is gone, and its flows can be reset.
         """
         late_at = self._heartbeat_at + self.node_settings.heartbeat_interval
-        is_late = self.life.upstream_id and now > late_at + LATE_SECONDS
-        if not is_late or self._is_probing or not len(self.flows):
+        if now <= late_at + LATE_SECONDS or not self.flows.waits_for_upstream:
             return
-        if now - self._probed_at >= PROBE_INTERVAL_SECONDS:
+        if not self._is_probing and now - self._probed_at >= PROBE_INTERVAL_SECONDS:
             self._probed_at = now
             self._is_probing = True
             self.spawn(self._probe)
@@ -221,5 +222,11 @@
         finally:
             self._is_probing = False
 
+    def on_stop(self) -> None:
+        """Takes the entry of an agent away that does not come back."""
+        super().on_stop()
+        if self.life.is_gone:
+            self.end_registration()
+
     def _on_process_gone(self) -> None:
         self.perform(self.flows.upstream_ended(now=self.clock()))
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -17,6 +17,7 @@
 
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.fleet import Peer
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import encode_forward
@@ -30,11 +31,8 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from siskinshift.connections.actions import Action
     from siskinshift.connections.fleet import Fleet
-    from siskinshift.connections.fleet import Peer
     from siskinshift.connections.peer_messages import FlowVerdict
     from siskinshift.connections.placement import AgentPlacement
     from siskinshift.connections.routes import ConnectionRoute
@@ -294,7 +292,10 @@
         taken = [a for a in record.attempts if a.verdict is Verdict.ACCEPTED]
         if taken:
             # Its answer to the caller was lost; the upstream answers a copy again.
-            return [self._forward(a.agent, Purpose.OPEN, segment.datagram, record) for a in taken]
+            return [
+                self._forward(a.agent, Purpose.OPEN, segment.datagram, record)
+                for a in taken
+            ]
         record.opened_at = now
         return self._try_next(record, now=now)
 
@@ -361,7 +362,12 @@
         return self._try_next(record, now=now)
 
     def _find_owner(
-        self, route: ConnectionRoute, record: FlowRecord, segment: Segment, *, now: float
+        self,
+        route: ConnectionRoute,
+        record: FlowRecord,
+        segment: Segment,
+        *,
+        now: float,
     ) -> list[Action]:
         candidates = [a for a in record.attempts if a.verdict is Verdict.ACCEPTED]
         if len(candidates) == 1 and len(record.attempts) == 1:
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -6,6 +6,7 @@
 
 from siskinshift.connections.balancer_flows import BalancerFlows
 from siskinshift.connections.configuration_follower import ConfigurationFollower
+from siskinshift.connections.departure import Departure
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.placement import AgentPlacement
@@ -38,12 +39,7 @@
 # is behind for this long and the time to fetch it.
 BALANCER_STATUS_SECONDS = 0.5
 FETCH_TIMEOUT_SECONDS = 0.5
-# Two misses of a probe each half second take a balancer out of rotation; packets on
-# their way come after that.
-LEAVE_SECONDS_MINIMUM = 1.6
-QUIET_SECONDS = 0.5
-# Left of the time until the process is killed, for its clean-up.
-LEAVE_RESERVE_SECONDS = 1.0
+DEPARTURE_STEP_SECONDS = 0.05
 
 
 class BalancerNode(ConnectionNode):
@@ -59,9 +55,7 @@
         placement = AgentPlacement(
             failure_domain=settings.failure_domain, random=self.random
         )
-        self._flows = BalancerFlows(
-            fleet=self.fleet, placement=placement, log=self.log
-        )
+        self._flows = BalancerFlows(fleet=self.fleet, placement=placement, log=self.log)
         caller_packets = settings.caller_packets
         self._caller_socket = open_datagram_socket(
             caller_packets.host, caller_packets.port
@@ -79,8 +73,7 @@
         self._told_agents_at = float("-inf")
         self._told_balancers_at = float("-inf")
         self._received_at = self.clock()
-        self._leave_at = float("inf")
-        self._left_by = float("inf")
+        self._departure: Departure | None = None
 
     def on_start(self) -> None:
         """Starts to forward; readiness follows with configuration and agents."""
@@ -93,7 +86,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether flows can be placed: a configuration and one ready agent."""
-        if self.is_leaving or self._flows.routes is None:
+        return self.member.state is MemberState.READY
+
+    @property
+    def _serves(self) -> bool:
+        if self._flows.routes is None:
             return False
         states = (agent.member.state for agent in self.fleet.agents())
         return MemberState.READY in states
@@ -104,11 +101,10 @@
         return self._flows.routes.version if self._flows.routes else 0
 
     def begin_leaving(self) -> None:
-        """Says not ready and forwards until the routers have noticed."""
-        now = self.clock()
-        self._leave_at = now + LEAVE_SECONDS_MINIMUM
-        self._left_by = now + max(
-            0.0, self.node_settings.leave_seconds - LEAVE_RESERVE_SECONDS
+        """Plans the end: not ready as soon as the domain can spare this balancer."""
+        self._departure = Departure(
+            started_at=self.clock(),
+            leave_seconds=self.node_settings.leave_seconds,
         )
 
     def on_message(
@@ -138,15 +134,31 @@
         if now - self._told_agents_at >= AGENT_STATUS_SECONDS:
             self._told_agents_at = now
             self.send_status(self.fleet.agents())
-        quiet_at = max(self._leave_at, self._received_at + QUIET_SECONDS)
-        leave_at = min(quiet_at, self._left_by)
-        if now >= leave_at:
-            self.stopping.set()
-        return min(
+        self._update_state()
+        due = min(
             self._flows.next_due(),
             self._told_balancers_at + BALANCER_STATUS_SECONDS,
-            leave_at,
         )
+        return min(due, self._depart(now))
+
+    def _update_state(self) -> None:
+        state = MemberState.READY if self._serves else MemberState.JOINING
+        if self._departure is not None and self._departure.has_begun:
+            state = MemberState.DRAINING
+        if self.change_member(state=state, weight=self.member.weight, slots=1):
+            self.send_status(self.fleet.balancers())
+
+    def _depart(self, now: float) -> float:
+        if self._departure is None:
+            return float("inf")
+        peers = [
+            peer
+            for peer in self.fleet.balancers()
+            if peer.member.failure_domain == self.member.failure_domain
+        ]
+        if self._departure.may_end(peers, received_at=self._received_at, now=now):
+            self.stopping.set()
+        return now + DEPARTURE_STEP_SECONDS
 
     def send_to_upstream(self, datagram: bytes) -> None:
         """A balancer has no upstream."""
--- a/src/siskinshift/connections/fleet.py
+++ b/src/siskinshift/connections/fleet.py
@@ -12,6 +12,7 @@
 from attrs import define
 
 from siskinshift.connections.peer_messages import Load
+from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 
@@ -20,7 +21,6 @@
     from collections.abc import Iterable
 
     from siskinshift.connections.peer_messages import Status
-    from siskinshift.messages.core import Member
 
 
 # Members say something of themselves at least this often, seconds. At twice the rate
@@ -29,10 +29,15 @@
 STATUS_INTERVAL_SECONDS = 0.5
 # Five statuses lost in a row are no chance on a link that loses one in forty.
 SILENT_AFTER_SECONDS = 2.6
+# A peer that a node was told of is greeted and answers in milliseconds, or within this
+# when it starts as well. The store shows entries of the dead until their leases end,
+# and flows that nobody holds are found out only when all agents have spoken.
+ANSWER_SECONDS = 0.6
 # A peer that is neither registered nor heard of for this long is forgotten. Entries
 # that lapsed with the store away are back within two seconds of its return.
 FORGET_AFTER_SECONDS = 6.0
 NEVER = float("-inf")
+NO_LOAD = Load()
 
 
 @define(eq=False)
@@ -43,6 +48,7 @@
         member: Its newest record.
         address: Where its datagrams go.
         heard_at: When it last said something itself, seconds.
+        known_at: When it was first told of, or told of as restarted, seconds.
         registered_at: When the store last showed its entry, seconds.
         is_registered: Whether the newest reading of the store shows it.
         load: Its newest load.
@@ -54,9 +60,10 @@
     member: Member
     address: tuple[str, int]
     heard_at: float = NEVER
+    known_at: float = NEVER
     registered_at: float = NEVER
     is_registered: bool = False
-    load: Load = Load()
+    load: Load = NO_LOAD
     placed: int = 0
     configuration_version: int = 0
     unanswered: int = 0
@@ -68,10 +75,11 @@
             now: Clock reading, seconds.
 
         Returns:
-            Whether neither itself nor a fresh entry speaks for it.
+            Whether it has not spoken lately, or not at all since it was told of.
         """
-        evidence = max(self.heard_at, self.registered_at)
-        return now - evidence > SILENT_AFTER_SECONDS
+        if self.heard_at >= self.known_at:
+            return now - self.heard_at > SILENT_AFTER_SECONDS
+        return now - self.known_at > ANSWER_SECONDS
 
 
 class Fleet:
@@ -122,7 +130,7 @@
         Returns:
             The peer; None for words of the node itself.
         """
-        peer = self._merge(status.member, is_own_word=True)
+        peer = self._merge(status.member, now=now, is_own_word=True)
         if peer is None:
             return None
         if status.member.state is MemberState.GONE:
@@ -167,7 +175,7 @@
         known = set(self.peers_by_id)
         seen: set[str] = set()
         for member in members:
-            peer = self._merge(member, is_own_word=False)
+            peer = self._merge(member, now=now, is_own_word=False)
             if peer is None:
                 continue
             seen.add(member.member_id)
@@ -192,7 +200,7 @@
         for member in members:
             if member.member_id in self.peers_by_id:
                 continue
-            peer = self._merge(member, is_own_word=False)
+            peer = self._merge(member, now=now, is_own_word=False)
             if peer is not None:
                 peer.registered_at = now
                 added.append(peer)
@@ -217,18 +225,21 @@
             self._remove(peer)
         return gone
 
-    def _merge(self, member: Member, *, is_own_word: bool) -> Peer | None:
+    def _merge(self, member: Member, *, now: float, is_own_word: bool) -> Peer | None:
         if member.member_id == self._own.member_id:
             return None
         peer = self.peers_by_id.get(member.member_id)
         if peer is None:
-            peer = Peer(member, (member.data.host, member.data.port))
+            address = (member.data.host, member.data.port)
+            peer = Peer(member, address, known_at=now)
             self.peers_by_id[member.member_id] = peer
             self.peers_by_address[peer.address] = peer
             self._index()
             return peer
         if not _replaces(member, peer.member, is_own_word=is_own_word):
             return peer
+        if member.incarnation != peer.member.incarnation:
+            peer.known_at = now
         moved = peer.member.data != member.data
         reclassed = peer.member.upstream_class != member.upstream_class
         peer.member = member
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -12,7 +12,6 @@
 from siskinshift.connections.actions import ToCaller
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.actions import ToUpstream
-from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
 from siskinshift.connections.fleet import Fleet
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import Members
@@ -31,11 +30,11 @@
 from siskinshift.platform.heartbeats import READINESS_PATH
 from siskinshift.platform.packets import encode_reset
 from siskinshift.platform.store import PlatformStore
-from siskinshift.runtime.application import Application
 from siskinshift.runtime.event_loop import EventLoop
 from siskinshift.runtime.event_loop import open_datagram_socket
 from siskinshift.runtime.http_server import HttpReply
 from siskinshift.runtime.http_server import HttpServer
+from siskinshift.runtime.life_cycle import LifeCycle
 
 
 if TYPE_CHECKING:
@@ -46,6 +45,7 @@
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.peer_messages import PeerMessage
     from siskinshift.messages.core import Role
+    from siskinshift.runtime.http_server import Handler
     from siskinshift.runtime.http_server import HttpRequest
 
 
@@ -57,7 +57,7 @@
 FORGET_INTERVAL_SECONDS = 1.0
 
 
-class ConnectionNode(Application):
+class ConnectionNode(LifeCycle):
     """Sockets, peers, registration and life of a node on the platform."""
 
     def __init__(self, settings: NodeSettings, *, role: Role) -> None:
@@ -72,6 +72,7 @@
         self.random = Random()
         self.clock = monotonic_clock
         self.log = EventLog(process=settings.node_id, clock=self.clock)
+        self.owns(self.log.write)
         self.spawn(self.log.write_until, self.stopping)
         self.loop = EventLoop(clock=self.clock, log=self.log)
         own = Endpoint(settings.host, settings.peer_port)
@@ -122,7 +123,7 @@
         signal.signal(signal.SIGHUP, lambda *_: self.loop.call(self.on_reload))
         self.loop.run_until(self.stopping)
 
-    def serve(self, endpoint: Endpoint, handler: object) -> None:
+    def serve(self, endpoint: Endpoint, handler: Handler) -> None:
         """Serves HTTP at an endpoint.
 
         Args:
@@ -137,6 +138,10 @@
         """Logs the end; threads see `stopping`."""
         self.log.fact("stopped", dropped_lines_total=self.log.dropped)
 
+    def end_registration(self) -> None:
+        """Takes the node's entry out of the store, so that nobody waits for it."""
+        self._registration.end()
+
     @property
     def is_ready(self) -> bool:
         """Whether the platform may send work to this node."""
@@ -248,9 +253,7 @@
 
     def _own_status(self, *, wants_members: bool = False) -> bytes:
         return encode_status(
-            Status(
-                self.member, self.load, self.configuration_version, wants_members
-            )
+            Status(self.member, self.load, self.configuration_version, wants_members)
         )
 
     def _on_peer_datagram(
--- a/src/siskinshift/connections/peer_messages.py
+++ b/src/siskinshift/connections/peer_messages.py
@@ -115,7 +115,7 @@
     """
 
     member: Member
-    load: Load = Load()
+    load: Load
     configuration_version: int = 0
     wants_members: bool = False
 
@@ -299,10 +299,10 @@
     endpoint = Endpoint(_text(document["host"]), _number(document["port"]))
     return Member(
         member_id=_text(document["member_id"]),
-        role=Role(document["role"]),
+        role=Role(_text(document["role"])),
         incarnation=_number(document["incarnation"]),
         version=_number(document["version"]),
-        state=MemberState(document["state"]),
+        state=MemberState(_text(document["state"])),
         region=_text(document["region"]),
         failure_domain=_text(document["failure_domain"]),
         control=endpoint,
--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -33,11 +33,11 @@
 
 
 MEMBERS_PREFIX = "siskinshift/members/"
-# A node that was killed comes back within seconds and replaces its entry; a shorter
-# life would cost more renewals, a longer one keeps lost nodes in the list.
-LEASE_SECONDS = 10.0
-# Three tries fit into a lease.
-RENEW_SECONDS = 3.0
+# A node that was killed comes back within seconds and replaces its entry; a longer life
+# keeps lost nodes in the list, and whoever starts waits for their word about flows.
+LEASE_SECONDS = 5.0
+# Three tries fit into a lease; a renewal costs a tenth of a call.
+RENEW_SECONDS = 1.5
 # A read of all members costs a tenth of a call when it may be old; nodes also hear of
 # new peers from those themselves.
 READ_SECONDS = 3.0
@@ -65,6 +65,9 @@
     def keep_alive(self, lease_id: int) -> float:
         """Prolongs a lease."""
 
+    def revoke_lease(self, lease_id: int) -> None:
+        """Ends a lease."""
+
 
 class Registration:
     """Keeps the entry and reads the others'."""
@@ -124,6 +127,15 @@
             return 0.0
         return max(0.0, min(self._renew_at, self._read_at) - now)
 
+    def end(self) -> None:
+        """Takes the entry away; one that can't be taken away lapses."""
+        if not self._lease_id:
+            return
+        try:
+            self._store.revoke_lease(self._lease_id)
+        except StoreUnavailableError as error:
+            self._log.fact("entry not taken away", error=str(error))
+
     def _register(self, *, now: float) -> None:
         lease = self._store.grant_lease(LEASE_SECONDS)
         own = self._own()
--- a/src/siskinshift/connections/upstream_life.py
+++ b/src/siskinshift/connections/upstream_life.py
@@ -103,7 +103,9 @@
             return HeartbeatEffect.NONE
         if heartbeat.upstream_id != self.upstream_id:
             effect = (
-                HeartbeatEffect.REPLACED if self.upstream_id else HeartbeatEffect.CHANGED
+                HeartbeatEffect.REPLACED
+                if self.upstream_id
+                else HeartbeatEffect.CHANGED
             )
             self._begin(heartbeat)
         elif heartbeat.sequence <= self._sequence:
--- a/src/siskinshift/observability/event_log.py
+++ b/src/siskinshift/observability/event_log.py
@@ -93,8 +93,8 @@
             stopping: Ends the loop when set.
         """
         while not stopping.wait(WRITE_INTERVAL_SECONDS):
-            self._write_all()
-        self._write_all()
+            self.write()
+        self.write()
 
     def _put(self, event: str, now: float, fields: dict[str, EventValue]) -> None:
         if len(self._lines) >= QUEUE_LINES_MAXIMUM:
@@ -111,7 +111,8 @@
             self._dropped_told = self.dropped
         self._lines.append(orjson.dumps(line))
 
-    def _write_all(self) -> None:
+    def write(self) -> None:
+        """Writes the lines that wait."""
         if not self._lines:
             return
         lines = [self._lines.popleft() for _ in range(len(self._lines))]
--- a/src/siskinshift/platform/settings.py
+++ b/src/siskinshift/platform/settings.py
@@ -53,7 +53,7 @@
         return value
 
     def number(self, name: str, *, minimum: float, maximum: float) -> float:
-        value = self._table.get(name)
+        value: Any = self._table.get(name)
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
         if not is_number or not minimum <= value <= maximum:
             raise self._fault(name, value, f"a number, {minimum} to {maximum}")
@@ -72,7 +72,7 @@
         return self._checked(name, value, parse_endpoint, "host:port")
 
     def first_port(self, name: str) -> int:
-        ports = self._table.get(name)
+        ports: Any = self._table.get(name)
         is_range = isinstance(ports, list) and len(ports) > 1
         if not is_range or not all(isinstance(port, int) for port in ports):
             raise self._fault(name, ports, "two ports")
--- a/src/siskinshift/runtime/event_loop.py
+++ b/src/siskinshift/runtime/event_loop.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import selectors
 import socket
-import threading
 from collections import deque
 from concurrent.futures import Future
 from typing import TYPE_CHECKING
@@ -13,6 +13,7 @@
 
 
 if TYPE_CHECKING:
+    import threading
     from collections.abc import Callable
 
     from siskinshift.core.clocks import Clock
@@ -99,10 +100,9 @@
         """
         future: Future[ResultT] = Future()
         self._calls.append((future, function))
-        try:
+        # A full pipe: wake-ups wait already, so the loop will see the call.
+        with contextlib.suppress(BlockingIOError):
             self._wake_sender.send(b"\0")
-        except BlockingIOError:
-            pass  # Wake-ups wait already, so the loop will see the call.
         return future
 
     def run_until(self, stopping: threading.Event) -> None:
@@ -113,7 +113,9 @@
         """
         while not stopping.is_set():
             now = self._clock()
-            due = min((self._run_timer(step, now) for step in self._timers), default=now)
+            due = min(
+                (self._run_timer(step, now) for step in self._timers), default=now
+            )
             wait = min(max(due - self._clock(), 0.0), WAIT_MAXIMUM_SECONDS)
             for key, _ in self._selector.select(wait):
                 if key.data is None:
@@ -136,10 +138,8 @@
             return now + WAIT_MAXIMUM_SECONDS
 
     def _run_calls(self) -> None:
-        try:
+        with contextlib.suppress(BlockingIOError):
             self._wake_receiver.recv(DATAGRAM_SIZE_MAXIMUM)
-        except BlockingIOError:
-            pass
         while self._calls:
             future, function = self._calls.popleft()
             try:
--- a/src/siskinshift/runtime/http_server.py
+++ b/src/siskinshift/runtime/http_server.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from siskinshift.observability.event_log import EventLog
-    from siskinshift.runtime.application import Application
+    from siskinshift.runtime.life_cycle import LifeCycle
 
 
 # A peer that keeps a connection asks again within seconds; a silent one is closed so
@@ -95,7 +95,7 @@
 
     def __init__(
         self,
-        application: Application,
+        application: LifeCycle,
         host: str,
         port: int,
         handler: Handler,
--- a/src/siskinshift/runtime/node_application.py
+++ b/src/siskinshift/runtime/node_application.py
@@ -31,7 +31,6 @@
     """Owns the sockets, the control server, telemetry and membership of a node.
 
     Attributes:
-        settings: All settings of the process.
         telemetry: What the node tells of itself.
         counters: What happened to datagrams.
         key_ring: Keys of the deployment.
@@ -64,9 +63,8 @@
             upstream_class: Class of the upstream, for an agent.
             slots: Slots of the upstream, for an agent.
         """
+        super().__init__(settings)
         node = settings.node
-        super().__init__(name=node.node_id)
-        self.settings = settings
         self.telemetry = Telemetry(settings, clock=monotonic_clock)
         self.counters = self.telemetry.counters
         self.key_ring = KeyRing(settings.keys)
