--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -32,6 +32,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from siskinshift.connections.actions import Action
     from siskinshift.connections.peer_messages import Forward
     from siskinshift.connections.segment import Segment
@@ -45,6 +47,8 @@
 FOREIGN_SECONDS = 10.0
 # Flows and foreign flows are looked through this often, seconds.
 SWEEP_SECONDS = 2.0
+# A flow that lives for this long is one that its caller keeps for many requests.
+LONG_AFTER_SECONDS = 1.5
 # A flow that was silent for this long is forgotten; flows live a minute at most.
 IDLE_SECONDS = 90.0
 FOREIGN_MAXIMUM = 20_000
@@ -55,6 +59,7 @@
     """A flow of the agent's upstream.
 
     Attributes:
+        opened_at: When it began, seconds.
         used_at: When a packet was last seen, seconds.
         reference: Newest sequence number of the upstream; None before its answer.
         opener: Balancer that brought the opening packet; None once it was told.
@@ -66,6 +71,7 @@
         ended_at: When the flow ended; 0 while it is open.
     """
 
+    opened_at: float
     used_at: float
     reference: int | None = None
     opener: tuple[str, int] | None = None
@@ -200,6 +206,40 @@
             if flow.bare_packet and not flow.ended_at
         ]
 
+    def long_flows(self, *, now: float) -> list[bytes]:
+        """Lists a repeatable packet of each flow that its caller keeps.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            The packets, all without data.
+        """
+        return [
+            flow.bare_packet
+            for flow in self._flows.values()
+            if flow.bare_packet
+            and not flow.ended_at
+            and now - flow.opened_at > LONG_AFTER_SECONDS
+        ]
+
+    def restore(self, segments: Iterable[Segment], *, now: float) -> None:
+        """Takes flows that the process before this one owned.
+
+        They are asked about as soon as the upstream is heard; see `verify_all`.
+
+        Args:
+            segments: A caller's packet of each.
+            now: Clock reading, seconds.
+        """
+        for segment in segments:
+            if segment.flow in self._flows:
+                continue
+            flow = self._add(segment.flow, now=now)
+            flow.reference = segment.ack
+            flow.acknowledged = segment.ack
+            flow.bare_packet = segment.datagram
+
     def upstream_ended(self, *, now: float) -> list[Action]:
         """Resets all flows of an upstream whose process is gone for certain.
 
@@ -317,7 +357,7 @@
             self._end(flow, now=now)
 
     def _add(self, name: bytes, *, now: float) -> OwnedFlow:
-        flow = OwnedFlow(now)
+        flow = OwnedFlow(now, now)
         self._flows[name] = flow
         self._open_count += 1
         return flow
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -7,6 +7,8 @@
 
 from siskinshift.connections.agent_flows import AgentFlows
 from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
+from siskinshift.connections.flow_ledger import WRITE_SECONDS
+from siskinshift.connections.flow_ledger import FlowLedger
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.peer_messages import Forward
 from siskinshift.connections.upstream_life import Heartbeat
@@ -31,6 +33,7 @@
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.peer_messages import Load
     from siskinshift.connections.peer_messages import PeerMessage
+    from siskinshift.connections.segment import Segment
     from siskinshift.runtime.http_server import HttpRequest
 
 
@@ -70,10 +73,17 @@
         self._upstream_socket = open_datagram_socket(outlet.host, outlet.port)
         self.owns(self._upstream_socket.close)
         self._upstream_address = (settings.upstream.host, settings.upstream.port)
+        self._ledger = FlowLedger(
+            store=self.store,
+            member_id=settings.node_id,
+            packets=self._long_flows,
+            log=self.log,
+        )
         self._told_at = float("-inf")
         self._heartbeat_at = float("-inf")
         self._probed_at = float("-inf")
         self._is_probing = False
+        self._verified_id = ""
         self._left_by = float("inf")
 
     def on_start(self) -> None:
@@ -82,6 +92,7 @@
         self.loop.add_socket(self._upstream_socket, self._on_upstream_datagram)
         if self.node_settings.heartbeats is not None:
             self.serve(self.node_settings.heartbeats, self._answer_upstream)
+        self.spawn(self._keep_ledger)
 
     @property
     def is_ready(self) -> bool:
@@ -178,9 +189,29 @@
             effect=effect.name.lower(),
         )
         self._update_member(now)
-        if effect is HeartbeatEffect.REPLACED:
+        if effect is HeartbeatEffect.REPLACED or call.upstream_id != self._verified_id:
+            self._verified_id = call.upstream_id
+            self.perform(self.flows.verify_all(now=now))
+
+    def _keep_ledger(self) -> None:
+        segments = [decode_from_caller(packet) for packet in self._ledger.load()]
+        known = [segment for segment in segments if segment is not None]
+        self.loop.call(lambda: self._restore(known))
+        while not self.stopping.wait(WRITE_SECONDS):
+            self._ledger.step(now=self.clock())
+
+    def _restore(self, segments: list[Segment]) -> None:
+        now = self.clock()
+        self.flows.restore(segments, now=now)
+        self.log.fact("flows restored", flows=len(segments))
+        if self.life.upstream_id:
+            self._verified_id = self.life.upstream_id
             self.perform(self.flows.verify_all(now=now))
 
+    def _long_flows(self) -> list[bytes]:
+        listing = self.loop.call(lambda: self.flows.long_flows(now=self.clock()))
+        return listing.result(CALL_SECONDS)
+
     def _update_member(self, now: float) -> None:
         state = self.life.state(now=now)
         if self.is_leaving:
--- /dev/null
+++ b/src/siskinshift/connections/flow_ledger.py
@@ -0,0 +1,136 @@
+"""A short list of an agent's long flows in the store, which outlives the instance.
+
+Guards against callers that find out too late: when an instance loses power its
+upstream and the agent's memory go together, and nobody is left who knows which callers
+still hold flows to it. An idle caller would learn of it by its next request, and one
+that may not be repeated is lost then. With the list the restarted agent asks the new
+upstream about each flow, and what comes back is reset before the caller needs it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinshift.kv.exceptions import StoreOutcomeUnknownError
+from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.port import Put
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from siskinshift.kv.port import KeyValueStore
+    from siskinshift.observability.event_log import EventLog
+
+
+LEDGER_PREFIX = "siskinshift/flows/"
+# A flow opened after the last write is not in the list. One write each four seconds
+# from each agent is 15 writes a second at 60 agents, of 1,200 that such a fleet has.
+WRITE_SECONDS = 4.0
+# Longer than an instance is away without power in an ordinary failure.
+LEASE_SECONDS = 30.0
+RENEW_SECONDS = 9.0
+# 64 KB of a value of a megabyte; more flows than that are left out.
+FLOWS_MAXIMUM = 2000
+_SIZE_BYTES = 2
+
+
+class FlowLedger:
+    """Writes and reads the list of one agent."""
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        member_id: str,
+        packets: Callable[[], Sequence[bytes]],
+        log: EventLog,
+    ) -> None:
+        """Prepares.
+
+        Args:
+            store: The store.
+            member_id: The agent.
+            packets: Gives one repeatable packet of each long flow, all of one size.
+            log: Takes a line when a write fails.
+        """
+        self._store = store
+        self._key = LEDGER_PREFIX + member_id
+        self._packets = packets
+        self._log = log
+        self._lease_id = 0
+        self._renew_at = 0.0
+        self._written: bytes = b""
+
+    def load(self) -> list[bytes]:
+        """Reads the list of the process before this one.
+
+        Returns:
+            Its packets; none when the store does not answer.
+        """
+        try:
+            entry = self._store.get(self._key)
+        except StoreUnavailableError as error:
+            self._log.fact("flow list not read", error=str(error))
+            return []
+        return decode_packets(entry.value) if entry else []
+
+    def step(self, *, now: float) -> None:
+        """Writes the list if it has changed.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        value = encode_packets(self._packets()[:FLOWS_MAXIMUM])
+        try:
+            self._keep_lease(now=now)
+            if value != self._written:
+                put = Put(self._key, value, self._lease_id)
+                self._store.transact((), (put,))
+                self._written = value
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            # The list may be old then; it is written again with the next step.
+            self._log.fact("flow list not written", error=str(error))
+            self._lease_id = 0
+            self._written = b""
+
+    def _keep_lease(self, *, now: float) -> None:
+        if self._lease_id and now >= self._renew_at:
+            if self._store.keep_alive(self._lease_id) <= 0:
+                self._lease_id = 0
+            self._renew_at = now + RENEW_SECONDS
+        if not self._lease_id:
+            self._lease_id = self._store.grant_lease(LEASE_SECONDS).lease_id
+            self._renew_at = now + RENEW_SECONDS
+            self._written = b""
+
+
+def encode_packets(packets: Sequence[bytes]) -> bytes:
+    """Packs packets of one size.
+
+    Args:
+        packets: The packets.
+
+    Returns:
+        Their size and the packets; nothing for none.
+    """
+    if not packets:
+        return b""
+    return len(packets[0]).to_bytes(_SIZE_BYTES, "big") + b"".join(packets)
+
+
+def decode_packets(value: bytes) -> list[bytes]:
+    """Unpacks what `encode_packets` wrote.
+
+    Args:
+        value: The bytes.
+
+    Returns:
+        The packets; none when they can't be read.
+    """
+    size = int.from_bytes(value[:_SIZE_BYTES], "big")
+    body = value[_SIZE_BYTES:]
+    if not size or len(body) % size:
+        return []
+    return [body[start : start + size] for start in range(0, len(body), size)]
--- a/src/siskinshift/runtime/http_server.py
+++ b/src/siskinshift/runtime/http_server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable
@@ -42,11 +43,13 @@
         method: Its method.
         path: Its path, without a query.
         body: Its body.
+        query: What follows the path's question mark.
     """
 
     method: str
     path: str
     body: bytes
+    query: str = ""
 
 
 @frozen
@@ -73,12 +76,13 @@
 
     method: str = ""
     path: str = ""
+    query: str = ""
     parts: list[bytes] = Factory(list)
     size: int = 0
     is_complete: bool = False
 
     def on_url(self, url: bytes) -> None:
-        self.path = url.partition(b"?")[0].decode("latin-1")
+        self.path, _, self.query = url.decode("latin-1").partition("?")
 
     def on_body(self, body: bytes) -> None:
         self.size += len(body)
@@ -108,7 +112,8 @@
             application: Runs the tasks.
             host: Own IP number.
             port: Port; 0 takes a free one.
-            handler: Answers requests; called from several threads.
+            handler: Answers requests; called from several threads. An OSError of it
+                closes the connection without an answer.
             log: Takes a line for a handler that failed.
         """
         self._application = application
@@ -134,14 +139,13 @@
 
     def close(self) -> None:
         """Closes the listener and all connections."""
-        self._listener.close()
         with self._lock:
             connections = tuple(self._connections)
-        for connection in connections:
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                continue  # The other end has closed it already.
+        # Shut down before it is closed: that ends a wait in another thread at once.
+        for opened in (self._listener, *connections):
+            with contextlib.suppress(OSError):
+                opened.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
 
     def _accept(self) -> None:
         while not self._application.stopping.is_set():
@@ -180,7 +184,8 @@
                 return False
             parser.feed_data(data)
         method = parser.get_method().decode("latin-1")
-        reply = self._answer(HttpRequest(method, reader.path, b"".join(reader.parts)))
+        body = b"".join(reader.parts)
+        reply = self._answer(HttpRequest(method, reader.path, body, reader.query))
         head = (
             f"HTTP/1.1 {reply.status} {_REASONS.get(reply.status, 'Status')}\r\n"
             f"Content-Type: {reply.content_type}\r\n"
@@ -192,6 +197,8 @@
     def _answer(self, request: HttpRequest) -> HttpReply:
         try:
             return self._handler(request)
+        except OSError:
+            raise
         except Exception as error:
             # Guards against one bad request that ends the connection of a good peer.
             self._log.fact("request failed", path=request.path, error=repr(error))
--- /dev/null
+++ b/tests/connections/builders.py
@@ -0,0 +1,168 @@
+"""Segments, members and logs for the tests of connections."""
+
+from __future__ import annotations
+
+import os
+from random import Random
+from typing import TYPE_CHECKING
+
+from siskinshift.connections.agent_flows import AgentFlows
+from siskinshift.connections.balancer_flows import BalancerFlows
+from siskinshift.connections.fleet import Fleet
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import Status
+from siskinshift.connections.placement import AgentPlacement
+from siskinshift.connections.routes import ConnectionRoute
+from siskinshift.connections.routes import RouteTable
+from siskinshift.connections.routes import Target
+from siskinshift.connections.segment import ACK
+from siskinshift.connections.segment import SYN
+from siskinshift.connections.segment import Segment
+from siskinshift.connections.segment import pack_service_address
+from siskinshift.connections.upstream_life import Heartbeat
+from siskinshift.connections.upstream_life import UpstreamLife
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import Member
+from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
+from siskinshift.observability.event_log import EventLog
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+SERVICE_HOST = "198.18.0.1"
+SERVICE_PORT = 443
+SERVICE_ADDRESS = pack_service_address(SERVICE_HOST, SERVICE_PORT)
+HEARTBEAT_SECONDS = 0.77
+BALANCER = ("10.0.0.1", 7000)
+OTHER_BALANCER = ("10.0.0.2", 7000)
+
+
+def quiet_log() -> EventLog:
+    """A log that nobody reads."""
+    return EventLog(process="test", clock=lambda: 0.0, descriptor=os.dup(2))
+
+
+def flow_of(port: int) -> bytes:
+    """The flow of a caller's port."""
+    return (
+        port.to_bytes(2, "big")
+        + SERVICE_ADDRESS[:4]
+        + bytes((100, 64, 0, 7))
+        + SERVICE_ADDRESS[4:]
+    )
+
+
+def segment(
+    port: int, flags: int = ACK, *, seq: int = 0, ack: int = 0, length: int = 0
+) -> Segment:
+    """A packet; its bytes tell what it is."""
+    text = f"{port}/{flags}/{seq}/{ack}/{length}"
+    return Segment(flow_of(port), flags, seq, ack, length, text.encode())
+
+
+def opening(port: int, *, copy: int = 0) -> Segment:
+    """A caller's opening packet."""
+    return segment(port, SYN, seq=1, ack=copy)
+
+
+def member(
+    member_id: str,
+    *,
+    role: Role = Role.AGENT,
+    host: str = "10.0.0.9",
+    service: str = "editor",
+    state: MemberState = MemberState.READY,
+    domain: str = "a",
+    incarnation: int = 1,
+    version: int = 1,
+    slots: int = 1,
+    weight: int = 1000,
+) -> Member:
+    """A member's record."""
+    endpoint = Endpoint(host, 7000)
+    return Member(
+        member_id=member_id,
+        role=role,
+        incarnation=incarnation,
+        version=version,
+        state=state,
+        region="r",
+        failure_domain=domain,
+        control=endpoint,
+        data=endpoint,
+        upstream_class=service if role is Role.AGENT else "",
+        weight=weight,
+        slots=slots,
+    )
+
+
+def fleet_of(*members: Member, now: float = 0.0) -> Fleet:
+    """A balancer's fleet that has just heard all members."""
+    fleet = Fleet(member("balancer-1", role=Role.BALANCER, host=BALANCER[0]))
+    for known in members:
+        fleet.heard(Status(known, Load()), now=now)
+    return fleet
+
+
+def agents(count: int, *, service: str = "editor") -> list[Member]:
+    """Ready agents of one service."""
+    return [
+        member(f"{service}-{i}", host=f"10.0.1.{i}", service=service)
+        for i in range(1, count + 1)
+    ]
+
+
+def routes(
+    *, version: int = 1, addresses: Mapping[bytes, str] | None = None
+) -> RouteTable:
+    """A configuration with one service for each address."""
+    services = addresses if addresses is not None else {SERVICE_ADDRESS: "editor"}
+    return RouteTable(
+        version=version,
+        routes_by_address={
+            address: ConnectionRoute(
+                name=f"route-{service}",
+                address=address,
+                targets=(Target(service, 1),),
+                deadline=0.5,
+                objective=0.1,
+                urgency=1,
+                is_single=False,
+            )
+            for address, service in services.items()
+        },
+    )
+
+
+def balancer_flows(fleet: Fleet, *, table: RouteTable | None = None) -> BalancerFlows:
+    """A balancer's decisions with a configuration in force."""
+    placement = AgentPlacement(failure_domain="a", random=Random(1))
+    flows = BalancerFlows(fleet=fleet, placement=placement, log=quiet_log())
+    flows.configure(table or routes())
+    return flows
+
+
+def ready_life(*, upstream_id: str = "u-1", now: float = 0.0) -> UpstreamLife:
+    """An upstream that has sent its first heartbeat."""
+    life = UpstreamLife(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+    life.on_heartbeat(heartbeat(upstream_id), now=now)
+    return life
+
+
+def heartbeat(
+    upstream_id: str = "u-1",
+    *,
+    sequence: int = 1,
+    is_leaving: bool = False,
+    cold_seconds: float = 0.0,
+) -> Heartbeat:
+    """A heartbeat of the editor's upstream."""
+    return Heartbeat(upstream_id, "editor", sequence, 1, is_leaving, cold_seconds)
+
+
+def agent_flows(life: UpstreamLife | None = None) -> AgentFlows:
+    """An agent's decisions beside a ready upstream."""
+    return AgentFlows(life=life or ready_life(), log=quiet_log())
--- /dev/null
+++ b/tests/connections/deployment.py
@@ -0,0 +1,298 @@
+"""A small deployment of real processes on loopback for tests."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+import orjson
+
+from siskinshift.connections.segment import pack_service_address
+from siskinshift.observability.event_log import EventLog
+from siskinshift.platform.configuration import CONFIGURATION_KEY
+from siskinshift.platform.settings import PATH_VARIABLE
+from siskinshift.runtime.event_loop import open_datagram_socket
+from siskinshift.runtime.http_client import HttpClient
+from siskinshift.runtime.life_cycle import LifeCycle
+from siskinshift.standins.connection_ends import ConnectionCaller
+from siskinshift.standins.connection_ends import ConnectionUpstream
+from siskinshift.standins.platform_store import PlatformStoreServer
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+# Until a process is up on a busy machine.
+WAIT_SECONDS = 30.0
+HEARTBEAT_SECONDS = 0.2
+SERVICE_HOST = "198.18.0.1"
+PORTS_BY_SERVICE = {"editor": 443, "dossiers": 80}
+
+
+def _free_ports(hosts: list[str], count: int) -> list[int]:
+    """Ports that are free at all hosts; each host has the same ones."""
+    ports: list[int] = []
+    while len(ports) < count:
+        with socket.socket() as probe:
+            probe.bind((hosts[0], 0))
+            port = probe.getsockname()[1]
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
+class Side:
+    """An instance with an upstream and its heartbeats."""
+
+    def __init__(self, deployment: Deployment, name: str, host: str, service: str):
+        self.name = name
+        self.host = host
+        self.service = service
+        self._deployment = deployment
+        self._sequence = 0
+        self._stopping = threading.Event()
+        self.state = "ready"
+        self.incarnation = 0
+        self.upstream = self._new_upstream()
+        self._thread = threading.Thread(target=self._beat, daemon=True)
+        self._thread.start()
+
+    @property
+    def upstream_id(self) -> str:
+        return f"{self.name}-u{self.incarnation}"
+
+    def replace_upstream(self) -> None:
+        """The upstream crashes and starts anew."""
+        self.upstream.stop()
+        self.incarnation += 1
+        self._sequence = 0
+        self.state = "ready"
+        self.upstream = self._new_upstream()
+
+    def stop(self) -> None:
+        self._stopping.set()
+        self._thread.join()
+        self.upstream.stop()
+
+    def call(self, kind: str) -> int:
+        """Sends a heartbeat or an end now; returns the status, 0 for none."""
+        client = HttpClient(
+            self.host, self._deployment.control_port, connect_timeout=0.5
+        )
+        self._sequence += 1
+        body = {
+            "service": self.service,
+            "address": f"{self.host}:{self._deployment.app_port}",
+            "zone": "a",
+            "version": "v1",
+            "capacity": 1,
+            "state": self.state,
+            "warmup-left-ms": 0,
+            "seq": self._sequence,
+        }
+        target = f"/Instances.{kind}/{self.upstream_id}"
+        try:
+            return client.call("POST", target, orjson.dumps(body), timeout=1.0).status
+        except OSError:
+            return 0
+        finally:
+            client.close()
+
+    def _new_upstream(self) -> ConnectionUpstream:
+        upstream = ConnectionUpstream(
+            self.upstream_id,
+            address=(self.host, self._deployment.app_port),
+            outlet=(self.host, self._deployment.outlet_port),
+            random=self._deployment.random,
+        )
+        upstream.start()
+        return upstream
+
+    def _beat(self) -> None:
+        while not self._stopping.wait(HEARTBEAT_SECONDS):
+            self.call("Heartbeat")
+
+
+class Deployment:
+    """Store, processes, upstreams and callers."""
+
+    def __init__(self, folder: Path, *, seed: int = 1) -> None:
+        self.random = Random(seed)
+        self.folder = folder
+        self.owner = LifeCycle(name="stand-ins")
+        log = EventLog(process="stand-ins", clock=time.monotonic, descriptor=os.dup(2))
+        self.store = PlatformStoreServer(self.owner, log=log)
+        self.store.start()
+        ports = _free_ports(["127.0.0.1"], 6)
+        self.caller_port, self.ready_port, self.control_port = ports[:3]
+        self.app_port, self.outlet_port, self.peer_port = ports[3:]
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.sides_by_name: dict[str, Side] = {}
+        self.balancer_hosts: dict[str, str] = {}
+        self._caller_sockets: list[socket.socket] = []
+        self._next_port = 20_000
+        self._version = 0
+        self.configure(PORTS_BY_SERVICE)
+
+    def configure(self, ports_by_service: dict[str, int]) -> int:
+        """Writes a configuration as the operator does; returns its version."""
+        self._version += 3
+        routes = [
+            {
+                "name": f"r-{service}",
+                "host": SERVICE_HOST,
+                "prefix": f"/{port}/",
+                "type": "idempotent",
+                "timeout-ms": 500,
+                "target-latency-ms": 100,
+                "priority": 1,
+                "service": service,
+            }
+            for service, port in ports_by_service.items()
+        ]
+        document = {
+            "version": self._version,
+            "routes": routes,
+            "services": [
+                {"name": name, "health-path": "/health"} for name in ports_by_service
+            ],
+            "limits": {"idle-timeout-ms": 15000},
+        }
+        self.store.put(CONFIGURATION_KEY, orjson.dumps(document))
+        return self._version
+
+    def add_balancer(self, name: str, host: str) -> None:
+        """Starts a balancer."""
+        self.balancer_hosts[name] = host
+        self.start(name)
+
+    def add_side(self, name: str, host: str, service: str) -> Side:
+        """Starts an upstream and its agent."""
+        side = Side(self, name, host, service)
+        self.sides_by_name[name] = side
+        self.start(name)
+        return side
+
+    def start(self, name: str) -> None:
+        """Starts a process, also again."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(self._settings(name))
+        role = "balancer" if name in self.balancer_hosts else "agent"
+        with (self.folder / f"{name}.log").open("ab") as output:
+            self.processes_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", "siskinshift.connections", role],
+                env=os.environ
+                | {
+                    "PYTHONPATH": os.pathsep.join(sys.path),
+                    PATH_VARIABLE: str(path),
+                },
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process that this deployment started."""
+        self.processes_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kills a process and waits for its end."""
+        self.signal(name, signal.SIGKILL)
+        self.processes_by_name[name].wait()
+
+    def is_ready(self, name: str) -> bool:
+        """Asks a process for readiness."""
+        host = self._host(name)
+        client = HttpClient(host, self.ready_port, connect_timeout=0.5)
+        try:
+            return client.call("GET", "/ready", timeout=0.5).status == 200
+        except OSError:
+            return False
+        finally:
+            client.close()
+
+    def wait_until_ready(self, *names: str) -> None:
+        """Waits until processes say that they are ready."""
+        until = time.monotonic() + WAIT_SECONDS
+        for name in names or tuple(self.processes_by_name):
+            while not self.is_ready(name):
+                assert time.monotonic() < until, f"{name} is not ready"
+                time.sleep(0.02)
+
+    def caller(self, service: str, balancer: str, *, host: str) -> ConnectionCaller:
+        """Prepares a flow of a new caller's port."""
+        opened = open_datagram_socket(host, self.caller_port)
+        self._caller_sockets.append(opened)
+        self._next_port += 1
+        address = pack_service_address(SERVICE_HOST, PORTS_BY_SERVICE[service])
+        flow = (
+            self._next_port.to_bytes(2, "big")
+            + address[:4]
+            + socket.inet_aton(host)
+            + address[4:]
+        )
+        router = (self.balancer_hosts[balancer], self.caller_port)
+        return ConnectionCaller(
+            opened=opened, router=router, flow=flow, random=self.random
+        )
+
+    def log_lines(self, name: str) -> list[dict[str, object]]:
+        """Reads what a process wrote so far."""
+        text = (self.folder / f"{name}.log").read_bytes()
+        return [orjson.loads(x) for x in text.splitlines() if x.startswith(b"{")]
+
+    def stop(self) -> None:
+        """Ends all that this deployment started."""
+        for process in self.processes_by_name.values():
+            process.kill()
+            process.wait()
+        for side in self.sides_by_name.values():
+            side.stop()
+        for opened in self._caller_sockets:
+            opened.close()
+        self.owner.stop()
+
+    def _host(self, name: str) -> str:
+        return self.balancer_hosts.get(name) or self.sides_by_name[name].host
+
+    def _settings(self, name: str) -> str:
+        host = self._host(name)
+        side = self.sides_by_name.get(name)
+        seeds = [f"{h}:{self.control_port}" for h in self.balancer_hosts.values()]
+        beside = (
+            f"""
+app = "{host}:{self.app_port}"
+service = "{side.service}"
+"""
+            if side
+            else ""
+        )
+        outlet = f'outbound = "{host}:{self.outlet_port}"' if side else ""
+        return f"""
+node-name = "{name}"
+ip = "{host}"
+zone = "a"
+region = "r"
+port-range = [{self.peer_port}, {self.peer_port + 1}]
+seeds = {orjson.dumps(seeds[:3]).decode()}
+heartbeat-ms = {HEARTBEAT_SECONDS * 1000}
+{beside}
+[listen]
+datagram-addr = "{host}:{self.caller_port}"
+readiness-addr = "{host}:{self.ready_port}"
+control-plane = "{host}:{self.control_port}"
+{outlet}
+[bounds]
+grace-s = 6
+max-flow-s = 60
+[platform]
+address = "127.0.0.1:{self.store.port}"
+min-ttl-ms = 100
+"""
--- /dev/null
+++ b/tests/connections/direct_store.py
@@ -0,0 +1,68 @@
+"""The stand-in of the platform's store without sockets, behind the real adapter."""
+
+from __future__ import annotations
+
+import threading
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import orjson
+
+from siskinshift.connections.node_settings import StoreSettings
+from siskinshift.messages.core import Endpoint
+from siskinshift.platform.store import PlatformStore
+from siskinshift.runtime.http_client import AnswerLostError
+from siskinshift.runtime.http_client import HttpAnswer
+from siskinshift.runtime.http_client import HttpClient
+from siskinshift.standins.platform_store import AnswerLost
+from siskinshift.standins.platform_store import PlatformStoreState
+
+
+if TYPE_CHECKING:
+    from siskinshift.core.clocks import Clock
+    from siskinshift.kv.port import Snapshot
+
+
+SETTINGS = StoreSettings(
+    endpoint=Endpoint("127.0.0.1", 1),
+    call_rate=1000.0,
+    call_burst=1000,
+    lease_minimum=0.1,
+)
+
+
+class _DirectClient(HttpClient):
+    def __init__(self, state: PlatformStoreState) -> None:
+        super().__init__("127.0.0.1", 1, connect_timeout=1.0)
+        self._state = state
+
+    def call(
+        self, method: str, target: str, body: bytes = b"", *, timeout: float
+    ) -> HttpAnswer:
+        path, _, query = target.partition("?")
+        try:
+            status, document = self._state.handle(method, path, query, body)
+        except AnswerLost as error:
+            raise AnswerLostError("lost") from error
+        return HttpAnswer(HTTPStatus(status), orjson.dumps(document))
+
+
+class DirectStore(PlatformStore):
+    """The adapter on a state that the test holds.
+
+    Attributes:
+        state: The store's content and faults.
+        fresh_readings: Readings of a prefix that may not be old.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.state = PlatformStoreState(clock)
+        self.fresh_readings = 0
+        super().__init__(SETTINGS, stopping=threading.Event(), clock=clock)
+
+    def list_prefix(self, prefix: str) -> Snapshot:
+        self.fresh_readings += 1
+        return super().list_prefix(prefix)
+
+    def _new_client(self) -> HttpClient:
+        return _DirectClient(self.state)
--- /dev/null
+++ b/tests/connections/test_agent_flows.py
@@ -0,0 +1,277 @@
+"""Tests of the owner's side of flows."""
+
+from __future__ import annotations
+
+from siskinshift.connections.actions import ResetCaller
+from siskinshift.connections.actions import ToCaller
+from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.agent_flows import IDLE_SECONDS
+from siskinshift.connections.agent_flows import LONG_AFTER_SECONDS
+from siskinshift.connections.agent_flows import AgentFlows
+from siskinshift.connections.peer_messages import FlowVerdict
+from siskinshift.connections.peer_messages import Forward
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import decode_peer_message
+from siskinshift.connections.routes import service_tag
+from siskinshift.connections.segment import ACK
+from siskinshift.connections.segment import BOUNCED
+from siskinshift.connections.segment import FIN
+from siskinshift.connections.segment import RESET
+from siskinshift.connections.segment import SYN
+from siskinshift.connections.segment import Segment
+from tests.connections.builders import BALANCER
+from tests.connections.builders import OTHER_BALANCER
+from tests.connections.builders import agent_flows
+from tests.connections.builders import flow_of
+from tests.connections.builders import heartbeat
+from tests.connections.builders import opening
+from tests.connections.builders import ready_life
+from tests.connections.builders import segment
+
+
+UPSTREAM_SEQ = 5_000_000
+EDITOR = service_tag("editor")
+
+
+def _forward(
+    flows: AgentFlows,
+    packet: Segment,
+    purpose: Purpose,
+    *,
+    now: float = 0.0,
+    sender: tuple[str, int] = BALANCER,
+    tag: int = EDITOR,
+) -> list[object]:
+    return list(
+        flows.on_forward(
+            Forward(purpose, tag, packet.datagram), packet, sender, now=now
+        )
+    )
+
+
+def _verdicts(actions: list[object]) -> list[tuple[Verdict, tuple[str, int]]]:
+    found = []
+    for action in actions:
+        if isinstance(action, ToPeer):
+            message = decode_peer_message(action.datagram)
+            assert isinstance(message, FlowVerdict)
+            found.append((message.verdict, action.address))
+    return found
+
+
+def _opened(flows: AgentFlows, port: int, *, now: float = 0.0) -> None:
+    _forward(flows, opening(port), Purpose.OPEN, now=now)
+    answer = segment(port, SYN | ACK, seq=UPSTREAM_SEQ, ack=2)
+    flows.on_upstream_segment(answer, now=now)
+
+
+def test_an_opening_packet_reaches_the_upstream_and_its_answer_the_caller() -> None:
+    flows = agent_flows()
+
+    assert _forward(flows, opening(1), Purpose.OPEN) == [
+        ToUpstream(opening(1).datagram)
+    ]
+    answer = segment(1, SYN | ACK, seq=UPSTREAM_SEQ, ack=2)
+    actions = flows.on_upstream_segment(answer, now=0.0)
+
+    assert ToCaller(flow_of(1), answer.datagram) in actions
+    assert _verdicts(list(actions)) == [(Verdict.ACCEPTED, BALANCER)]
+    assert flows.load == Load(flows=1, running=0)
+
+
+def test_a_packet_for_another_service_is_refused() -> None:
+    """An address goes to another service and a balancer has not heard of it.
+
+    It sends an opening packet meant for the old service. The caller would get the
+    new service's answers if the agent did not compare.
+    """
+    flows = agent_flows()
+
+    actions = _forward(flows, opening(1), Purpose.OPEN, tag=service_tag("dossiers"))
+
+    assert _verdicts(actions) == [(Verdict.WRONG_SERVICE, BALANCER)]
+    assert len(actions) == 1
+
+
+def test_a_leaving_upstream_gets_no_new_flow_but_keeps_its_own() -> None:
+    life = ready_life()
+    flows = agent_flows(life)
+    _opened(flows, 1)
+    life.on_heartbeat(heartbeat(sequence=2, is_leaving=True), now=0.1)
+
+    refused = _forward(flows, opening(2), Purpose.OPEN, now=0.1)
+    kept = _forward(flows, segment(1, ack=UPSTREAM_SEQ + 1), Purpose.OWNED, now=0.1)
+
+    assert _verdicts(refused) == [(Verdict.UNAVAILABLE, BALANCER)]
+    assert any(isinstance(action, ToUpstream) for action in kept)
+
+
+def test_a_full_upstream_returns_the_opening_packet_and_the_balancer_hears_it() -> None:
+    flows = agent_flows()
+    _forward(flows, opening(1), Purpose.OPEN)
+
+    actions = flows.on_upstream_segment(segment(1, SYN | BOUNCED), now=0.0)
+
+    assert _verdicts(list(actions)) == [(Verdict.FULL, BALANCER)]
+    assert len(flows) == 0
+
+
+def test_a_flow_that_another_upstream_won_is_not_delivered() -> None:
+    """Two agents got copies of one opening packet and both upstreams answered.
+
+    The caller acknowledged the other's answer. Its packets must not reach this
+    upstream: three of them at a wrong one count as a broken flow.
+    """
+    flows = agent_flows()
+    _opened(flows, 1)
+    foreign = segment(1, ack=UPSTREAM_SEQ + (1 << 30))
+
+    actions = _forward(flows, foreign, Purpose.SEARCH)
+
+    assert _verdicts(actions) == [(Verdict.NOT_MINE, BALANCER)]
+    assert not any(isinstance(action, ToUpstream) for action in actions)
+
+
+def test_a_restarted_agent_learns_its_flows_from_the_upstream() -> None:
+    """An agent is killed; its upstream and the flows live on.
+
+    The restarted agent knows no flow. It offers the first packet; the upstream takes
+    it and answers, so the flow is its own, and who asked is told.
+    """
+    flows = agent_flows()
+    request = segment(1, ack=UPSTREAM_SEQ + 1, length=100)
+
+    offered = _forward(flows, request, Purpose.SEARCH)
+    answer = segment(1, ACK, seq=UPSTREAM_SEQ + 1, length=500)
+    actions = flows.on_upstream_segment(answer, now=0.01)
+
+    assert offered == [ToUpstream(request.datagram)]
+    assert _verdicts(list(actions)) == [(Verdict.MINE, BALANCER)]
+    again = _forward(flows, request, Purpose.OWNED, sender=OTHER_BALANCER)
+    assert again == [ToUpstream(request.datagram)]
+
+
+def test_a_foreign_packet_is_offered_once() -> None:
+    """A restarted agent is asked for a flow of another agent, again and again.
+
+    The upstream returns the first packet. Without memory of that, each further packet
+    of the flow would reach a wrong upstream.
+    """
+    flows = agent_flows()
+    packet = segment(1, ack=77, length=10)
+    _forward(flows, packet, Purpose.SEARCH)
+    returned = segment(1, ACK | BOUNCED, ack=77, length=10)
+
+    first = flows.on_upstream_segment(returned, now=0.01)
+    second = _forward(flows, packet, Purpose.SEARCH, now=0.2)
+
+    assert _verdicts(list(first)) == [(Verdict.NOT_MINE, BALANCER)]
+    assert _verdicts(second) == [(Verdict.NOT_MINE, BALANCER)]
+    assert not any(isinstance(action, ToUpstream) for action in second)
+
+
+def test_a_flow_that_its_own_upstream_lost_is_reset() -> None:
+    """An upstream drops a flow that it held; the caller goes on sending.
+
+    The caller acknowledged this upstream's numbers, so nobody else holds the flow: a
+    reset now spares the caller the wait until its deadline.
+    """
+    flows = agent_flows()
+    _opened(flows, 1)
+    _forward(flows, segment(1, ack=UPSTREAM_SEQ + 9), Purpose.OWNED)
+
+    actions = flows.on_upstream_segment(
+        segment(1, ACK | BOUNCED, ack=UPSTREAM_SEQ + 9), now=1.0
+    )
+
+    assert actions == [ResetCaller(flow_of(1), UPSTREAM_SEQ + 9)]
+    assert len(flows) == 0
+
+
+def test_flows_of_an_upstream_that_is_gone_are_reset_and_askers_answered() -> None:
+    """An upstream's process dies for good; a port without listener proves it.
+
+    Callers of its flows must not wait for their deadlines, and a balancer that looks
+    for the owner of some other flow must not wait for this agent's word.
+    """
+    flows = agent_flows()
+    _opened(flows, 1)
+    _forward(flows, segment(1, ack=UPSTREAM_SEQ + 5), Purpose.OWNED)
+    _forward(flows, segment(2, ack=7, length=1), Purpose.SEARCH)
+
+    actions = flows.upstream_ended(now=1.0)
+    later = _forward(flows, segment(3, ack=8, length=1), Purpose.SEARCH, now=1.1)
+
+    assert ResetCaller(flow_of(1), UPSTREAM_SEQ + 5) in actions
+    assert _verdicts(list(actions)) == [(Verdict.NOT_MINE, BALANCER)]
+    assert _verdicts(later) == [(Verdict.NOT_MINE, BALANCER)]
+    assert flows.load == Load(flows=0, running=0)
+
+
+def test_running_counts_callers_that_wait() -> None:
+    flows = agent_flows()
+    _opened(flows, 1)
+    _opened(flows, 2)
+
+    _forward(flows, segment(1, ack=UPSTREAM_SEQ + 1, length=90), Purpose.OWNED)
+    assert flows.load == Load(flows=2, running=1)
+    answer = segment(1, ACK, seq=UPSTREAM_SEQ + 1, length=700)
+    flows.on_upstream_segment(answer, now=0.1)
+    assert flows.load == Load(flows=2, running=0)
+
+
+def test_a_flow_ends_when_both_ends_have_closed_it_or_one_reset_it() -> None:
+    flows = agent_flows()
+    for port in (1, 2):
+        _opened(flows, port)
+
+    flows.on_upstream_segment(segment(1, FIN | ACK, seq=UPSTREAM_SEQ + 1), now=0.0)
+    assert len(flows) == 2
+    _forward(flows, segment(1, FIN | ACK, ack=UPSTREAM_SEQ + 2), Purpose.OWNED)
+    _forward(flows, segment(2, RESET, ack=UPSTREAM_SEQ + 1), Purpose.OWNED)
+
+    assert flows.load == Load(flows=0, running=0)
+
+
+def test_silent_flows_are_forgotten_and_the_count_stays_true() -> None:
+    flows = agent_flows()
+    _opened(flows, 1)
+    _opened(flows, 2, now=IDLE_SECONDS)
+
+    flows.tick(now=IDLE_SECONDS + 1.0)
+
+    assert flows.load == Load(flows=1, running=0)
+
+
+def test_a_new_incarnation_is_asked_about_restored_flows() -> None:
+    """An instance loses power; upstream and agent start anew, idle callers do not know.
+
+    The list of the agent before names a packet of each long flow. The new upstream
+    returns them, and the callers are reset before their next request is lost.
+    """
+    before = agent_flows()
+    _opened(before, 1)
+    bare = segment(1, ack=UPSTREAM_SEQ + 40)
+    _forward(before, bare, Purpose.OWNED)
+    assert before.long_flows(now=LONG_AFTER_SECONDS / 2) == []
+    assert before.long_flows(now=LONG_AFTER_SECONDS + 0.1) == [bare.datagram]
+
+    after = agent_flows(ready_life(upstream_id="u-2"))
+    after.restore([bare], now=0.0)
+    assert after.verify_all(now=0.0) == [ToUpstream(bare.datagram)]
+    returned = segment(1, ACK | BOUNCED, ack=UPSTREAM_SEQ + 40)
+    assert after.on_upstream_segment(returned, now=0.1) == [
+        ResetCaller(flow_of(1), UPSTREAM_SEQ + 40)
+    ]
+
+
+def test_forged_packets_reach_no_upstream() -> None:
+    flows = agent_flows()
+    _opened(flows, 1)
+
+    assert _forward(flows, segment(1, SYN | ACK), Purpose.OPEN) == []
+    assert _forward(flows, segment(1, SYN | ACK), Purpose.OWNED) == []
+    assert _forward(flows, segment(1, ACK | BOUNCED), Purpose.SEARCH) == []
--- /dev/null
+++ b/tests/connections/test_fleet.py
@@ -0,0 +1,111 @@
+"""Tests of what a node believes of its peers."""
+
+from __future__ import annotations
+
+import attrs
+
+from siskinshift.connections.fleet import ANSWER_SECONDS
+from siskinshift.connections.fleet import FORGET_AFTER_SECONDS
+from siskinshift.connections.fleet import SILENT_AFTER_SECONDS
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import Status
+from siskinshift.messages.core import MemberState
+from tests.connections.builders import agents
+from tests.connections.builders import fleet_of
+from tests.connections.builders import member
+
+
+def test_a_living_peer_outlives_its_entry() -> None:
+    """The store takes a living agent's entry away and tells nobody.
+
+    The agent goes on to speak, and its flows must go on to reach it.
+    """
+    fleet = fleet_of(*agents(1), now=0.0)
+    fleet.registered(agents(1), now=0.0)
+    fleet.registered([], now=1.0)
+
+    for tick in range(20):
+        now = 1.0 + tick
+        fleet.heard(Status(agents(1)[0], Load()), now=now)
+        assert fleet.forget_silent(now=now) == []
+        assert not fleet.peers_by_id["editor-1"].is_silent(now=now)
+
+
+def test_a_peer_without_entry_and_words_is_forgotten() -> None:
+    fleet = fleet_of(*agents(1), now=0.0)
+
+    assert fleet.forget_silent(now=FORGET_AFTER_SECONDS) == []
+    assert len(fleet.forget_silent(now=FORGET_AFTER_SECONDS + 0.1)) == 1
+    assert fleet.agents_of("editor") == []
+
+
+def test_a_registered_peer_that_fell_silent_is_silent_but_not_forgotten() -> None:
+    fleet = fleet_of(*agents(1), now=0.0)
+    now = SILENT_AFTER_SECONDS + 0.1
+    fleet.registered(agents(1), now=now)
+
+    assert fleet.peers_by_id["editor-1"].is_silent(now=now)
+    assert fleet.forget_silent(now=now + FORGET_AFTER_SECONDS + 1) == []
+
+
+def test_a_peer_that_is_only_told_of_has_a_moment_to_speak() -> None:
+    fleet = fleet_of()
+    (peer,) = fleet.registered(agents(1), now=0.0)
+
+    assert not peer.is_silent(now=ANSWER_SECONDS)
+    # Later readings of the same entry are no new evidence.
+    fleet.registered(agents(1), now=ANSWER_SECONDS)
+    assert peer.is_silent(now=ANSWER_SECONDS + 0.01)
+
+
+def test_a_restarted_peer_is_believed_though_its_clock_went_back() -> None:
+    """The time of day jumps back on an instance and its agent restarts.
+
+    Its incarnation looks older than before. Its own words still count; an entry in
+    the store that looks older does not.
+    """
+    old = member("editor-1", incarnation=50, state=MemberState.READY)
+    fleet = fleet_of(old)
+    restarted = member("editor-1", incarnation=40, state=MemberState.JOINING)
+
+    fleet.registered([restarted], now=0.0)
+    assert fleet.peers_by_id["editor-1"].member == old
+    fleet.heard(Status(restarted, Load()), now=0.1)
+    assert fleet.peers_by_id["editor-1"].member == restarted
+
+
+def test_an_older_record_of_one_incarnation_does_not_undo_a_newer_one() -> None:
+    draining = member("editor-1", version=5, state=MemberState.DRAINING)
+    fleet = fleet_of(draining)
+
+    fleet.heard(Status(attrs.evolve(draining, version=4), Load()), now=0.1)
+    fleet.registered([member("editor-1", version=1)], now=0.2)
+
+    assert fleet.peers_by_id["editor-1"].member.state is MemberState.DRAINING
+
+
+def test_a_peer_that_says_goodbye_is_gone_at_once() -> None:
+    fleet = fleet_of(*agents(2))
+
+    gone = member("editor-1", host="10.0.1.1", version=2, state=MemberState.GONE)
+    fleet.heard(Status(gone, Load()), now=0.1)
+
+    assert [a.member.member_id for a in fleet.agents_of("editor")] == ["editor-2"]
+    assert ("10.0.1.1", 7000) not in fleet.peers_by_address
+
+
+def test_an_agent_whose_instance_changed_service_is_found_there() -> None:
+    fleet = fleet_of(member("a-1", service="editor"))
+
+    moved = member("a-1", service="dossiers", incarnation=2)
+    fleet.heard(Status(moved, Load()), now=0.1)
+
+    assert fleet.agents_of("editor") == []
+    assert len(fleet.agents_of("dossiers")) == 1
+
+
+def test_a_node_is_no_peer_of_its_own() -> None:
+    fleet = fleet_of()
+
+    assert fleet.registered([member("balancer-1")], now=0.0) == []
+    assert fleet.peers_by_id == {}
--- /dev/null
+++ b/tests/connections/test_flow_ledger.py
@@ -0,0 +1,81 @@
+"""Tests of the list of long flows in the store."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies
+
+from siskinshift.connections.flow_ledger import LEASE_SECONDS
+from siskinshift.connections.flow_ledger import LEDGER_PREFIX
+from siskinshift.connections.flow_ledger import RENEW_SECONDS
+from siskinshift.connections.flow_ledger import WRITE_SECONDS
+from siskinshift.connections.flow_ledger import FlowLedger
+from siskinshift.connections.flow_ledger import decode_packets
+from siskinshift.connections.flow_ledger import encode_packets
+from tests.connections.builders import quiet_log
+from tests.connections.direct_store import DirectStore
+
+
+class _Agent:
+    """A ledger with a store and a clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.packets = [b"packet-1", b"packet-2"]
+        self.store = DirectStore(lambda: self.now)
+        self.ledger = self.restarted()
+
+    def restarted(self) -> FlowLedger:
+        return FlowLedger(
+            store=self.store,
+            member_id="agent-1",
+            packets=lambda: self.packets,
+            log=quiet_log(),
+        )
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.ledger.step(now=self.now)
+            self.now += WRITE_SECONDS
+
+
+def test_a_restarted_agent_reads_what_the_one_before_wrote() -> None:
+    agent = _Agent()
+    agent.run(WRITE_SECONDS)
+
+    assert agent.restarted().load() == [b"packet-1", b"packet-2"]
+    agent.now += LEASE_SECONDS + RENEW_SECONDS
+    assert agent.restarted().load() == []
+
+
+def test_an_unchanged_list_is_not_written_again_and_stays() -> None:
+    agent = _Agent()
+    agent.run(4 * LEASE_SECONDS)
+
+    assert agent.store.state.calls["kv-txn"] == 1
+    assert agent.store.state.value(LEDGER_PREFIX + "agent-1") is not None
+
+
+def test_an_outage_of_the_store_delays_the_list_and_no_more() -> None:
+    agent = _Agent()
+    agent.run(WRITE_SECONDS)
+    agent.store.state.faults.refuse_with = 503
+    agent.store.state.expire_all()
+    agent.run(4 * WRITE_SECONDS)
+    assert agent.restarted().load() == []
+
+    agent.store.state.faults.refuse_with = 0
+    agent.run(2 * WRITE_SECONDS)
+
+    assert agent.restarted().load() == agent.packets
+
+
+@given(strategies.lists(strategies.binary(min_size=32, max_size=32), max_size=20))
+def test_packets_come_out_as_they_went_in(packets: list[bytes]) -> None:
+    assert decode_packets(encode_packets(packets)) == packets
+
+
+@given(strategies.binary(max_size=100))
+def test_damaged_lists_never_raise(value: bytes) -> None:
+    assert all(packet for packet in decode_packets(value))
--- /dev/null
+++ b/tests/connections/test_peer_messages.py
@@ -0,0 +1,60 @@
+"""Tests of the datagrams between nodes."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies
+
+from siskinshift.connections.peer_messages import FlowVerdict
+from siskinshift.connections.peer_messages import Forward
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import Members
+from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import Status
+from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import decode_peer_message
+from siskinshift.connections.peer_messages import encode_forward
+from siskinshift.connections.peer_messages import encode_members
+from siskinshift.connections.peer_messages import encode_status
+from siskinshift.connections.peer_messages import encode_verdict
+from tests.connections.builders import flow_of
+from tests.connections.builders import member
+
+
+def test_each_message_comes_out_as_it_went_in() -> None:
+    known = member("agent-1", service="editor", weight=625, slots=3)
+    forward = encode_forward(Purpose.SEARCH, 0xCAFE, b"packet")
+    verdict = FlowVerdict(Verdict.NOT_MINE, flow_of(9), Load(5, 2), b"returned")
+    status = Status(known, Load(5, 2), configuration_version=8, wants_members=True)
+
+    assert decode_peer_message(forward) == Forward(Purpose.SEARCH, 0xCAFE, b"packet")
+    assert decode_peer_message(encode_verdict(verdict)) == verdict
+    assert decode_peer_message(encode_status(status)) == status
+    assert decode_peer_message(encode_members((known,))) == Members((known,))
+
+
+def test_counts_above_the_field_are_capped() -> None:
+    verdict = FlowVerdict(Verdict.MINE, flow_of(9), Load(100_000, 70_000))
+
+    decoded = decode_peer_message(encode_verdict(verdict))
+
+    assert isinstance(decoded, FlowVerdict)
+    assert decoded.load == Load(0xFFFF, 0xFFFF)
+
+
+@given(strategies.binary(max_size=200))
+def test_any_bytes_give_a_message_or_nothing(datagram: bytes) -> None:
+    message = decode_peer_message(datagram)
+
+    assert message is None or isinstance(
+        message, (Forward, FlowVerdict, Status, Members)
+    )
+
+
+@given(strategies.data())
+def test_a_damaged_status_never_raises(data: strategies.DataObject) -> None:
+    whole = bytearray(encode_status(Status(member("agent-1"), Load())))
+    index = data.draw(strategies.integers(1, len(whole) - 1))
+    whole[index] = data.draw(strategies.integers(0, 255))
+
+    assert decode_peer_message(bytes(whole)) is None or len(whole) > 1
--- /dev/null
+++ b/tests/connections/test_processes.py
@@ -0,0 +1,165 @@
+"""The programs as processes of their own, with stand-ins for all around them."""
+
+from __future__ import annotations
+
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from siskinshift.standins.connection_ends import FlowReset
+from tests.connections.deployment import Deployment
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[Deployment]:
+    deployment = Deployment(tmp_path)
+    try:
+        deployment.add_balancer("balancer-1", "127.0.1.1")
+        deployment.add_balancer("balancer-2", "127.0.1.2")
+        deployment.add_side("editor-1", "127.0.2.1", "editor")
+        deployment.add_side("editor-2", "127.0.2.2", "editor")
+        deployment.add_side("dossiers-1", "127.0.2.3", "dossiers")
+        deployment.wait_until_ready()
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+def _wait_for_event(deployment: Deployment, name: str, event: str, count: int) -> None:
+    until = time.monotonic() + 20.0
+    while time.monotonic() < until:
+        seen = [line for line in deployment.log_lines(name) if line["event"] == event]
+        if len(seen) >= count:
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"{name} never logged {event!r}")
+
+
+def test_flows_outlive_restarts_of_balancers_and_agents(
+    deployment: Deployment,
+) -> None:
+    """Established flows live on while everything of the system is replaced.
+
+    A flow is opened; the routers move it to the other balancer; its agent is killed
+    and started anew; both balancers are killed and started anew. Each request of the
+    flow is answered by the same upstream and runs once.
+    """
+    caller = deployment.caller("editor", "balancer-1", host="127.0.3.1")
+    caller.open()
+    first = caller.request(b"1")
+    owner = first.decode().split("-u")[0]
+
+    caller.router = (deployment.balancer_hosts["balancer-2"], deployment.caller_port)
+    assert caller.request(b"2") == first[:-1] + b"2"
+    deployment.kill(owner)
+    deployment.start(owner)
+    deployment.wait_until_ready(owner)
+    assert caller.request(b"3") == first[:-1] + b"3"
+    for name in deployment.balancer_hosts:
+        deployment.kill(name)
+        deployment.start(name)
+    deployment.wait_until_ready()
+    assert caller.request(b"4") == first[:-1] + b"4"
+
+    upstream = deployment.sides_by_name[owner].upstream
+    assert upstream.record.ran == [b"1", b"2", b"3", b"4"]
+    assert upstream.record.changed == []
+
+
+def test_a_flow_reaches_only_its_service(deployment: Deployment) -> None:
+    for number in range(6):
+        caller = deployment.caller(
+            "dossiers", "balancer-1", host=f"127.0.3.{number + 1}"
+        )
+        caller.open()
+        assert caller.request(b"x").startswith(b"dossiers-1")
+
+
+def test_an_idle_caller_hears_that_its_upstream_was_replaced(
+    deployment: Deployment,
+) -> None:
+    """An upstream crashes and starts anew; an idle caller still holds a flow to it.
+
+    Its next request, which may not be repeated, would be lost with the flow. The agent
+    asks the new incarnation about the flow and resets the caller at once.
+    """
+    caller = deployment.caller("dossiers", "balancer-1", host="127.0.3.1")
+    caller.open()
+    caller.request(b"1")
+
+    deployment.sides_by_name["dossiers-1"].replace_upstream()
+
+    with pytest.raises(FlowReset):
+        caller.wait_for_reset(timeout=5.0)
+
+
+def test_a_leaving_upstream_gets_no_new_flow_once_it_is_acknowledged(
+    deployment: Deployment,
+) -> None:
+    leaving = deployment.sides_by_name["editor-1"]
+    leaving.state = "draining"
+    assert leaving.call("Heartbeat") == 200
+
+    for number in range(8):
+        caller = deployment.caller("editor", "balancer-2", host=f"127.0.3.{number + 1}")
+        caller.open()
+        assert caller.request(b"x").startswith(b"editor-2")
+
+
+def test_a_change_of_configuration_is_in_force_and_ends_dropped_routes(
+    deployment: Deployment,
+) -> None:
+    caller = deployment.caller("dossiers", "balancer-1", host="127.0.3.1")
+    caller.open()
+    caller.request(b"1")
+
+    deployment.configure({"editor": 443})
+    for name in deployment.balancer_hosts:
+        _wait_for_event(deployment, name, "configuration in force", 2)
+
+    with pytest.raises(FlowReset):
+        caller.request(b"2")
+
+
+def test_signals_in_series_do_not_end_or_hang_a_process(deployment: Deployment) -> None:
+    """Operators signal twice: settings again, then the end, while a caller is served.
+
+    The balancer forwards until routers have noticed and ends with status 0.
+    """
+    caller = deployment.caller("editor", "balancer-1", host="127.0.3.1")
+    caller.open()
+    deployment.signal("balancer-1", signal.SIGHUP)
+    assert caller.request(b"1").endswith(b"|1")
+
+    deployment.signal("balancer-1", signal.SIGTERM)
+    deployment.signal("balancer-1", signal.SIGTERM)
+    assert caller.request(b"2").endswith(b"|2")
+    assert not deployment.is_ready("balancer-1")
+
+    assert deployment.processes_by_name["balancer-1"].wait(10.0) == 0
+
+
+def test_nodes_find_each_other_without_the_store(tmp_path: Path) -> None:
+    """The store goes away right after balancers have read the configuration.
+
+    An agent that starts then finds the balancers by the seeds of its settings.
+    """
+    deployment = Deployment(tmp_path)
+    try:
+        deployment.add_balancer("balancer-1", "127.0.1.1")
+        _wait_for_event(deployment, "balancer-1", "configuration in force", 1)
+        deployment.store.state.faults.refuse_with = 503
+        deployment.add_side("editor-1", "127.0.2.1", "editor")
+        deployment.wait_until_ready()
+        caller = deployment.caller("editor", "balancer-1", host="127.0.3.1")
+        caller.open()
+        assert caller.request(b"1").endswith(b"|1")
+    finally:
+        deployment.stop()
--- /dev/null
+++ b/tests/connections/test_registration.py
@@ -0,0 +1,127 @@
+"""Tests of a node's entry in the store, on an injected clock."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from siskinshift.connections.registration import LEASE_SECONDS
+from siskinshift.connections.registration import MEMBERS_PREFIX
+from siskinshift.connections.registration import READ_SECONDS
+from siskinshift.connections.registration import RENEW_SECONDS
+from siskinshift.connections.registration import RETRY
+from siskinshift.connections.registration import Registration
+from tests.connections.builders import member
+from tests.connections.builders import quiet_log
+from tests.connections.direct_store import DirectStore
+
+
+if TYPE_CHECKING:
+    from siskinshift.messages.core import Member
+
+
+OWN = member("agent-1")
+KEY = MEMBERS_PREFIX + "agent-1"
+
+
+class _Node:
+    """A registration with a store and a clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.store = DirectStore(lambda: self.now)
+        self.readings: list[list[Member]] = []
+        self.registration = Registration(
+            store=self.store,
+            own=lambda: OWN,
+            on_members=self.readings.append,
+            random=Random(1),
+            log=quiet_log(),
+        )
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            pause = self.registration.step(now=self.now)
+            self.now = min(until, self.now + max(pause, 0.001))
+
+
+def test_the_entry_is_there_as_long_as_the_node_runs() -> None:
+    node = _Node()
+    node.run(4 * LEASE_SECONDS)
+
+    assert node.store.state.value(KEY) is not None
+    assert node.readings[0] == [OWN]
+    node.now += LEASE_SECONDS + 0.1
+    assert node.store.state.value(KEY) is None
+
+
+def test_an_entry_that_lapsed_with_the_store_is_back_in_time() -> None:
+    """The store is away and ends all leases meanwhile.
+
+    Entries must be back within two seconds of its return, or the node counts as gone.
+    """
+    node = _Node()
+    node.run(10.0)
+    node.store.state.faults.refuse_with = 503
+    node.store.state.expire_all()
+    node.run(20.0)
+    assert node.store.state.value(KEY) is None
+
+    node.store.state.faults.refuse_with = 0
+    node.run(RETRY.maximum + 0.1)
+
+    assert node.store.state.value(KEY) is not None
+
+
+def test_an_entry_that_was_taken_away_in_silence_is_written_again() -> None:
+    """The store removes the entry, and renewals of the lease go on to succeed."""
+    node = _Node()
+    node.run(10.0)
+    node.store.state.revoke(KEY)
+
+    node.run(3 * READ_SECONDS)
+
+    assert node.store.state.value(KEY) is not None
+
+
+def test_a_lost_answer_to_the_registration_is_followed_by_another_try() -> None:
+    node = _Node()
+    node.store.state.faults.lose_answers = 1
+    node.run(2.0)
+
+    assert node.store.state.value(KEY) is not None
+
+
+def test_after_an_outage_the_first_reading_is_not_a_stale_one() -> None:
+    node = _Node()
+    node.run(5.0)
+    fresh = node.store.fresh_readings
+    node.store.state.faults.refuse_with = 429
+    node.run(3.0)
+    node.store.state.faults.refuse_with = 0
+    node.run(1.0)
+
+    assert node.store.fresh_readings == fresh + 1
+
+
+def test_calls_stay_few() -> None:
+    """Each call has a price and the store's rates are shared by the fleet."""
+    node = _Node()
+    node.run(5.0)
+    before = node.store.state.calls.copy()
+    node.run(60.0)
+    made = node.store.state.calls - before
+
+    assert made["kv-txn"] == 0
+    assert made["kv-keep"] <= 60.0 / RENEW_SECONDS + 1
+    assert made["kv-range"] <= 60.0 / (0.8 * READ_SECONDS) + 1
+
+
+def test_a_node_that_ends_for_good_takes_its_entry_away() -> None:
+    node = _Node()
+    node.run(1.0)
+
+    node.registration.end()
+
+    assert node.store.state.value(KEY) is None
--- /dev/null
+++ b/tests/connections/test_upstream_life.py
@@ -0,0 +1,67 @@
+"""Tests of what heartbeats say of an upstream."""
+
+from __future__ import annotations
+
+from siskinshift.connections.upstream_life import COLD_WEIGHT
+from siskinshift.connections.upstream_life import MISSED_HEARTBEATS
+from siskinshift.connections.upstream_life import HeartbeatEffect
+from siskinshift.core.members import FULL_WEIGHT
+from siskinshift.messages.core import MemberState
+from tests.connections.builders import HEARTBEAT_SECONDS
+from tests.connections.builders import heartbeat
+from tests.connections.builders import ready_life
+
+
+def test_a_late_heartbeat_of_an_ended_incarnation_changes_nothing() -> None:
+    """A heartbeat was held up by a partition; its sender has crashed since.
+
+    A new incarnation runs at the same address. The late one must not take its place.
+    """
+    life = ready_life(upstream_id="old")
+    assert life.on_heartbeat(heartbeat("new"), now=1.0) is HeartbeatEffect.REPLACED
+
+    late = heartbeat("old", sequence=9, is_leaving=True)
+    assert life.on_heartbeat(late, now=1.1) is HeartbeatEffect.NONE
+    assert life.upstream_id == "new"
+    assert life.accepts(now=1.1)
+
+
+def test_a_late_heartbeat_of_the_present_one_does_not_undo_that_it_leaves() -> None:
+    life = ready_life()
+    leaving = heartbeat(sequence=5, is_leaving=True)
+    assert life.on_heartbeat(leaving, now=0.1) is HeartbeatEffect.CHANGED
+
+    life.on_heartbeat(heartbeat(sequence=4), now=0.2)
+    life.on_heartbeat(heartbeat(sequence=6), now=0.3)
+
+    assert life.state(now=0.3) is MemberState.DRAINING
+
+
+def test_a_silent_upstream_gets_no_new_flows_until_it_speaks() -> None:
+    life = ready_life()
+    silent = MISSED_HEARTBEATS * HEARTBEAT_SECONDS + 0.01
+
+    assert life.accepts(now=silent - 0.02)
+    assert life.state(now=silent) is MemberState.JOINING
+    life.on_heartbeat(heartbeat(sequence=2), now=silent)
+    assert life.accepts(now=silent)
+
+
+def test_an_upstream_that_ends_takes_no_flows_and_a_successor_does() -> None:
+    life = ready_life()
+
+    assert life.on_end("u-1")
+    assert not life.accepts(now=0.0)
+    assert life.is_gone
+    life.on_heartbeat(heartbeat("u-2"), now=0.1)
+    assert life.accepts(now=0.1)
+    assert not life.is_gone
+    assert not life.on_end("u-1")
+
+
+def test_a_cold_upstream_weighs_less_until_it_is_warm() -> None:
+    life = ready_life()
+    life.on_heartbeat(heartbeat(sequence=2, cold_seconds=2.0), now=0.0)
+
+    assert life.weight(now=1.9) == COLD_WEIGHT
+    assert life.weight(now=2.1) == FULL_WEIGHT
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,88 @@
+"""Tests of the operators' configuration as the store holds it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies
+
+from siskinshift.connections.routes import Target
+from siskinshift.connections.segment import pack_service_address
+from siskinshift.control.exceptions import BadMessageError
+from siskinshift.platform.configuration import decode_configuration
+
+
+def _document() -> dict[str, Any]:
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r-1",
+                "host": "198.18.0.1",
+                "prefix": "/8443/",
+                "type": "idempotent",
+                "timeout-ms": 500,
+                "target-latency-ms": 100,
+                "priority": 2,
+                "traffic-split": [
+                    {"service": "editor", "weight": 90},
+                    {"service": "dossiers", "weight": 0},
+                ],
+            },
+            {
+                "name": "r-2",
+                "host": "198.18.0.2",
+                "prefix": "/80/",
+                "type": "download",
+                "timeout-ms": 3000,
+                "target-latency-ms": 500,
+                "priority": 1,
+                "service": "dossiers",
+            },
+        ],
+        "services": [{"name": "editor", "health-path": "/health"}],
+        "limits": {"idle-timeout-ms": 15000},
+    }
+
+
+def test_routes_are_found_by_address() -> None:
+    table = decode_configuration(orjson.dumps(_document()))
+
+    assert table.version == 7
+    assert table.idle_timeout == 15.0
+    split = table.routes_by_address[pack_service_address("198.18.0.1", 8443)]
+    assert split.targets == (Target("editor", 90),)
+    assert split.objective == 0.1
+    assert not split.is_single
+    single = table.routes_by_address[pack_service_address("198.18.0.2", 80)]
+    assert single.targets == (Target("dossiers", 1),)
+    assert single.is_single
+
+
+def test_weights_hold_over_many_flows() -> None:
+    document = _document()
+    document["routes"][0]["traffic-split"][1]["weight"] = 10
+    table = decode_configuration(orjson.dumps(document))
+    split = table.routes_by_address[pack_service_address("198.18.0.1", 8443)]
+
+    drawn = [split.service_for(number.to_bytes(12, "big")) for number in range(5000)]
+
+    assert 0.08 < drawn.count("dossiers") / len(drawn) < 0.12
+
+
+@given(strategies.binary(max_size=60))
+def test_any_bytes_are_refused_with_one_kind_of_error(value: bytes) -> None:
+    with pytest.raises(BadMessageError):
+        decode_configuration(value)
+
+
+@pytest.mark.parametrize("field", ["version", "routes", "services", "limits"])
+def test_a_missing_field_is_refused(field: str) -> None:
+    document = _document()
+    del document[field]
+
+    with pytest.raises(BadMessageError):
+        decode_configuration(orjson.dumps(document))
--- /dev/null
+++ b/tests/runtime/test_http.py
@@ -0,0 +1,119 @@
+"""Tests of the small HTTP server and client, one against the other."""
+
+from __future__ import annotations
+
+import os
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from siskinshift.observability.event_log import EventLog
+from siskinshift.runtime.http_client import AnswerLostError
+from siskinshift.runtime.http_client import CallNotSentError
+from siskinshift.runtime.http_client import HttpClient
+from siskinshift.runtime.http_server import HttpReply
+from siskinshift.runtime.http_server import HttpRequest
+from siskinshift.runtime.http_server import HttpServer
+from siskinshift.runtime.life_cycle import LifeCycle
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class _Echo:
+    """Answers what it got; `hold` keeps the path /wait waiting."""
+
+    def __init__(self) -> None:
+        self.hold = threading.Event()
+        self.requests: list[HttpRequest] = []
+
+    def __call__(self, request: HttpRequest) -> HttpReply:
+        self.requests.append(request)
+        if request.path == "/wait":
+            self.hold.wait(5.0)
+        if request.path == "/broken":
+            raise ValueError("broken")
+        if request.path == "/lost":
+            raise ConnectionAbortedError
+        return HttpReply(200, request.body or request.query.encode())
+
+
+@pytest.fixture
+def owner() -> Iterator[LifeCycle]:
+    owner = LifeCycle(name="test")
+    yield owner
+    owner.stop()
+
+
+@pytest.fixture
+def echo() -> Iterator[_Echo]:
+    echo = _Echo()
+    yield echo
+    echo.hold.set()
+
+
+@pytest.fixture
+def server(owner: LifeCycle, echo: _Echo) -> HttpServer:
+    log = EventLog(process="test", clock=time.monotonic, descriptor=os.dup(2))
+    server = HttpServer(owner, "127.0.0.1", 0, echo, log=log)
+    owner.owns(server.close)
+    server.start()
+    return server
+
+
+@pytest.fixture
+def client(server: HttpServer) -> Iterator[HttpClient]:
+    client = HttpClient("127.0.0.1", server.port, connect_timeout=1.0)
+    yield client
+    client.close()
+
+
+def test_calls_share_one_connection(client: HttpClient, echo: _Echo) -> None:
+    assert client.call("POST", "/a", b"body", timeout=2.0).body == b"body"
+    assert client.call("GET", "/a?q=1", timeout=2.0).body == b"q=1"
+    assert echo.requests[0] == HttpRequest("POST", "/a", b"body")
+    assert echo.requests[1] == HttpRequest("GET", "/a", b"", "q=1")
+
+
+def test_a_large_body_arrives_whole(client: HttpClient) -> None:
+    body = os.urandom(500_000)
+
+    assert client.call("POST", "/a", body, timeout=5.0).body == body
+
+
+def test_a_silent_server_costs_the_timeout_and_the_next_call_works(
+    client: HttpClient, echo: _Echo
+) -> None:
+    """A connection goes silent for good while new ones work."""
+    with pytest.raises(AnswerLostError):
+        client.call("GET", "/wait", timeout=0.1)
+
+    assert client.call("POST", "/a", b"x", timeout=2.0).status == 200
+
+
+def test_a_closed_connection_is_an_answer_lost(client: HttpClient) -> None:
+    with pytest.raises(AnswerLostError):
+        client.call("POST", "/lost", timeout=2.0)
+
+
+def test_a_failed_handler_answers_and_the_connection_lives(client: HttpClient) -> None:
+    assert client.call("GET", "/broken", timeout=2.0).status == 400
+    assert client.call("POST", "/a", b"x", timeout=2.0).status == 200
+
+
+def test_nobody_listens_so_nothing_was_sent() -> None:
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        client = HttpClient(*unused.getsockname(), connect_timeout=0.5)
+        with pytest.raises(CallNotSentError):
+            client.call("GET", "/", timeout=0.5)
+
+
+def test_nonsense_ends_the_connection(server: HttpServer) -> None:
+    with socket.create_connection(("127.0.0.1", server.port), 2.0) as connection:
+        connection.sendall(b"\x00\x01nonsense\r\n\r\n")
+        assert connection.recv(100) == b""
