--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -81,6 +81,7 @@
         own = Endpoint(self.node_settings.host, self.node_settings.peer_port)
         self.serve(own, self._answer_peer)
         self.loop.add_socket(self._caller_socket, self._on_caller_datagram)
+        self.owns(self._follower.stop)
         self.spawn(self._follower.follow_until, self.stopping)
 
     @property
--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -15,6 +15,7 @@
     from random import Random
 
     from siskinshift.kv.port import KeyValueStore
+    from siskinshift.kv.port import Watch
     from siskinshift.observability.event_log import EventLog
 
 
@@ -49,6 +50,12 @@
         self._random = random
         self._log = log
         self._failures = 0
+        self._watch: Watch | None = None
+
+    def stop(self) -> None:
+        """Ends a wait in another thread; a process must not outlast its notice."""
+        if self._watch is not None:
+            self._watch.close()
 
     def follow_until(self, stopping: threading.Event) -> None:
         """Follows until told to stop.
@@ -74,9 +81,9 @@
             raise StoreUnavailableError("no configuration yet")
         self._regained()
         self._on_value(entry.value)
-        watch = self._store.watch(self._key, entry.revision + 1)
+        self._watch = self._store.watch(self._key, entry.revision + 1)
         try:
-            for batch in watch:
+            for batch in self._watch:
                 if stopping.is_set():
                     return
                 self._regained()
@@ -84,7 +91,7 @@
                     if changed.key == self._key:
                         self._on_value(changed.value)
         finally:
-            watch.close()
+            self._watch.close()
 
     def _regained(self) -> None:
         if self._failures:
--- /dev/null
+++ b/tests/connections/test_long_walk.py
@@ -0,0 +1,342 @@
+"""Walks through restarts, copies, crashes and drains against "owner by flow".
+
+Balancers, agents and upstreams are real decision objects on a network without delay
+that may lose single messages. The oracle holds, for each flow, the incarnation whose
+answer its caller took.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from siskinshift.connections.actions import ResetCaller
+from siskinshift.connections.actions import ToCaller
+from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.agent_flows import AgentFlows
+from siskinshift.connections.fleet import Fleet
+from siskinshift.connections.peer_messages import FlowVerdict
+from siskinshift.connections.peer_messages import Forward
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import Status
+from siskinshift.connections.peer_messages import decode_peer_message
+from siskinshift.connections.segment import ACK
+from siskinshift.connections.segment import BOUNCED
+from siskinshift.connections.segment import SYN
+from siskinshift.connections.segment import Segment
+from siskinshift.connections.segment import is_near
+from siskinshift.connections.upstream_life import UpstreamLife
+from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import Role
+from tests.connections.builders import HEARTBEAT_SECONDS
+from tests.connections.builders import balancer_flows
+from tests.connections.builders import flow_of
+from tests.connections.builders import heartbeat
+from tests.connections.builders import member
+from tests.connections.builders import quiet_log
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinshift.connections.actions import Action
+    from siskinshift.connections.balancer_flows import BalancerFlows
+
+
+AGENTS = ("10.0.1.1", "10.0.1.2", "10.0.1.3")
+BALANCERS = ("10.0.0.1", "10.0.0.2")
+PORT = 7000
+WALK_STEPS = 40
+# Which of the next messages between nodes are lost, by number.
+LOST_MESSAGES = strategies.sets(strategies.integers(0, 4), max_size=2)
+
+
+@attrs.define(eq=False)
+class _Upstream:
+    """The truth about one incarnation's flows."""
+
+    upstream_id: str
+    random: Random
+    sequence_by_flow: dict[bytes, int] = attrs.Factory(dict)
+    foreign: Counter[bytes] = attrs.Factory(Counter)
+    is_full: bool = False
+    is_leaving: bool = False
+
+
+@attrs.define(eq=False)
+class _Caller:
+    """A caller's view of its flow."""
+
+    flow: bytes
+    owner: str = ""
+    acknowledged: int = 0
+    was_reset: bool = False
+    requests: int = 0
+
+
+class OwnershipWalk(RuleBasedStateMachine):
+    """One deployment."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.random = Random(7)
+        self.now = 0.0
+        self.upstreams: dict[str, _Upstream] = {}
+        self.lives: dict[str, UpstreamLife] = {}
+        self.agents: dict[str, AgentFlows] = {}
+        self.balancers: dict[str, BalancerFlows] = {}
+        self.fleets: dict[str, Fleet] = {}
+        self.callers: list[_Caller] = []
+        self.datagrams: dict[bytes, Segment] = {}
+        self.incarnations = 0
+        self.lost: set[int] = set()
+        self.message_number = 0
+        self.answered: dict[bytes, str] = {}
+
+    @initialize()
+    def begin(self) -> None:
+        for host in AGENTS:
+            self._start_upstream(host)
+            self._start_agent(host)
+        for host in BALANCERS:
+            self._start_balancer(host)
+
+    @rule(balancer=strategies.sampled_from(BALANCERS), lost=LOST_MESSAGES)
+    def open_flow(self, balancer: str, lost: set[int]) -> None:
+        caller = _Caller(flow_of(1000 + len(self.callers)))
+        self.callers.append(caller)
+        self._lose(lost)
+        for copy in range(3):
+            packet = self._packet(caller, SYN, ack=copy)
+            self._to_balancer(balancer, packet)
+            self._pass(0.2)
+            if caller.owner or caller.was_reset:
+                break
+        self._lose(set())
+        if caller.owner:
+            self._send(caller, balancer, length=0)
+
+    @precondition(lambda self: any(c.owner for c in self.callers))
+    @rule(
+        data=strategies.data(),
+        balancer=strategies.sampled_from(BALANCERS),
+        lost=LOST_MESSAGES,
+    )
+    def send_request(
+        self, data: strategies.DataObject, balancer: str, lost: set[int]
+    ) -> None:
+        open_callers = [c for c in self.callers if c.owner and not c.was_reset]
+        if not open_callers:
+            return
+        caller = data.draw(strategies.sampled_from(open_callers))
+        self._lose(lost)
+        self.answered.pop(caller.flow, None)
+        for _ in range(4):
+            self._send(caller, balancer, length=100)
+            self._pass(0.2)
+            if caller.was_reset or caller.flow in self.answered:
+                break
+        self._lose(set())
+        assert caller.was_reset or self.answered.get(caller.flow) == caller.owner
+
+    @rule(host=strategies.sampled_from(AGENTS))
+    def restart_agent(self, host: str) -> None:
+        self._start_agent(host)
+        self._tell(host)
+
+    @rule(host=strategies.sampled_from(BALANCERS))
+    def restart_balancer(self, host: str) -> None:
+        self._start_balancer(host)
+
+    @rule(host=strategies.sampled_from(AGENTS))
+    def replace_upstream(self, host: str) -> None:
+        self._start_upstream(host)
+        self.lives[host].on_heartbeat(
+            heartbeat(self.upstreams[host].upstream_id), now=self.now
+        )
+        self._perform(host, self.agents[host].verify_all(now=self.now))
+        self._tell(host)
+
+    @rule(host=strategies.sampled_from(AGENTS), is_full=strategies.booleans())
+    def fill_upstream(self, host: str, is_full: bool) -> None:
+        self.upstreams[host].is_full = is_full
+
+    @rule(host=strategies.sampled_from(AGENTS))
+    def drain_upstream(self, host: str) -> None:
+        upstream = self.upstreams[host]
+        upstream.is_leaving = True
+        leaving = heartbeat(upstream.upstream_id, sequence=9_999, is_leaving=True)
+        self.lives[host].on_heartbeat(leaving, now=self.now)
+
+    @invariant()
+    def resets_are_honest(self) -> None:
+        for caller in self.callers:
+            if not caller.was_reset or not caller.owner:
+                continue
+            living = {u.upstream_id: u for u in self.upstreams.values()}
+            owner = living.get(caller.owner)
+            assert owner is None or caller.flow not in owner.sequence_by_flow
+
+    @invariant()
+    def wrong_upstreams_see_one_packet_of_a_flow_and_restart(self) -> None:
+        for upstream in self.upstreams.values():
+            for count in upstream.foreign.values():
+                assert count <= 1 + self.incarnations
+
+    def _lose(self, lost: set[int]) -> None:
+        self.lost = lost
+        self.message_number = 0
+
+    def _start_upstream(self, host: str) -> None:
+        self.incarnations += 1
+        self.upstreams[host] = _Upstream(f"u-{self.incarnations}", self.random)
+
+    def _start_agent(self, host: str) -> None:
+        self.incarnations += 1
+        upstream = self.upstreams[host]
+        life = UpstreamLife(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+        first = heartbeat(upstream.upstream_id, is_leaving=upstream.is_leaving)
+        life.on_heartbeat(first, now=self.now)
+        self.lives[host] = life
+        self.agents[host] = AgentFlows(life=life, log=quiet_log())
+
+    def _start_balancer(self, host: str) -> None:
+        fleet = Fleet(member(host, role=Role.BALANCER, host=host))
+        self.fleets[host] = fleet
+        self.balancers[host] = balancer_flows(fleet)
+        for agent in AGENTS:
+            self._tell(agent)
+
+    def _tell(self, host: str) -> None:
+        upstream = self.upstreams[host]
+        for name, fleet in self.fleets.items():
+            record = attrs.evolve(
+                member(host, host=host, incarnation=self.incarnations),
+                state=self.lives[host].state(now=self.now),
+                data=Endpoint(host, PORT),
+            )
+            status = Status(record, Load())
+            if name in self.balancers and upstream:
+                fleet.heard(status, now=self.now)
+
+    def _pass(self, seconds: float) -> None:
+        """Lets time pass in small steps; members go on to speak."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.05
+            for host, life in self.lives.items():
+                upstream = self.upstreams[host]
+                beat = heartbeat(
+                    upstream.upstream_id,
+                    sequence=int(self.now * 1000),
+                    is_leaving=upstream.is_leaving,
+                )
+                life.on_heartbeat(beat, now=self.now)
+                self._tell(host)
+            for host, balancer in self.balancers.items():
+                self._perform(host, balancer.tick(now=self.now))
+
+    def _packet(
+        self, caller: _Caller, flags: int, *, ack: int, length: int = 0
+    ) -> Segment:
+        caller.requests += 1
+        datagram = caller.flow + bytes((flags,)) + caller.requests.to_bytes(4, "big")
+        packet = Segment(caller.flow, flags, caller.requests, ack, length, datagram)
+        self.datagrams[datagram] = packet
+        return packet
+
+    def _send(self, caller: _Caller, balancer: str, *, length: int) -> None:
+        packet = self._packet(caller, ACK, ack=caller.acknowledged, length=length)
+        self._to_balancer(balancer, packet)
+
+    def _to_balancer(self, host: str, packet: Segment) -> None:
+        self._perform(host, self.balancers[host].on_segment(packet, now=self.now))
+
+    def _perform(self, host: str, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, ToPeer):
+                self._deliver(host, action)
+            elif isinstance(action, ToUpstream):
+                self._to_upstream(host, self.datagrams[action.datagram])
+            elif isinstance(action, ToCaller):
+                self._to_caller(host, action.flow)
+            elif isinstance(action, ResetCaller):
+                self._caller_of(action.flow).was_reset = True
+
+    def _deliver(self, sender: str, action: ToPeer) -> None:
+        self.message_number += 1
+        if self.message_number - 1 in self.lost:
+            return
+        message = decode_peer_message(action.datagram)
+        target = action.address[0]
+        if isinstance(message, Forward):
+            packet = self.datagrams[message.datagram]
+            actions = self.agents[target].on_forward(
+                message, packet, (sender, PORT), now=self.now
+            )
+            self._perform(target, actions)
+            return
+        assert isinstance(message, FlowVerdict)
+        agent = self.fleets[target].peers_by_address.get((sender, PORT))
+        if agent is not None:
+            actions = self.balancers[target].on_verdict(agent, message, now=self.now)
+            self._perform(target, actions)
+
+    def _to_upstream(self, host: str, packet: Segment) -> None:
+        upstream = self.upstreams[host]
+        sequence = upstream.sequence_by_flow.get(packet.flow)
+        if packet.flags & SYN and sequence is None and not upstream.is_full:
+            sequence = self.random.getrandbits(32)
+            upstream.sequence_by_flow[packet.flow] = sequence
+        opens_elsewhere = not packet.flags & SYN and sequence is not None
+        if opens_elsewhere and not is_near(packet.ack, sequence or 0):
+            # A half-open flow: the caller acknowledged another upstream's number.
+            sequence = None
+        if sequence is None:
+            if not packet.flags & SYN:
+                upstream.foreign[packet.flow] += 1
+            bounced = attrs.evolve(packet, flags=packet.flags | BOUNCED)
+            self._from_upstream(host, bounced)
+        elif packet.flags & SYN:
+            self._from_upstream(host, self._answer(packet, SYN | ACK, sequence, 0))
+        elif packet.length:
+            caller = self._caller_of(packet.flow)
+            assert caller.owner == upstream.upstream_id
+            self._from_upstream(host, self._answer(packet, ACK, sequence + 1, 500))
+
+    def _answer(self, packet: Segment, flags: int, seq: int, length: int) -> Segment:
+        return Segment(
+            packet.flow, flags, seq % (1 << 32), packet.seq, length, b"answer"
+        )
+
+    def _from_upstream(self, host: str, packet: Segment) -> None:
+        self._sequence_in_flight = packet.seq
+        actions = self.agents[host].on_upstream_segment(packet, now=self.now)
+        self._perform(host, actions)
+
+    def _to_caller(self, host: str, flow: bytes) -> None:
+        caller = self._caller_of(flow)
+        upstream = self.upstreams[host]
+        if not caller.owner:
+            caller.owner = upstream.upstream_id
+            caller.acknowledged = (upstream.sequence_by_flow[flow] + 1) % (1 << 32)
+        elif caller.owner == upstream.upstream_id:
+            self.answered[flow] = upstream.upstream_id
+
+    def _caller_of(self, flow: bytes) -> _Caller:
+        return next(caller for caller in self.callers if caller.flow == flow)
+
+
+TestOwnershipWalk = OwnershipWalk.TestCase
+TestOwnershipWalk.settings = settings(max_examples=1000, stateful_step_count=WALK_STEPS)
