--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -87,6 +87,7 @@
 
     Attributes:
         is_pausing: Whether new flows are refused because the agent ends soon.
+        upstream_heard_at: When the upstream last sent a packet, seconds.
     """
 
     def __init__(self, *, life: UpstreamLife, log: EventLog) -> None:
@@ -106,6 +107,7 @@
         self._swept_at = 0.0
         self._knows_all = False
         self.is_pausing = False
+        self.upstream_heard_at = float("-inf")
 
     def __len__(self) -> int:
         return self._open_count
@@ -162,6 +164,7 @@
         Returns:
             What to do.
         """
+        self.upstream_heard_at = now
         if segment.flags & BOUNCED:
             return self._on_bounce(segment, now=now)
         actions: list[Action] = [ToCaller(segment.flow, segment.datagram)]
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -239,14 +239,14 @@
             self.spawn(self._probe)
 
     def _probe(self) -> None:
+        started_at = self.clock()
         try:
             connection = socket.create_connection(
                 self._upstream_address, PROBE_TIMEOUT_SECONDS
             )
             connection.close()
         except ConnectionRefusedError:
-            self.log.fact("upstream process gone", upstream=self.life.upstream_id)
-            self.loop.call(self._on_process_gone)
+            self.loop.call(lambda: self._on_process_gone(started_at))
         except OSError as error:
             # No proof either way: it may be slow, or the instance is.
             self.log.fact("upstream probe failed", error=str(error))
@@ -259,5 +259,10 @@
         if self.life.is_gone:
             self.end_registration()
 
-    def _on_process_gone(self) -> None:
+    def _on_process_gone(self, probed_at: float) -> None:
+        if self.flows.upstream_heard_at >= probed_at:
+            # A packet of the upstream that came meanwhile proves the opposite.
+            self.log.fact("upstream probe contradicted", upstream=self.life.upstream_id)
+            return
+        self.log.fact("upstream process gone", upstream=self.life.upstream_id)
         self.perform(self.flows.upstream_ended(now=self.clock()))
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -21,6 +21,7 @@
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import encode_forward
+from siskinshift.connections.recent_packets import RecentPackets
 from siskinshift.connections.routes import service_tag
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
@@ -128,6 +129,7 @@
         self._generation_at = 0.0
         self._retries: deque[tuple[float, FlowRecord, Attempt]] = deque()
         self._held: deque[FlowRecord] = deque()
+        self._recent = RecentPackets()
 
     def __len__(self) -> int:
         return len(self._young) + len(self._old)
@@ -178,7 +180,7 @@
             record = self._add(FlowRecord(segment.flow))
         record.acknowledged = segment.ack
         if record.owner is not None:
-            return [self._forward(record.owner, Purpose.OWNED, segment.datagram)]
+            return [self._forward_owned(record.owner, segment, now=now)]
         return self._find_owner(route, record, segment, now=now)
 
     def on_verdict(
@@ -210,6 +212,29 @@
             return self._on_not_mine(agent, record, verdict.packet, now=now)
         return self._on_opening_verdict(agent, record, verdict.verdict, now=now)
 
+    def on_agent_restarted(
+        self, agent: Peer, *, silent_since: float, now: float
+    ) -> list[Action]:
+        """Sends an agent again what it missed while it was away.
+
+        Args:
+            agent: The agent.
+            silent_since: When the process before was last heard, seconds.
+            now: Clock reading, seconds.
+
+        Returns:
+            The packets.
+        """
+        missed = self._recent.take(agent.member.member_id, since=silent_since, now=now)
+        if missed:
+            self._log.decision(
+                "sent again",
+                agent=agent.member.member_id,
+                packets=len(missed),
+                silent=round(now - silent_since, 3),
+            )
+        return [self._forward(agent, Purpose.OWNED, packet) for packet in missed]
+
     def retry_held(self, *, now: float) -> list[Action]:
         """Places opening packets that found no agent; call it when one has come.
 
@@ -373,7 +398,7 @@
         if len(candidates) == 1 and len(record.attempts) == 1:
             record.owner = candidates[0].agent
             record.opening = b""
-            return [self._forward(record.owner, Purpose.OWNED, segment.datagram)]
+            return [self._forward_owned(record.owner, segment, now=now)]
         if not record.pending:
             record.pending = {a.agent.member.member_id for a in record.attempts}
             record.asked = set(record.pending)
@@ -419,6 +444,11 @@
             return self._search(record, packet)
         if record.pending:
             return []
+        if not self._fleet.is_complete(now=now):
+            # The owner may be an agent that has not made itself known yet: the
+            # caller's next packet asks again.
+            record.asked.clear()
+            return []
         self._drop(record.flow)
         self._log.decision(
             "reset",
@@ -435,6 +465,11 @@
                 record.pending.discard(member_id)
         return bool(record.pending)
 
+    def _forward_owned(self, owner: Peer, segment: Segment, *, now: float) -> ToPeer:
+        if segment.length:
+            self._recent.add(owner.member.member_id, segment.datagram, now=now)
+        return self._forward(owner, Purpose.OWNED, segment.datagram)
+
     def _forward(
         self,
         agent: Peer,
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -126,6 +126,14 @@
             return self._flows.retry_held(now=now)
         return ()
 
+    def on_peer_restarted(
+        self, peer: Peer, silent_since: float, now: float
+    ) -> Iterable[Action]:
+        """Sends an agent again what it missed."""
+        if peer.member.role is not Role.AGENT:
+            return ()
+        return self._flows.on_agent_restarted(peer, silent_since=silent_since, now=now)
+
     def on_due(self, now: float) -> float:
         """Tells peers of this balancer and lets flows time out."""
         self.perform(self._flows.tick(now=now))
--- a/src/siskinshift/connections/fleet.py
+++ b/src/siskinshift/connections/fleet.py
@@ -33,6 +33,9 @@
 # when it starts as well. The store shows entries of the dead until their leases end,
 # and flows that nobody holds are found out only when all agents have spoken.
 ANSWER_SECONDS = 0.6
+# While the store is away at a node's start, peers make themselves known within this:
+# they speak twice a second, and those that are known name the others.
+COMPLETE_AFTER_SECONDS = 2.0
 # A peer that is neither registered nor heard of for this long is forgotten. Entries
 # that lapsed with the store away are back within two seconds of its return.
 FORGET_AFTER_SECONDS = 6.0
@@ -90,17 +93,30 @@
         peers_by_address: The same by where their datagrams come from.
     """
 
-    def __init__(self, own: Member) -> None:
+    def __init__(self, own: Member, *, now: float) -> None:
         """Knows nobody yet.
 
         Args:
             own: The node itself; it is no peer of its own.
+            now: Clock reading, seconds.
         """
         self._own = own
+        self._complete_at = now + COMPLETE_AFTER_SECONDS
         self.peers_by_id: dict[str, Peer] = {}
         self.peers_by_address: dict[tuple[str, int], Peer] = {}
         self._agents_by_class: dict[str, list[Peer]] = {}
 
+    def is_complete(self, *, now: float) -> bool:
+        """Says whether a peer that is not known can be taken not to exist.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            Whether the store was read, or peers had the time to make themselves known.
+        """
+        return now >= self._complete_at
+
     def agents_of(self, service_id: str) -> list[Peer]:
         """Lists the agents beside upstreams of a service.
 
@@ -172,6 +188,7 @@
         Returns:
             Peers that were not known before.
         """
+        self._complete_at = min(self._complete_at, now)
         known = set(self.peers_by_id)
         seen: set[str] = set()
         for member in members:
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -88,7 +88,7 @@
             data=own,
             upstream_class=settings.service_id,
         )
-        self.fleet = Fleet(self.member)
+        self.fleet = Fleet(self.member, now=self.clock())
         self.peer_socket = open_datagram_socket(settings.host, settings.peer_port)
         self.owns(self.peer_socket.close)
         self.store = PlatformStore(settings.store, stopping=self.stopping)
@@ -174,6 +174,12 @@
         """Hook: a peer said something of itself."""
         return ()
 
+    def on_peer_restarted(
+        self, peer: Peer, silent_since: float, now: float
+    ) -> Iterable[Action]:
+        """Hook: a known peer speaks as a new process."""
+        return ()
+
     def on_due(self, now: float) -> float:
         """Hook: does what is due; returns when it is due next."""
         raise NotImplementedError
@@ -270,11 +276,13 @@
             self.perform(self.on_message(message, source, now))
 
     def _on_status(self, status: Status, source: tuple[str, int], now: float) -> None:
-        is_new = status.member.member_id not in self.fleet.peers_by_id
+        before = self.fleet.peers_by_id.get(status.member.member_id)
+        incarnation = before.member.incarnation if before else 0
+        silent_since = before.heard_at if before else now
         peer = self.fleet.heard(status, now=now)
         if peer is None:
             return
-        if is_new:
+        if before is None:
             self.log.fact("peer found", peer=status.member.member_id, source="itself")
         if status.wants_members:
             self.send_datagram(self._own_status(), source)
@@ -282,6 +290,9 @@
             self.random.shuffle(known)
             members = tuple(known[:INTRODUCED_MAXIMUM])
             self.send_datagram(encode_members(members), source)
+        if before is not None and incarnation != status.member.incarnation:
+            self.log.fact("peer restarted", peer=status.member.member_id)
+            self.perform(self.on_peer_restarted(peer, silent_since, now))
         self.perform(self.on_peer_status(peer, now))
 
     def _greet(self, peers: list[Peer]) -> None:
--- a/src/siskinshift/standins/connection_ends.py
+++ b/src/siskinshift/standins/connection_ends.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import socket
 import struct
 import threading
 import time
@@ -29,7 +30,6 @@
 
 
 if TYPE_CHECKING:
-    import socket
     from random import Random
 
     from siskinshift.connections.segment import Segment
@@ -153,6 +153,9 @@
         self._stopping = threading.Event()
         self._socket = open_datagram_socket(*address)
         self._socket.settimeout(POLL_SECONDS)
+        # Health checks come by TCP at the same address; a listener shows that the
+        # process is there.
+        self._listener = socket.create_server(address)
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -163,6 +166,7 @@
         """Ends as a crash does: nothing is said, flows are gone."""
         self._stopping.set()
         self._thread.join()
+        self._listener.close()
         self._socket.close()
 
     def _run(self) -> None:
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -167,6 +167,27 @@
     assert last == [ResetCaller(flow_of(1), 9)]
 
 
+def test_a_balancer_that_does_not_know_all_agents_yet_resets_nothing() -> None:
+    """A balancer restarts and hears of one agent before it has read who is there.
+
+    A caller's packet comes; the one agent does not hold the flow. The owner lives and
+    is not known yet: a reset would cut a flow of a living upstream.
+    """
+    fleet = fleet_of(*agents(1), is_complete=False)
+    flows = balancer_flows(fleet)
+    flows.on_segment(segment(1, ack=9), now=0.0)
+    assert _verdict(flows, fleet, "10.0.1.1", Verdict.NOT_MINE) == []
+
+    fleet.registered(agents(2), now=0.1)
+    fleet.heard(Status(agents(2)[1], Load()), now=0.1)
+    again = _sent(flows.on_segment(segment(1, ack=9), now=0.2))
+    assert ("10.0.1.2", Purpose.SEARCH) in again
+    _verdict(flows, fleet, "10.0.1.2", Verdict.MINE, now=0.2)
+    _verdict(flows, fleet, "10.0.1.1", Verdict.NOT_MINE, now=0.2)
+    sent = _sent(flows.on_segment(segment(1, ack=10), now=0.3))
+    assert sent == [("10.0.1.2", Purpose.OWNED)]
+
+
 def test_an_entry_of_a_dead_agent_does_not_hold_up_a_reset() -> None:
     """After a loss of all power the store still shows an agent that is gone for good.
 
