--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -21,13 +21,16 @@
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import encode_verdict
+from siskinshift.connections.request_queue import RequestQueue
 from siskinshift.connections.routes import service_tag
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import FIN
 from siskinshift.connections.segment import RESET
+from siskinshift.connections.segment import SEQUENCE_SPACE
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import flow_name
+from siskinshift.connections.segment import is_after
 from siskinshift.connections.segment import is_near
 
 
@@ -36,6 +39,7 @@
 
     from siskinshift.connections.actions import Action
     from siskinshift.connections.peer_messages import Forward
+    from siskinshift.connections.request_queue import Terms
     from siskinshift.connections.segment import Segment
     from siskinshift.connections.upstream_life import UpstreamLife
     from siskinshift.observability.event_log import EventLog
@@ -66,7 +70,7 @@
         acknowledged: What the caller acknowledged last.
         bare_packet: A caller's packet without data: it can be sent to the upstream
             again at any time to see whether it still holds the flow.
-        is_running: Whether the caller waits for an answer.
+        sent_up_to: Sequence number that follows the caller's newest data.
         ends_seen: FIN of the caller (1) and of the upstream (2).
         ended_at: When the flow ended; 0 while it is open.
     """
@@ -77,7 +81,7 @@
     opener: tuple[str, int] | None = None
     acknowledged: int = 0
     bare_packet: bytes = b""
-    is_running: bool = False
+    sent_up_to: int | None = None
     ends_seen: int = 0
     ended_at: float = 0.0
 
@@ -103,7 +107,7 @@
         self._offered: dict[bytes, tuple[str, int]] = {}
         self._foreign_until: dict[bytes, float] = {}
         self._open_count = 0
-        self._running_count = 0
+        self._queue = RequestQueue()
         self._swept_at = 0.0
         self._knows_all = False
         self.is_pausing = False
@@ -120,7 +124,7 @@
     @property
     def load(self) -> Load:
         """Open flows, and those on which a caller waits."""
-        return Load(self._open_count, self._running_count)
+        return Load(self._open_count, len(self._queue))
 
     def on_forward(
         self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
@@ -148,10 +152,14 @@
             if segment.flags & RESET:
                 return []
             return [self._say(Verdict.NOT_MINE, segment.flow, sender, segment.datagram)]
-        self._note_caller_packet(flow, segment, now=now)
-        actions: list[Action] = [ToUpstream(segment.datagram)]
+        actions: list[Action] = []
+        if self._note_caller_packet(flow, segment, forward.terms, now=now):
+            actions.append(ToUpstream(segment.datagram))
         if forward.purpose is Purpose.SEARCH:
             actions.append(self._say(Verdict.MINE, segment.flow, sender))
+        if segment.flags & (FIN | RESET):
+            # The caller may have given up a request that held a slot.
+            actions += self._start_waiting(now=now)
         return actions
 
     def on_upstream_segment(self, segment: Segment, *, now: float) -> list[Action]:
@@ -183,13 +191,13 @@
         flow.reference = segment.seq
         flow.used_at = now
         if segment.length:
-            self._set_running(flow, is_running=False)
+            self._queue.finished(segment.flow, now=now)
         if segment.flags & RESET:
-            self._end(flow, now=now)
+            self._end(segment.flow, flow, now=now)
         elif segment.flags & FIN:
             flow.ends_seen |= 2
-            self._end_if_closed(flow, now=now)
-        return actions
+            self._end_if_closed(segment.flow, flow, now=now)
+        return [*actions, *self._start_waiting(now=now)]
 
     def verify_all(self, *, now: float) -> list[Action]:
         """Asks the upstream about each flow; those that it lost are reset in turn.
@@ -263,19 +271,41 @@
         for name, flow in self._flows.items():
             if not flow.ended_at:
                 actions.append(ResetCaller(name, flow.acknowledged))
-                self._end(flow, now=now)
+                self._end(name, flow, now=now)
         self._log.decision(
             "flows reset", reason="upstream gone", flows=len(self._flows)
         )
         self._flows.clear()
         return actions
 
-    def tick(self, *, now: float) -> None:
-        """Forgets what is over.
+    def tick(self, *, now: float) -> list[Action]:
+        """Forgets what is over and starts what has waited long enough.
 
         Args:
             now: Clock reading, seconds.
+
+        Returns:
+            Packets for the upstream.
         """
+        self._queue.slots = self._life.slots
+        expired = self._queue.expire(now=now)
+        if expired:
+            self._log.decision("given up", reason="waited too long", requests=expired)
+        self._sweep(now=now)
+        return self._start_waiting(now=now)
+
+    def _start_waiting(self, *, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for request in self._queue.next_requests(now=now):
+            self._log.decision(
+                "request started",
+                flow=flow_name(request.flow),
+                waited=round(now - request.arrived_at, 4),
+            )
+            actions += [ToUpstream(packet) for packet in request.packets.values()]
+        return actions
+
+    def _sweep(self, *, now: float) -> None:
         if now - self._swept_at < SWEEP_SECONDS:
             return
         self._swept_at = now
@@ -283,7 +313,7 @@
             if flow.ended_at and now - flow.ended_at > LINGER_SECONDS:
                 del self._flows[name]
             elif now - flow.used_at > IDLE_SECONDS:
-                self._end(flow, now=now)
+                self._end(name, flow, now=now)
                 del self._flows[name]
         self._foreign_until = {
             name: until for name, until in self._foreign_until.items() if until > now
@@ -321,7 +351,7 @@
             if flow is None or flow.opener is None:
                 return []
             sender = flow.opener
-            self._end(flow, now=now)
+            self._end(segment.flow, flow, now=now)
             del self._flows[segment.flow]
             return [self._refuse(Verdict.FULL, segment.flow, sender)]
         asker = self._offered.pop(segment.flow, None)
@@ -334,30 +364,41 @@
         # The caller acknowledged this upstream's own numbers, so no other upstream
         # can hold the flow.
         acknowledged = flow.acknowledged
-        self._end(flow, now=now)
+        self._end(segment.flow, flow, now=now)
         self._log.decision(
             "reset", flow=flow_name(segment.flow), reason="upstream lost the flow"
         )
         return [ResetCaller(segment.flow, acknowledged)]
 
     def _note_caller_packet(
-        self, flow: OwnedFlow, segment: Segment, *, now: float
-    ) -> None:
+        self, flow: OwnedFlow, segment: Segment, terms: Terms, *, now: float
+    ) -> bool:
+        """Takes note of a packet; says whether it goes to the upstream now."""
         flow.used_at = now
         flow.acknowledged = segment.ack
         if segment.flags & RESET:
-            self._end(flow, now=now)
-        elif segment.flags & FIN:
+            self._end(segment.flow, flow, now=now)
+            return True
+        if segment.flags & FIN:
             flow.ends_seen |= 1
-            self._end_if_closed(flow, now=now)
-        elif segment.length:
-            self._set_running(flow, is_running=True)
-        else:
+            self._end_if_closed(segment.flow, flow, now=now)
+            return True
+        if not segment.length:
             flow.bare_packet = segment.datagram
+            return True
+        is_new = flow.sent_up_to is None or is_after(segment.seq, flow.sent_up_to)
+        if is_new:
+            flow.sent_up_to = (segment.seq + segment.length) % SEQUENCE_SPACE
+        is_copy = not is_new and segment.flow not in self._queue
+        if is_copy or self._queue.is_running(segment.flow):
+            return True
+        return self._queue.begin(
+            segment.flow, segment.seq, segment.datagram, terms, now=now
+        )
 
-    def _end_if_closed(self, flow: OwnedFlow, *, now: float) -> None:
+    def _end_if_closed(self, name: bytes, flow: OwnedFlow, *, now: float) -> None:
         if flow.ends_seen == 3:
-            self._end(flow, now=now)
+            self._end(name, flow, now=now)
 
     def _add(self, name: bytes, *, now: float) -> OwnedFlow:
         flow = OwnedFlow(now, now)
@@ -365,18 +406,13 @@
         self._open_count += 1
         return flow
 
-    def _end(self, flow: OwnedFlow, *, now: float) -> None:
+    def _end(self, name: bytes, flow: OwnedFlow, *, now: float) -> None:
         if flow.ended_at:
             return
-        self._set_running(flow, is_running=False)
+        self._queue.finished(name, now=now)
         flow.ended_at = now
         self._open_count -= 1
 
-    def _set_running(self, flow: OwnedFlow, *, is_running: bool) -> None:
-        if flow.is_running != is_running and not flow.ended_at:
-            flow.is_running = is_running
-            self._running_count += 1 if is_running else -1
-
     def _refuse(self, verdict: Verdict, flow: bytes, sender: tuple[str, int]) -> ToPeer:
         self._log.decision(
             "refused",
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -128,7 +128,7 @@
 
     def on_due(self, now: float) -> float:
         """Tells balancers of this agent, looks after the upstream."""
-        self.flows.tick(now=now)
+        self.perform(self.flows.tick(now=now))
         self._update_member(now)
         if now - self._told_at >= STATUS_INTERVAL_SECONDS:
             self._told_at = now
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -18,10 +18,12 @@
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.fleet import Peer
+from siskinshift.connections.peer_messages import NO_TERMS
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import encode_forward
 from siskinshift.connections.recent_packets import RecentPackets
+from siskinshift.connections.request_queue import Terms
 from siskinshift.connections.routes import service_tag
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
@@ -82,6 +84,7 @@
         opening: The opening packet, until the flow is open.
         opened_at: When that came, seconds.
         attempts: Agents asked to take it.
+        terms: What callers on its route want.
         pending: Agents that were asked whether they own it and have not said no.
         asked: All agents that were asked whether they own it.
         acknowledged: What the caller acknowledged last.
@@ -93,6 +96,7 @@
     opening: bytes = b""
     opened_at: float = 0.0
     attempts: list[Attempt] = Factory(list)
+    terms: Terms = NO_TERMS
     pending: set[str] = Factory(set)
     asked: set[str] = Factory(set)
     acknowledged: int = 0
@@ -179,8 +183,9 @@
         if record is None:
             record = self._add(FlowRecord(segment.flow))
         record.acknowledged = segment.ack
+        record.terms = route.terms
         if record.owner is not None:
-            return [self._forward_owned(record.owner, segment, now=now)]
+            return [self._forward_owned(record, record.owner, segment, now=now)]
         return self._find_owner(route, record, segment, now=now)
 
     def on_verdict(
@@ -311,6 +316,7 @@
         if record is None or not record.attempts:
             record = self._add(FlowRecord(segment.flow))
             record.service_id = route.service_for(segment.flow)
+            record.terms = route.terms
             record.opening = segment.datagram
             record.opened_at = now
             return self._try_next(record, now=now)
@@ -398,7 +404,7 @@
         if len(candidates) == 1 and len(record.attempts) == 1:
             record.owner = candidates[0].agent
             record.opening = b""
-            return [self._forward_owned(record.owner, segment, now=now)]
+            return [self._forward_owned(record, record.owner, segment, now=now)]
         if not record.pending:
             record.pending = {a.agent.member.member_id for a in record.attempts}
             record.asked = set(record.pending)
@@ -417,7 +423,7 @@
 
     def _search(self, record: FlowRecord, datagram: bytes) -> list[Action]:
         agents = [self._fleet.peers_by_id.get(i) for i in sorted(record.pending)]
-        return [self._forward(a, Purpose.SEARCH, datagram) for a in agents if a]
+        return [self._forward(a, Purpose.SEARCH, datagram, record) for a in agents if a]
 
     def _on_not_mine(
         self, agent: Peer, record: FlowRecord, packet: bytes, *, now: float
@@ -465,10 +471,12 @@
                 record.pending.discard(member_id)
         return bool(record.pending)
 
-    def _forward_owned(self, owner: Peer, segment: Segment, *, now: float) -> ToPeer:
+    def _forward_owned(
+        self, record: FlowRecord, owner: Peer, segment: Segment, *, now: float
+    ) -> ToPeer:
         if segment.length:
             self._recent.add(owner.member.member_id, segment.datagram, now=now)
-        return self._forward(owner, Purpose.OWNED, segment.datagram)
+        return self._forward(owner, Purpose.OWNED, segment.datagram, record)
 
     def _forward(
         self,
@@ -478,7 +486,8 @@
         record: FlowRecord | None = None,
     ) -> ToPeer:
         tag = self._tag_of(record.service_id) if record is not None else 0
-        return ToPeer(agent.address, encode_forward(purpose, tag, datagram))
+        terms = record.terms if record is not None else NO_TERMS
+        return ToPeer(agent.address, encode_forward(purpose, tag, datagram, terms))
 
     def _tag_of(self, service_id: str) -> int:
         tag = self._tags.get(service_id)
--- a/src/siskinshift/connections/peer_messages.py
+++ b/src/siskinshift/connections/peer_messages.py
@@ -14,6 +14,7 @@
 import orjson
 from attrs import frozen
 
+from siskinshift.connections.request_queue import Terms
 from siskinshift.connections.segment import FLOW_SIZE
 from siskinshift.messages.core import Endpoint
 from siskinshift.messages.core import Member
@@ -21,6 +22,9 @@
 from siskinshift.messages.core import Role
 
 
+NO_TERMS = Terms()
+
+
 class _Kind(IntEnum):
     FORWARD = 1
     VERDICT = 2
@@ -65,11 +69,13 @@
         service_tag: Hash of the service that is meant, so that an address that went
             to another service does not get it.
         datagram: The packet.
+        terms: What callers on the flow's route want.
     """
 
     purpose: Purpose
     service_tag: int
     datagram: bytes
+    terms: Terms = NO_TERMS
 
 
 @frozen
@@ -133,25 +139,39 @@
 
 PeerMessage: TypeAlias = Forward | FlowVerdict | Status | Members
 
-_FORWARD_HEADER = struct.Struct("!BBI")
+# kind, purpose, service tag, urgency, objective and deadline in milliseconds
+_FORWARD_HEADER = struct.Struct("!BBIBHH")
+_MILLISECONDS = 1000
+_URGENCY_MAXIMUM = 0xFF
 _VERDICT = struct.Struct(f"!BB{FLOW_SIZE}sHH")
 _COUNT_MAXIMUM = 0xFFFF
 _PURPOSES = tuple(Purpose)
 _VERDICTS = tuple(Verdict)
 
 
-def encode_forward(purpose: Purpose, service_tag: int, datagram: bytes) -> bytes:
+def encode_forward(
+    purpose: Purpose, service_tag: int, datagram: bytes, terms: Terms = NO_TERMS
+) -> bytes:
     """Writes a packet for an agent.
 
     Args:
         purpose: What is asked of the agent.
         service_tag: Hash of the service that is meant.
         datagram: The packet.
+        terms: What callers on the flow's route want.
 
     Returns:
         The message.
     """
-    return _FORWARD_HEADER.pack(_Kind.FORWARD, purpose, service_tag) + datagram
+    header = _FORWARD_HEADER.pack(
+        _Kind.FORWARD,
+        purpose,
+        service_tag,
+        min(terms.urgency, _URGENCY_MAXIMUM),
+        min(round(terms.objective * _MILLISECONDS), _COUNT_MAXIMUM),
+        min(round(terms.deadline * _MILLISECONDS), _COUNT_MAXIMUM),
+    )
+    return header + datagram
 
 
 def encode_verdict(verdict: FlowVerdict) -> bytes:
@@ -232,11 +252,14 @@
 
 
 def _decode_forward(datagram: bytes) -> Forward:
-    _, purpose, service_tag = _FORWARD_HEADER.unpack_from(datagram)
+    _, purpose, service_tag, urgency, objective_ms, deadline_ms = (
+        _FORWARD_HEADER.unpack_from(datagram)
+    )
     if purpose < 1:
         raise ValueError(purpose)
+    terms = Terms(objective_ms / _MILLISECONDS, deadline_ms / _MILLISECONDS, urgency)
     packet = datagram[_FORWARD_HEADER.size :]
-    return Forward(_PURPOSES[purpose - 1], service_tag, packet)
+    return Forward(_PURPOSES[purpose - 1], service_tag, packet, terms)
 
 
 def _decode_verdict(datagram: bytes) -> FlowVerdict:
--- a/src/siskinshift/connections/routes.py
+++ b/src/siskinshift/connections/routes.py
@@ -9,6 +9,8 @@
 from attrs import Factory
 from attrs import frozen
 
+from siskinshift.connections.request_queue import Terms
+
 
 _TAG_MASK = 0xFFFFFFFF
 
@@ -34,18 +36,14 @@
         name: Name of the route.
         address: Address and port, six bytes packed.
         targets: Services that take new flows, with a total weight above 0.
-        deadline: Seconds after which callers give a request up.
-        objective: Seconds within which callers want their answer.
-        urgency: 0 goes first.
+        terms: What callers on the route want.
         is_single: Whether a flow carries one request and ends.
     """
 
     name: str
     address: bytes
     targets: tuple[Target, ...]
-    deadline: float
-    objective: float
-    urgency: int
+    terms: Terms
     is_single: bool
 
     def service_for(self, flow: bytes) -> str:
--- a/src/siskinshift/connections/segment.py
+++ b/src/siskinshift/connections/segment.py
@@ -18,7 +18,7 @@
 # drawn from 2 ** 32, so that a foreign number falls inside once in 32 flows at most
 # and a check of the answer by the upstream follows.
 SEQUENCE_WINDOW = 1 << 26
-_SEQUENCE_SPACE = 1 << 32
+SEQUENCE_SPACE = 1 << 32
 
 
 @frozen
@@ -105,7 +105,18 @@
     Returns:
         Whether they lie within the window of each other.
     """
-    difference = (number - reference) % _SEQUENCE_SPACE
-    return (
-        difference < SEQUENCE_WINDOW or difference > _SEQUENCE_SPACE - SEQUENCE_WINDOW
-    )
+    difference = (number - reference) % SEQUENCE_SPACE
+    return difference < SEQUENCE_WINDOW or difference > SEQUENCE_SPACE - SEQUENCE_WINDOW
+
+
+def is_after(number: int, reference: int) -> bool:
+    """Says whether a number follows another one, or equals it.
+
+    Args:
+        number: A sequence number.
+        reference: Another of the same end.
+
+    Returns:
+        Whether it lies in the half of all numbers that begins with the reference.
+    """
+    return (number - reference) % SEQUENCE_SPACE < SEQUENCE_SPACE // 2
--- a/src/siskinshift/platform/configuration.py
+++ b/src/siskinshift/platform/configuration.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from siskinshift.connections.request_queue import Terms
 from siskinshift.connections.routes import ConnectionRoute
 from siskinshift.connections.routes import RouteTable
 from siskinshift.connections.routes import Target
@@ -59,9 +60,11 @@
         # A route's prefix is a port between slashes.
         address=pack_service_address(route["host"], int(route["prefix"].strip("/"))),
         targets=tuple(_decode_targets(route)),
-        deadline=route["timeout-ms"] / MILLISECONDS,
-        objective=route["target-latency-ms"] / MILLISECONDS,
-        urgency=route["priority"],
+        terms=Terms(
+            objective=route["target-latency-ms"] / MILLISECONDS,
+            deadline=route["timeout-ms"] / MILLISECONDS,
+            urgency=route["priority"],
+        ),
         is_single=route["type"] == DOWNLOAD,
     )
 
--- /dev/null
+++ b/tests/connections/test_request_queue.py
@@ -0,0 +1,194 @@
+"""Tests of which request an upstream gets next; no network, an injected clock."""
+
+from __future__ import annotations
+
+import heapq
+from random import Random
+
+import pytest
+from attrs import define
+
+from siskinshift.connections.request_queue import EXTRA_REQUESTS
+from siskinshift.connections.request_queue import STUCK_SECONDS
+from siskinshift.connections.request_queue import WAITING_MAXIMUM
+from siskinshift.connections.request_queue import RequestQueue
+from siskinshift.connections.request_queue import Terms
+
+
+SAVE = Terms(objective=0.12, deadline=0.6, urgency=1)
+FEED = Terms(objective=0.1, deadline=0.5, urgency=2)
+
+
+def _flow(number: int) -> bytes:
+    return number.to_bytes(12, "big")
+
+
+def _begin(
+    queue: RequestQueue, number: int, *, terms: Terms = FEED, now: float = 0.0
+) -> bool:
+    return queue.begin(_flow(number), 1, b"packet", terms, now=now)
+
+
+def _next(queue: RequestQueue, *, now: float) -> list[int]:
+    started = queue.next_requests(now=now)
+    return [int.from_bytes(request.flow, "big") for request in started]
+
+
+def _full_queue() -> RequestQueue:
+    """A queue whose slot is taken by requests 1 and 2, with a mean of 15 ms."""
+    queue = RequestQueue()
+    queue.mean_time = 0.015
+    for number in range(1, 2 + EXTRA_REQUESTS):
+        assert _begin(queue, number)
+    return queue
+
+
+def test_slots_and_one_more_are_handed_over() -> None:
+    queue = RequestQueue()
+    queue.slots = 3
+
+    handed_over = [_begin(queue, number) for number in range(10)]
+
+    assert handed_over.count(True) == 3 + EXTRA_REQUESTS
+    queue.finished(_flow(0), now=0.01)
+    assert _next(queue, now=0.01) == [3 + EXTRA_REQUESTS]
+
+
+def test_an_urgent_request_goes_before_others_that_are_in_time() -> None:
+    queue = _full_queue()
+    _begin(queue, 10, terms=FEED, now=0.0)
+    _begin(queue, 11, terms=SAVE, now=0.01)
+
+    queue.finished(_flow(1), now=0.02)
+
+    assert _next(queue, now=0.02) == [11]
+
+
+def test_a_request_in_time_goes_before_one_that_is_late_already() -> None:
+    queue = _full_queue()
+    _begin(queue, 10, now=0.0)
+    _begin(queue, 11, now=0.1)
+
+    queue.finished(_flow(1), now=0.12)
+
+    assert _next(queue, now=0.12) == [11]
+
+
+def test_a_late_request_goes_first_before_its_caller_gives_up() -> None:
+    queue = _full_queue()
+    _begin(queue, 10, now=0.0)
+    _begin(queue, 11, now=0.40)
+
+    queue.finished(_flow(1), now=0.41)
+
+    assert _next(queue, now=0.41) == [10]
+
+
+def test_what_its_caller_gave_up_is_not_run() -> None:
+    queue = _full_queue()
+    _begin(queue, 10, now=0.0)
+
+    queue.finished(_flow(1), now=FEED.deadline + 0.01)
+
+    assert _next(queue, now=FEED.deadline + 0.01) == []
+    assert queue.expire(now=FEED.deadline + 0.01) == 0
+    _begin(queue, 1, now=0.6)
+    _begin(queue, 11, now=0.6)
+    assert queue.expire(now=0.6 + FEED.deadline + 0.01) == 1
+
+
+def test_all_packets_of_a_request_stay_together() -> None:
+    queue = _full_queue()
+    for seq in (100, 1300, 100):
+        assert not queue.begin(_flow(10), seq, b"%d" % seq, FEED, now=0.0)
+    queue.finished(_flow(1), now=0.01)
+
+    (request,) = queue.next_requests(now=0.01)
+
+    assert list(request.packets.values()) == [b"100", b"1300"]
+
+
+def test_an_answer_that_never_comes_does_not_take_the_slot_for_good() -> None:
+    """The upstream drops a request without an answer; its slot must not stay taken."""
+    queue = _full_queue()
+    assert not _begin(queue, 10, terms=Terms(0.1, 10.0, 1), now=0.1)
+
+    assert _next(queue, now=STUCK_SECONDS + 0.01) == [10]
+
+
+def test_the_queue_is_bounded() -> None:
+    queue = _full_queue()
+    for number in range(WAITING_MAXIMUM):
+        assert not _begin(queue, 100 + number)
+
+    assert _begin(queue, 9999)
+
+
+@define
+class _Outcome:
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+
+
+def _play_return_of_all(*, uses_queue: bool, seed: int) -> _Outcome:
+    """All callers come back to one cold upstream, and new ones go on to come.
+
+    One slot, 24 ms a request; 12 requests at once, then one each 28 ms for 2 s. The
+    other way is the upstream's own queue of five in order of arrival, which refuses
+    what comes beyond.
+    """
+    random = Random(seed)
+    queue = RequestQueue()
+    queue.mean_time = 0.024
+    arrivals = [(random.random() * 0.01, n) for n in range(12)]
+    arrivals += [(0.01 + 0.028 * n, 12 + n) for n in range(70)]
+    arrived_at = {number: at for at, number in arrivals}
+    events = [(at, "arrives", number) for at, number in arrivals]
+    heapq.heapify(events)
+    inside: list[int] = []
+    outcome = _Outcome()
+
+    def hand_over(number: int, now: float) -> None:
+        inside.append(number)
+        if len(inside) == 1:
+            heapq.heappush(events, (now + 0.024, "answered", number))
+
+    while events:
+        now, event, number = heapq.heappop(events)
+        if event == "arrives":
+            if uses_queue:
+                if _begin(queue, number, now=now):
+                    hand_over(number, now)
+            elif len(inside) >= 6:
+                outcome.refused += 1
+            else:
+                hand_over(number, now)
+            continue
+        inside.remove(number)
+        waited = now - arrived_at[number]
+        outcome.in_time += waited <= FEED.objective
+        outcome.late += FEED.objective < waited <= FEED.deadline
+        if uses_queue:
+            queue.finished(_flow(number), now=now)
+            for request in queue.next_requests(now=now):
+                inside.append(int.from_bytes(request.flow, "big"))
+        if inside:
+            heapq.heappush(events, (now + 0.024, "answered", inside[0]))
+    return outcome
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_callers_get_more_when_all_come_back_at_once(seed: int) -> None:
+    """The load that this module answers: saturation by a backlog.
+
+    In order of arrival each new request waits behind the backlog and is late as well,
+    and what the upstream's queue does not hold is refused.
+    """
+    before = _play_return_of_all(uses_queue=False, seed=seed)
+    after = _play_return_of_all(uses_queue=True, seed=seed)
+
+    assert after.refused == 0
+    assert before.refused > 0
+    assert after.in_time >= before.in_time
+    assert after.in_time + after.late > before.in_time + before.late
