--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -191,7 +191,9 @@
         flow.reference = segment.seq
         flow.used_at = now
         if segment.length:
-            self._queue.finished(segment.flow, now=now)
+            taken = self._queue.finished(segment.flow, now=now)
+            if taken is not None:
+                self._log.metrics.observe("request_run", taken)
         if segment.flags & RESET:
             self._end(segment.flow, flow, now=now)
         elif segment.flags & FIN:
@@ -302,6 +304,7 @@
                 flow=flow_name(request.flow),
                 waited=round(now - request.arrived_at, 4),
             )
+            self._log.metrics.observe("request_wait", now - request.arrived_at)
             actions += [ToUpstream(packet) for packet in request.packets.values()]
         return actions
 
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -7,6 +7,7 @@
 
 from siskinshift.connections.agent_flows import AgentFlows
 from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
+from siskinshift.connections.flow_ledger import READ_PAUSE_SECONDS
 from siskinshift.connections.flow_ledger import WRITE_SECONDS
 from siskinshift.connections.flow_ledger import FlowLedger
 from siskinshift.connections.node import ConnectionNode
@@ -194,7 +195,10 @@
             self.perform(self.flows.verify_all(now=now))
 
     def _keep_ledger(self) -> None:
-        segments = [decode_from_caller(packet) for packet in self._ledger.load()]
+        packets = self._ledger.load()
+        while packets is None and not self.stopping.wait(READ_PAUSE_SECONDS):
+            packets = self._ledger.load()
+        segments = [decode_from_caller(packet) for packet in packets or ()]
         known = [segment for segment in segments if segment is not None]
         self.loop.call(lambda: self._restore(known))
         while not self.stopping.wait(WRITE_SECONDS):
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -387,6 +387,7 @@
             verdict=verdict.name.lower(),
         )
         if verdict is Verdict.ACCEPTED:
+            self._log.metrics.observe("flow_opening", now - record.opened_at)
             return []
         if any(a.verdict in (None, Verdict.ACCEPTED) for a in record.attempts):
             return []
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -11,7 +11,6 @@
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.placement import AgentPlacement
 from siskinshift.control.exceptions import BadMessageError
-from siskinshift.messages.core import Endpoint
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.platform.configuration import CONFIGURATION_KEY
@@ -29,6 +28,7 @@
     from siskinshift.connections.fleet import Peer
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.peer_messages import PeerMessage
+    from siskinshift.messages.core import Endpoint
     from siskinshift.runtime.http_server import HttpRequest
 
 
@@ -78,8 +78,6 @@
     def on_start(self) -> None:
         """Starts to forward; readiness follows with configuration and agents."""
         super().on_start()
-        own = Endpoint(self.node_settings.host, self.node_settings.peer_port)
-        self.serve(own, self._answer_peer)
         self.loop.add_socket(self._caller_socket, self._on_caller_datagram)
         self.owns(self._follower.stop)
         self.spawn(self._follower.follow_until, self.stopping)
@@ -226,8 +224,9 @@
             client.close()
             self._is_fetching = False
 
-    def _answer_peer(self, request: HttpRequest) -> HttpReply:
+    def answer_peer(self, request: HttpRequest) -> HttpReply:
+        """Gives peers the configuration that is in force here, as it was read."""
         if request.path != CONFIGURATION_PATH:
-            return HttpReply(404)
+            return super().answer_peer(request)
         value = self._configuration_value
         return HttpReply(200, value) if value else HttpReply(503)
--- a/src/siskinshift/connections/flow_ledger.py
+++ b/src/siskinshift/connections/flow_ledger.py
@@ -33,6 +33,8 @@
 RENEW_SECONDS = 9.0
 # 64 KB of a value of a megabyte; more flows than that are left out.
 FLOWS_MAXIMUM = 2000
+# A list that could not be read is tried again at this pace.
+READ_PAUSE_SECONDS = 0.4
 _SIZE_BYTES = 2
 
 
@@ -63,17 +65,18 @@
         self._renew_at = 0.0
         self._written: bytes = b""
 
-    def load(self) -> list[bytes]:
+    def load(self) -> list[bytes] | None:
         """Reads the list of the process before this one.
 
         Returns:
-            Its packets; none when the store does not answer.
+            Its packets; None when the store does not answer: read again, and write
+            nothing before, since that would replace the list.
         """
         try:
             entry = self._store.get(self._key)
         except StoreUnavailableError as error:
-            self._log.fact("flow list not read", error=str(error))
-            return []
+            self._log.decision("flow list not read", error=str(error))
+            return None
         return decode_packets(entry.value) if entry else []
 
     def step(self, *, now: float) -> None:
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -55,6 +55,8 @@
 # Seeds are asked again until one answered.
 SEED_INTERVAL_SECONDS = 0.5
 FORGET_INTERVAL_SECONDS = 1.0
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4"
 
 
 class ConnectionNode(LifeCycle):
@@ -112,6 +114,8 @@
         )
         self.loop.add_socket(self.peer_socket, self._on_peer_datagram)
         self.loop.add_timer(self._tick)
+        own = Endpoint(self.node_settings.host, self.node_settings.peer_port)
+        self.serve(own, self.answer_peer)
         if self.node_settings.readiness is not None:
             self.serve(self.node_settings.readiness, self._answer_readiness)
         self.spawn(self._keep_registered)
@@ -337,6 +341,25 @@
         while not self.stopping.is_set():
             self.stopping.wait(self._registration.step(now=self.clock()))
 
+    def answer_peer(self, request: HttpRequest) -> HttpReply:
+        """Answers calls of peers and of whoever collects metrics.
+
+        Args:
+            request: The call.
+
+        Returns:
+            The answer.
+        """
+        if request.path != METRICS_PATH:
+            return HttpReply(404)
+        metrics = self.log.metrics
+        metrics.set_gauge("flows", self.load.flows)
+        metrics.set_gauge("requests_running", self.load.running)
+        metrics.set_gauge("peers", len(self.fleet.peers_by_id))
+        metrics.set_gauge("configuration_version", self.configuration_version)
+        metrics.set_gauge("log_lines_dropped", self.log.dropped)
+        return HttpReply(200, metrics.render().encode(), METRICS_TYPE)
+
     def _answer_readiness(self, request: HttpRequest) -> HttpReply:
         if request.path != READINESS_PATH:
             return HttpReply(404)
--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -149,20 +149,25 @@
         self._waiting_by_flow[flow] = request
         return False
 
-    def finished(self, flow: bytes, *, now: float) -> None:
+    def finished(self, flow: bytes, *, now: float) -> float | None:
         """Takes note that a request was answered or its flow ended.
 
         Args:
             flow: Its flow.
             now: Clock reading, seconds.
+
+        Returns:
+            Seconds since it was handed over; None if it was not.
         """
         self._waiting_by_flow.pop(flow, None)
         started_at = self._started_at_by_flow.pop(flow, None)
         if started_at is None:
-            return
+            return None
+        taken = now - started_at
         if not self.mean_time:
-            self.mean_time = now - started_at
-        self.mean_time += MEAN_GAIN * (now - started_at - self.mean_time)
+            self.mean_time = taken
+        self.mean_time += MEAN_GAIN * (taken - self.mean_time)
+        return taken
 
     def next_requests(self, *, now: float) -> Iterator[WaitingRequest]:
         """Hands over what there is room for.
--- a/src/siskinshift/observability/event_log.py
+++ b/src/siskinshift/observability/event_log.py
@@ -15,6 +15,8 @@
 
 import orjson
 
+from siskinshift.observability.node_metrics import NodeMetrics
+
 
 if TYPE_CHECKING:
     from siskinshift.core.clocks import Clock
@@ -38,6 +40,7 @@
 
     Attributes:
         dropped: Lines dropped so far.
+        metrics: Counts each decision, also those that are not logged.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
             descriptor: Where lines go.
         """
         self.dropped = 0
+        self.metrics = NodeMetrics()
         self._process = process
         self._clock = clock
         self._descriptor = descriptor
@@ -67,6 +71,7 @@
             event: What was decided.
             fields: What decided it, with ages and versions, and the outcome.
         """
+        self.metrics.count_decision(event, _reason_of(fields))
         now = self._clock()
         grown = (now - self._filled_at) * DECISIONS_PER_SECOND
         self._tokens = min(DECISIONS_BURST, self._tokens + grown)
@@ -84,6 +89,7 @@
             event: What happened.
             fields: What belongs to it.
         """
+        self.metrics.count_decision(event, "")
         self._put(event, self._clock(), fields)
 
     def write_until(self, stopping: threading.Event) -> None:
@@ -123,3 +129,8 @@
         except OSError:
             # Nobody reads any more; the next line that gets out tells how many.
             self.dropped += len(lines)
+
+
+def _reason_of(fields: dict[str, EventValue]) -> str:
+    reason = fields.get("reason") or fields.get("verdict") or ""
+    return str(reason)
--- a/src/siskinshift/standins/platform_store.py
+++ b/src/siskinshift/standins/platform_store.py
@@ -137,7 +137,7 @@
         item = self._items.get(key)
         return base64.b64decode(item.value) if item else None
 
-    def keys(self) -> list[str]:
+    def key_names(self) -> list[str]:
         """Lists all keys."""
         self._end_leases()
         return sorted(self._items)
--- a/tests/connections/test_processes.py
+++ b/tests/connections/test_processes.py
@@ -165,3 +165,30 @@
         assert caller.request(b"1").endswith(b"|1")
     finally:
         deployment.stop()
+
+
+def test_the_list_of_flows_is_read_when_the_store_is_back(
+    deployment: Deployment,
+) -> None:
+    """All power is lost while the store is down; an idle caller still holds a flow.
+
+    The restarted agent can't read which flows its predecessor owned. It goes on to
+    try, and resets the caller once the store answers.
+    """
+    caller = deployment.caller("dossiers", "balancer-1", host="127.0.3.1")
+    caller.open()
+    caller.request(b"1")
+    until = time.monotonic() + 20.0
+    while "siskinshift/flows/dossiers-1" not in deployment.store.state.key_names():
+        assert time.monotonic() < until
+        time.sleep(0.1)
+
+    deployment.store.state.faults.refuse_with = 503
+    deployment.kill("dossiers-1")
+    deployment.sides_by_name["dossiers-1"].replace_upstream()
+    deployment.start("dossiers-1")
+    deployment.wait_until_ready("dossiers-1")
+    deployment.store.state.faults.refuse_with = 0
+
+    with pytest.raises(FlowReset):
+        caller.wait_for_reset(timeout=10.0)
