--- a/src/siskinshift/console/commands/check.py
+++ b/src/siskinshift/console/commands/check.py
@@ -4,6 +4,8 @@
 
 from pathlib import Path
 
+import attrs
+
 from siskinshift.console.registry import command
 
 
@@ -13,12 +15,19 @@
 
     Secrets are never printed. Exit status is 2 when a value is not allowed.
 
+    A file whose name ends with .toml is read as the platform's settings of a node.
+
     Example: siskinshift check balancer.ini
 
     Args:
-        settings: Path of the INI file.
-        output: text or json.
+        settings: Path of the file.
+        output: text or json; text for a platform's file.
     """
+    if settings.endswith(".toml"):
+        from siskinshift.platform.settings import load_node_settings
+
+        loaded = load_node_settings(Path(settings))
+        return "\n".join(f"{k} = {v}" for k, v in attrs.asdict(loaded).items())
     from siskinshift.settings.loader import load_settings
     from siskinshift.settings.printer import print_settings
 
--- /dev/null
+++ b/src/siskinshift/console/commands/explain.py
@@ -0,0 +1,32 @@
+"""Command `explain`: from a flow's identity to what became of it, and why."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from siskinshift.console.registry import command
+
+
+@command("explain")
+def explain_flow(identity: str, *logs: str) -> str:
+    """Prints the time line of a flow over all processes, and the likely cause.
+
+    The identity is the caller's address and port, or the whole flow as logs write it.
+
+    Example: siskinshift explain 100.64.0.7:40001 balancer-1.log agent-3.log
+
+    Args:
+        identity: The flow or its caller's endpoint.
+        logs: Files with lines of processes; standard input when none is named.
+    """
+    from siskinshift.observability.explanation import explain
+    from siskinshift.observability.explanation import parse_lines
+    from siskinshift.observability.explanation import render
+
+    texts: list[str] = []
+    for name in logs:
+        texts += Path(name).read_text(encoding="utf-8", errors="replace").splitlines()
+    if not logs:
+        texts = sys.stdin.read().splitlines()
+    return render(explain(parse_lines(texts), str(identity)))
--- a/src/siskinshift/observability/event_log.py
+++ b/src/siskinshift/observability/event_log.py
@@ -9,6 +9,7 @@
 
 import os
 import threading
+import time
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import TypeAlias
@@ -44,7 +45,12 @@
     """
 
     def __init__(
-        self, *, process: str, clock: Clock, descriptor: int = STANDARD_OUTPUT
+        self,
+        *,
+        process: str,
+        clock: Clock,
+        descriptor: int = STANDARD_OUTPUT,
+        time_of_day: Clock = time.time,
     ) -> None:
         """Prepares without writing.
 
@@ -52,12 +58,14 @@
             process: Name of the process, in each line.
             clock: Clock of the process.
             descriptor: Where lines go.
+            time_of_day: Clock that processes share, for readers only: it may jump.
         """
         self.dropped = 0
         self.metrics = NodeMetrics()
         self._process = process
         self._clock = clock
         self._descriptor = descriptor
+        self._time_of_day = time_of_day
         self._lines: deque[bytes] = deque()
         self._wake = threading.Event()
         self._tokens = DECISIONS_BURST
@@ -108,6 +116,7 @@
             return
         line: dict[str, EventValue] = {
             "t": round(now, 4),
+            "at": round(self._time_of_day(), 3),
             "process": self._process,
             "event": event,
             **fields,
--- /dev/null
+++ b/tests/observability/test_explanation.py
@@ -0,0 +1,83 @@
+"""Tests of the way from a flow's identity to the cause."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+
+from siskinshift.observability.explanation import explain
+from siskinshift.observability.explanation import parse_lines
+from siskinshift.observability.explanation import render
+
+
+FLOW = "100.64.0.7:40001>198.18.0.1:443"
+
+
+def _line(at: float, process: str, event: str, **fields: object) -> str:
+    stamp = {"t": at, "at": at, "process": process, "event": event}
+    return orjson.dumps(stamp | fields).decode()
+
+
+@pytest.mark.parametrize(
+    ("event", "reason", "words"),
+    [
+        ("reset", "no route", "has no route"),
+        ("reset", "no upstream holds the flow", "its upstream is gone"),
+        ("reset", "no agent takes it", "refused under load"),
+        ("refused", "unavailable", "its agent ends"),
+    ],
+)
+def test_the_deciding_line_gives_the_cause(event: str, reason: str, words: str) -> None:
+    lines = parse_lines(
+        [
+            _line(1.0, "balancer-1", "open", flow=FLOW, agent="agent-1"),
+            _line(1.1, "agent-1", event, flow=FLOW, reason=reason),
+        ]
+    )
+
+    assert words in explain(lines, "100.64.0.7:40001").cause
+
+
+def test_lines_of_all_processes_come_in_order_with_what_happened_around() -> None:
+    """A restarted agent makes a caller wait; its own lines tell of the restart."""
+    texts = [
+        _line(2.0, "agent-1", "started", role="agent"),
+        "garbage",
+        "  12.3 agent-1 " + _line(0.9, "agent-1", "leaving"),
+        _line(1.5, "balancer-1", "open", flow=FLOW, agent="agent-1", attempt=1),
+        _line(1.54, "balancer-1", "open", flow=FLOW, agent="agent-2", attempt=2),
+        _line(1.2, "agent-9", "started"),
+        _line(90.0, "agent-1", "stopped"),
+    ]
+
+    explanation = explain(parse_lines(texts), FLOW)
+
+    shown = [(line.process, line.event) for line in explanation.lines]
+    assert shown == [
+        ("agent-1", "leaving"),
+        ("balancer-1", "open"),
+        ("balancer-1", "open"),
+        ("agent-1", "started"),
+    ]
+    assert "agent-1" in explanation.cause
+    assert "likely cause" in render(explanation)
+
+
+def test_missing_lines_are_said() -> None:
+    lines = parse_lines([_line(1.0, "agent-1", "started", dropped_lines=7)])
+
+    explanation = explain(lines, FLOW)
+
+    assert "no line" in explanation.cause
+    assert "7 lines" in explanation.missing
+
+
+def test_nothing_is_made_up_for_a_flow_that_went_well() -> None:
+    lines = parse_lines(
+        [
+            _line(1.0, "b", "open", flow=FLOW, agent="a"),
+            _line(1.1, "b", "opening answered", flow=FLOW, verdict="accepted"),
+        ]
+    )
+
+    assert "refused nothing" in explain(lines, FLOW).cause
