--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -31,7 +31,7 @@
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import flow_name
 from siskinshift.connections.segment import is_after
-from siskinshift.connections.segment import is_near
+from siskinshift.connections.segment import is_between
 
 
 if TYPE_CHECKING:
@@ -56,6 +56,10 @@
 # A flow that was silent for this long is forgotten; flows live a minute at most.
 IDLE_SECONDS = 90.0
 FOREIGN_MAXIMUM = 20_000
+# An end has 16 packets of 1,200 bytes in flight at most; this is several times that.
+IN_FLIGHT_MAXIMUM = 1 << 17
+# What an upstream may have sent unseen by this process: seconds at 100 Mbit/s.
+UNSEEN_WINDOW = 1 << 26
 
 
 @define(eq=False)
@@ -65,7 +69,10 @@
     Attributes:
         opened_at: When it began, seconds.
         used_at: When a packet was last seen, seconds.
-        reference: Newest sequence number of the upstream; None before its answer.
+        lowest: Least number that a caller may acknowledge; None before the upstream's
+            answer.
+        highest: Number that follows the upstream's newest data.
+        is_confirmed: Whether the upstream has held the flow open for certain.
         opener: Balancer that brought the opening packet; None once it was told.
         acknowledged: What the caller acknowledged last.
         bare_packet: A caller's packet without data: it can be sent to the upstream
@@ -77,7 +84,9 @@
 
     opened_at: float
     used_at: float
-    reference: int | None = None
+    lowest: int | None = None
+    highest: int = 0
+    is_confirmed: bool = False
     opener: tuple[str, int] | None = None
     acknowledged: int = 0
     bare_packet: bytes = b""
@@ -85,6 +94,50 @@
     ends_seen: int = 0
     ended_at: float = 0.0
 
+    def acknowledges_it(self, ack: int) -> bool:
+        """Says whether a caller's packet is of this upstream's flow.
+
+        Two upstreams may answer one opening packet. The numbers they draw may lie
+        near each other, so only what this upstream has sent counts.
+
+        Args:
+            ack: What the caller acknowledges.
+
+        Returns:
+            Whether this upstream sent just that.
+        """
+        return self.lowest is not None and is_between(ack, self.lowest, self.highest)
+
+    def note_upstream(self, segment: Segment) -> None:
+        """Takes note of what the upstream has sent.
+
+        Args:
+            segment: Its packet.
+        """
+        control = 1 if segment.flags & (SYN | FIN) else 0
+        follows = (segment.seq + segment.length + control) % SEQUENCE_SPACE
+        if not segment.flags & SYN:
+            self.is_confirmed = True
+        if self.lowest is None:
+            if segment.flags & SYN:
+                self.lowest = self.highest = follows
+            else:
+                self.begin_in_the_middle(follows)
+        elif is_after(follows, self.highest):
+            self.highest = follows
+
+    def begin_in_the_middle(self, number: int) -> None:
+        """Takes note of a flow that opened before this process knew of it.
+
+        Its upstream holds it, so no other one can: the range may be wide. It has to
+        be, since the first packet seen may be a copy of an old one.
+
+        Args:
+            number: A number that the upstream has reached.
+        """
+        self.lowest = (number - IN_FLIGHT_MAXIMUM) % SEQUENCE_SPACE
+        self.highest = (number + UNSEEN_WINDOW) % SEQUENCE_SPACE
+
 
 class AgentFlows:
     """Flows of the upstream beside one agent.
@@ -147,7 +200,7 @@
         flow = self._flows.get(segment.flow)
         if flow is None:
             return self._offer(segment, sender, now=now)
-        if flow.reference is None or not is_near(segment.ack, flow.reference):
+        if not flow.acknowledges_it(segment.ack):
             # Another upstream's answer reached the caller first.
             if segment.flags & RESET:
                 return []
@@ -188,7 +241,7 @@
         if flow.opener is not None and segment.flags & SYN:
             actions.append(self._say(Verdict.ACCEPTED, segment.flow, flow.opener))
             flow.opener = None
-        flow.reference = segment.seq
+        flow.note_upstream(segment)
         flow.used_at = now
         if segment.length:
             taken = self._queue.finished(segment.flow, now=now)
@@ -249,7 +302,8 @@
             if segment.flow in self._flows:
                 continue
             flow = self._add(segment.flow, now=now)
-            flow.reference = segment.ack
+            flow.begin_in_the_middle(segment.ack)
+            flow.is_confirmed = True
             flow.acknowledged = segment.ack
             flow.bare_packet = segment.datagram
 
@@ -364,6 +418,10 @@
             return [self._say(Verdict.NOT_MINE, segment.flow, asker, segment.datagram)]
         if flow is None or flow.ended_at:
             return []
+        if not flow.is_confirmed:
+            # The upstream never held it open, so another one may.
+            self._forget(segment.flow, flow, now=now)
+            return []
         # The caller acknowledged this upstream's own numbers, so no other upstream
         # can hold the flow.
         acknowledged = flow.acknowledged
@@ -373,6 +431,12 @@
         )
         return [ResetCaller(segment.flow, acknowledged)]
 
+    def _forget(self, name: bytes, flow: OwnedFlow, *, now: float) -> None:
+        self._end(name, flow, now=now)
+        del self._flows[name]
+        if len(self._foreign_until) < FOREIGN_MAXIMUM:
+            self._foreign_until[name] = now + FOREIGN_SECONDS
+
     def _note_caller_packet(
         self, flow: OwnedFlow, segment: Segment, terms: Terms, *, now: float
     ) -> bool:
--- a/src/siskinshift/connections/segment.py
+++ b/src/siskinshift/connections/segment.py
@@ -14,10 +14,6 @@
 BOUNCED = 16
 
 FLOW_SIZE = 12
-# An end sends less than this between two looks at its flow; sequence numbers are
-# drawn from 2 ** 32, so that a foreign number falls inside once in 32 flows at most
-# and a check of the answer by the upstream follows.
-SEQUENCE_WINDOW = 1 << 26
 SEQUENCE_SPACE = 1 << 32
 
 
@@ -95,18 +91,18 @@
     return f"{caller_host(flow)}:{caller_port}>{service_host}:{service_port}"
 
 
-def is_near(number: int, reference: int) -> bool:
-    """Says whether two numbers can belong to one end of one flow.
+def is_between(number: int, lowest: int, highest: int) -> bool:
+    """Says whether a number lies in a range that may wrap around.
 
     Args:
         number: A sequence number.
-        reference: Another.
+        lowest: First number of the range.
+        highest: Last number of the range.
 
     Returns:
-        Whether they lie within the window of each other.
+        Whether it does.
     """
-    difference = (number - reference) % SEQUENCE_SPACE
-    return difference < SEQUENCE_WINDOW or difference > SEQUENCE_SPACE - SEQUENCE_WINDOW
+    return (number - lowest) % SEQUENCE_SPACE <= (highest - lowest) % SEQUENCE_SPACE
 
 
 def is_after(number: int, reference: int) -> bool:
