--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -420,9 +420,9 @@
             return [self._forward_owned(record, record.owner, segment, now=now)]
         search = record.search
         if search is not None and search.is_waiting(self._fleet, now=now):
-            search.packet = segment.datagram
+            search.add(segment.datagram)
             peers = [self._fleet.peers_by_id[i] for i in sorted(search.pending)]
-            return self._ask(record, search, peers)
+            return self._ask(record, [segment.datagram], peers)
         return self._begin_search(record, segment.datagram, now=now)
 
     def _begin_search(
@@ -434,7 +434,7 @@
         record.search = OwnerSearch(
             flow=record.flow,
             service_ids=tuple(t.service_id for t in route.targets) if route else (),
-            packet=packet,
+            packets=[packet],
             first=tuple(a.agent.member.member_id for a in record.attempts),
             asked={denied_by},
         )
@@ -448,7 +448,7 @@
         )
         if agents:
             self._searches.append((search.next_wave_at, record, search))
-            return self._ask(record, search, agents)
+            return self._ask(record, search.packets, agents)
         if search.is_waiting(self._fleet, now=now):
             return []
         record.search = None
@@ -466,11 +466,12 @@
         return [ResetCaller(record.flow, record.acknowledged)]
 
     def _ask(
-        self, record: FlowRecord, search: OwnerSearch, agents: list[Peer]
+        self, record: FlowRecord, packets: list[bytes], agents: list[Peer]
     ) -> list[Action]:
         return [
-            self._forward(agent, Purpose.SEARCH, search.packet, record)
+            self._forward(agent, Purpose.SEARCH, packet, record)
             for agent in agents
+            for packet in packets
         ]
 
     def _on_not_mine(
@@ -486,8 +487,6 @@
         if search is None or member_id not in search.pending:
             return []
         search.said_no(member_id)
-        if packet:
-            search.packet = packet
         if search.is_waiting(self._fleet, now=now):
             return []
         return self._next_wave(record, search, now=now)
--- a/src/siskinshift/connections/owner_search.py
+++ b/src/siskinshift/connections/owner_search.py
@@ -29,6 +29,8 @@
 # Agents that have not answered by now are not waited for; a verdict takes one to three
 # milliseconds.
 WAVE_SECONDS = 0.03
+# Packets kept for a search; callers have sixteen on the way at most.
+PACKETS_MAXIMUM = 16
 
 
 def home_agents(agents: Sequence[Peer], flow: bytes) -> list[Peer]:
@@ -58,7 +60,8 @@
     Attributes:
         flow: The flow.
         service_ids: Services that may hold it by the configuration.
-        packet: A packet of the flow to ask with.
+        packets: Packets of the flow so far; each agent that is asked gets all, since
+            the one that holds the flow needs them.
         first: Member ids to ask first, since they were asked to open the flow.
         pending: Member ids that were asked and have not said no.
         asked: Member ids that were asked.
@@ -68,7 +71,7 @@
 
     flow: bytes
     service_ids: tuple[str, ...]
-    packet: bytes
+    packets: list[bytes]
     first: tuple[str, ...] = ()
     pending: set[str] = Factory(set)
     asked: set[str] = Factory(set)
@@ -98,6 +101,15 @@
                 return new
         return []
 
+    def add(self, packet: bytes) -> None:
+        """Keeps a further packet of the flow.
+
+        Args:
+            packet: The packet; a copy of one that is kept changes nothing.
+        """
+        if packet not in self.packets and len(self.packets) < PACKETS_MAXIMUM:
+            self.packets.append(packet)
+
     def said_no(self, member_id: str) -> None:
         """Takes note that an agent does not hold the flow.
 
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -167,6 +167,30 @@
     assert last == [ResetCaller(flow_of(1), 9)]
 
 
+def test_each_wave_gets_all_packets_of_a_request() -> None:
+    """Routers move a flow to another balancer in the middle of a large save.
+
+    Its packets come one after the other while the first agents are asked; those say
+    no. The next ones got the last packet only, so the caller had to send the first one
+    again 200 ms later.
+    """
+    far = [member(f"far-{i}", host=f"10.0.3.{i}", domain="b") for i in (1, 2)]
+    fleet = fleet_of(*agents(2), *far)
+    flows = balancer_flows(fleet)
+    first = segment(1, seq=100, ack=9, length=1200)
+    second = segment(1, seq=1300, ack=9, length=300)
+    flows.on_segment(first, now=0.0)
+    flows.on_segment(second, now=0.0)
+    flows.on_segment(first, now=0.0)
+
+    _verdict(flows, fleet, "10.0.1.1", Verdict.NOT_MINE, packet=first.datagram)
+    actions = _verdict(flows, fleet, "10.0.1.2", Verdict.NOT_MINE, packet=b"returned")
+
+    datagrams = [action.datagram for action in actions if isinstance(action, ToPeer)]
+    for packet in (first, second):
+        assert sum(d.endswith(packet.datagram) for d in datagrams) == len(far)
+
+
 def test_a_balancer_that_does_not_know_all_agents_yet_resets_nothing() -> None:
     """A balancer restarts and hears of one agent before it has read who is there.
 
