--- a/src/siskinshift/observability/explanation.py
+++ b/src/siskinshift/observability/explanation.py
@@ -18,6 +18,10 @@
 
 # Events of the processes involved that lie this near to the flow's are shown as well.
 CONTEXT_SECONDS = 3.0
+# Many at each start, and no cause of anything.
+_NOISE = frozenset({"peer found", "registered"})
+# A wait beside the upstream that a caller notices.
+WAIT_SECONDS = 0.05
 _STAMP_FIELDS = frozenset({"t", "at", "process", "event", "flow", "dropped_lines"})
 
 # What a decision means for the caller; the last one that decided is the likely cause.
@@ -127,6 +131,7 @@
         line
         for line in lines
         if "flow" not in line.fields
+        and line.event not in _NOISE
         and line.process in involved
         and begin <= line.at <= end
     ]
@@ -142,6 +147,9 @@
         cause = _CAUSES.get((line.event, reason))
         if cause:
             return f"{cause} ({line.process})"
+    waits = [_number(line.fields.get("waited")) for line in own]
+    if waits and max(waits) > WAIT_SECONDS:
+        return f"slow under load: waited {max(waits)} s beside its upstream"
     attempts = [line for line in own if line.event == "open"]
     if len(attempts) > 1:
         agent = attempts[0].fields.get("agent", "")
@@ -152,6 +160,10 @@
     return "the system refused nothing: look at the upstream and the events around"
 
 
+def _number(value: object) -> float:
+    return float(value) if isinstance(value, (int, float)) else 0.0
+
+
 def _dropped(line: LogLine) -> int:
     dropped = line.fields.get("dropped_lines", 0)
     return dropped if isinstance(dropped, int) else 0
--- a/tests/observability/test_explanation.py
+++ b/tests/observability/test_explanation.py
@@ -81,3 +81,18 @@
     )
 
     assert "refused nothing" in explain(lines, FLOW).cause
+
+
+def test_a_request_that_waited_is_told_from_one_that_was_refused() -> None:
+    lines = parse_lines(
+        [
+            _line(1.0, "b", "open", flow=FLOW, agent="a"),
+            _line(9.0, "a", "request started", flow=FLOW, waited=0.175),
+            _line(9.1, "a", "peer found", peer="b-2"),
+        ]
+    )
+
+    explanation = explain(lines, FLOW)
+
+    assert "waited 0.175 s" in explanation.cause
+    assert len(explanation.lines) == 2
