--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,9 @@
 .PHONY: bench-telemetry
 bench-telemetry: environment
 	$(PYTHON) -m siskinshift.bench.telemetry
+
+SEEDS ?= 1 2 3 4 5
+SECONDS ?= 20
+.PHONY: soak
+soak: environment
+	$(PYTHON) -m tests.soak.soak $(SECONDS) $(SEEDS)
--- a/src/siskinshift/connections/fleet.py
+++ b/src/siskinshift/connections/fleet.py
@@ -30,10 +30,14 @@
 STATUS_INTERVAL_SECONDS = 0.5
 # Five statuses lost in a row are no chance on a link that loses one in forty.
 SILENT_AFTER_SECONDS = 2.6
-# A peer that a node was told of is greeted and answers in milliseconds, or within this
-# when it starts as well. The store shows entries of the dead until their leases end,
-# and flows that nobody holds are found out only when all agents have spoken.
-ANSWER_SECONDS = 0.6
+# A peer that a node was told of is greeted until it speaks; it answers in milliseconds,
+# or within this when it starts as well or greetings are lost. The store shows entries
+# of the dead until their leases end, and flows that nobody holds are found out only
+# when all agents have spoken.
+ANSWER_SECONDS = 1.5
+# Pause between two greetings of one peer: the first one may be lost on a full link, and
+# the peer would not know of this node until it reads the store.
+GREET_AGAIN_SECONDS = 0.25
 # While the store is away at a node's start, peers make themselves known within this:
 # they speak twice a second, and those that are known name the others.
 COMPLETE_AFTER_SECONDS = 2.0
@@ -243,6 +247,21 @@
                 added.append(peer)
         return added
 
+    def unheard(self, *, now: float) -> list[Peer]:
+        """Lists peers that were told of lately and have not spoken since.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            Who should be greeted again.
+        """
+        return [
+            peer
+            for peer in self.peers_by_id.values()
+            if peer.heard_at < peer.known_at and now - peer.known_at <= ANSWER_SECONDS
+        ]
+
     def forget_silent(self, *, now: float) -> list[Peer]:
         """Forgets peers for which nothing speaks any more.
 
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -12,6 +12,7 @@
 from siskinshift.connections.actions import ToCaller
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.fleet import GREET_AGAIN_SECONDS
 from siskinshift.connections.fleet import Fleet
 from siskinshift.connections.peer_messages import Alive
 from siskinshift.connections.peer_messages import Load
@@ -107,6 +108,7 @@
         self._caller_port = settings.caller_packets.port
         self._seeds_asked_at = float("-inf")
         self._forgot_at = float("-inf")
+        self._greeted_at = float("-inf")
         self.is_leaving = False
 
     def on_start(self) -> None:
@@ -350,11 +352,15 @@
     def _tick(self, now: float) -> float:
         if now - self._seeds_asked_at >= SEED_INTERVAL_SECONDS:
             self._ask_seeds(now)
+        if now - self._greeted_at >= GREET_AGAIN_SECONDS:
+            self._greeted_at = now
+            self.send_status(self.fleet.unheard(now=now), wants_status=True)
         if now - self._forgot_at >= FORGET_INTERVAL_SECONDS:
             self._forgot_at = now
             for peer in self.fleet.forget_silent(now=now):
                 self.log.fact("peer forgotten", peer=peer.member.member_id)
         due = min(self._forgot_at + FORGET_INTERVAL_SECONDS, self.on_due(now))
+        due = min(due, self._greeted_at + GREET_AGAIN_SECONDS)
         if self._seeds_asked_at != float("inf"):
             due = min(due, self._seeds_asked_at + SEED_INTERVAL_SECONDS)
         return due
--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -68,6 +68,7 @@
         *,
         stopping: threading.Event,
         clock: Clock = monotonic_clock,
+        random: Random | None = None,
     ) -> None:
         """Prepares; connects with the first call.
 
@@ -75,12 +76,13 @@
             settings: Endpoint and rates.
             stopping: Ends watches when set.
             clock: Clock of the process.
+            random: Source of the breaker's jitter; None for a new one.
         """
         self._settings = settings
         self._stopping = stopping
         self._clock = clock
         self._guard = CallGuard(
-            settings, random=Random(), open_maximum=BREAKER_SECONDS_MAXIMUM
+            settings, random=random or Random(), open_maximum=BREAKER_SECONDS_MAXIMUM
         )
         self._lock = threading.Lock()
         self._client = self._new_client()
--- a/tests/connections/test_fleet.py
+++ b/tests/connections/test_fleet.py
@@ -6,6 +6,7 @@
 
 from siskinshift.connections.fleet import ANSWER_SECONDS
 from siskinshift.connections.fleet import FORGET_AFTER_SECONDS
+from siskinshift.connections.fleet import GREET_AGAIN_SECONDS
 from siskinshift.connections.fleet import SILENT_AFTER_SECONDS
 from siskinshift.connections.peer_messages import Alive
 from siskinshift.connections.peer_messages import Load
@@ -130,3 +131,19 @@
     assert not fleet.alive(peer, Alive(2, 1, Load(), 9), now=2.0)
     assert not fleet.alive(peer, Alive(1, 2, Load(), 9), now=2.0)
     assert peer.heard_at == 1.0
+
+
+def test_a_lost_greeting_is_sent_again_before_the_peer_counts_as_silent() -> None:
+    """A balancer starts on a full link and its greeting of an agent is lost.
+
+    The agent does not know of it and says nothing. Taken for silent it was left out of
+    the search for an owner, and its flow was reset while its upstream served.
+    """
+    fleet = fleet_of()
+    (peer,) = fleet.registered(agents(1), now=0.0)
+    greeted_again = [fleet.unheard(now=n * GREET_AGAIN_SECONDS) for n in range(1, 5)]
+
+    assert greeted_again == [[peer]] * 4
+    assert not peer.is_silent(now=1.0)
+    fleet.heard(Status(agents(1)[0], Load()), now=1.1)
+    assert fleet.unheard(now=1.2) == []
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,3 @@
+"""Tests; the folders mirror src/siskinshift."""
+
+from __future__ import annotations
