--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -32,12 +32,15 @@
 from siskinshift.observability.event_log import EventLog
 from siskinshift.platform.heartbeats import READINESS_PATH
 from siskinshift.platform.packets import encode_reset
+from siskinshift.platform.settings import load_node_settings
+from siskinshift.platform.settings import settings_path
 from siskinshift.platform.store import PlatformStore
 from siskinshift.runtime.event_loop import EventLoop
 from siskinshift.runtime.event_loop import open_datagram_socket
 from siskinshift.runtime.http_server import HttpReply
 from siskinshift.runtime.http_server import HttpServer
 from siskinshift.runtime.life_cycle import LifeCycle
+from siskinshift.settings.exceptions import SettingsError
 
 
 if TYPE_CHECKING:
@@ -170,7 +173,23 @@
         raise NotImplementedError
 
     def on_reload(self) -> None:
-        """Hook: the settings file may have changed."""
+        """Reads the settings again; a file that is wrong changes nothing.
+
+        Seeds are taken over. Names and addresses are those of the sockets and of the
+        node's entry: a change of them is told and needs a restart.
+        """
+        try:
+            new = load_node_settings(settings_path())
+        except SettingsError as error:
+            self.log.fact("settings refused", error=str(error))
+            return
+        old = self.node_settings
+        self.node_settings = attrs.evolve(old, seed_hosts=new.seed_hosts)
+        self.log.fact(
+            "settings read again",
+            seeds_changed=new.seed_hosts != old.seed_hosts,
+            needs_restart=new != self.node_settings,
+        )
 
     def on_message(
         self, message: PeerMessage, source: tuple[str, int], now: float
--- a/src/siskinshift/kv/transport.py
+++ b/src/siskinshift/kv/transport.py
@@ -12,8 +12,7 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from attrs import frozen
-
+from siskinshift.core.http import HttpAnswer
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
 
@@ -29,19 +28,6 @@
 LINE_SIZE_MAXIMUM = 8 << 20
 
 
-@frozen
-class HttpAnswer:
-    """Answer to a call.
-
-    Attributes:
-        status: HTTP status.
-        body: Body of the answer.
-    """
-
-    status: int
-    body: bytes
-
-
 class LineStream(Protocol):
     """Answer that goes on: one JSON document a line."""
 
--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -36,9 +36,9 @@
 
     from siskinshift.connections.node_settings import StoreSettings
     from siskinshift.core.clocks import Clock
+    from siskinshift.core.http import HttpAnswer
     from siskinshift.kv.port import Compare
     from siskinshift.kv.port import Operation
-    from siskinshift.runtime.http_client import HttpAnswer
 
 
 # The store answers in 4 ms; sixty times that is its slowest seen disturbance, and a
--- a/src/siskinshift/runtime/http_client.py
+++ b/src/siskinshift/runtime/http_client.py
@@ -8,7 +8,8 @@
 import httptools
 from attrs import Factory
 from attrs import define
-from attrs import frozen
+
+from siskinshift.core.http import HttpAnswer
 
 
 READ_BYTES = 262144
@@ -29,19 +30,6 @@
     """The call was sent and no whole answer came: it may have taken effect."""
 
 
-@frozen
-class HttpAnswer:
-    """Answer to a call.
-
-    Attributes:
-        status: HTTP status.
-        body: Body of the answer.
-    """
-
-    status: int
-    body: bytes
-
-
 @define
 class _AnswerReader:
     """Collects one answer; the parser calls its hooks."""
--- a/src/siskinshift/standins/kv_direct.py
+++ b/src/siskinshift/standins/kv_direct.py
@@ -6,9 +6,9 @@
 
 import orjson
 
+from siskinshift.core.http import HttpAnswer
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
-from siskinshift.kv.transport import HttpAnswer
 from siskinshift.standins.kv_state import AnswerLost
 
 
--- a/tests/configuration/simulation.py
+++ b/tests/configuration/simulation.py
@@ -40,7 +40,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from siskinshift.kv.transport import HttpAnswer
+    from siskinshift.core.http import HttpAnswer
     from siskinshift.standins.kv_state import KvState
 
 
--- a/tests/connections/direct_store.py
+++ b/tests/connections/direct_store.py
@@ -10,10 +10,10 @@
 import orjson
 
 from siskinshift.connections.node_settings import StoreSettings
+from siskinshift.core.http import HttpAnswer
 from siskinshift.messages.core import Endpoint
 from siskinshift.platform.store import PlatformStore
 from siskinshift.runtime.http_client import AnswerLostError
-from siskinshift.runtime.http_client import HttpAnswer
 from siskinshift.runtime.http_client import HttpClient
 from siskinshift.standins.platform_store import AnswerLost
 from siskinshift.standins.platform_store import PlatformStoreState
