--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -436,7 +436,7 @@
             service_ids=tuple(t.service_id for t in route.targets) if route else (),
             packets=[packet],
             first=tuple(a.agent.member.member_id for a in record.attempts),
-            asked={denied_by},
+            asked={denied_by} if denied_by else set(),
         )
         return self._next_wave(record, record.search, now=now)
 
--- a/src/siskinshift/connections/flow_ledger.py
+++ b/src/siskinshift/connections/flow_ledger.py
@@ -85,7 +85,12 @@
         Args:
             now: Clock reading, seconds.
         """
-        value = encode_packets(self._packets()[:FLOWS_MAXIMUM])
+        try:
+            value = encode_packets(self._packets()[:FLOWS_MAXIMUM])
+        except TimeoutError:
+            # The instance stood still; the next step collects again.
+            self._log.fact("flow list not collected")
+            return
         try:
             self._keep_lease(now=now)
             if value != self._written:
--- a/tests/connections/test_flow_ledger.py
+++ b/tests/connections/test_flow_ledger.py
@@ -71,6 +71,30 @@
     assert agent.restarted().load() == agent.packets
 
 
+def test_an_instance_that_stood_still_goes_on_to_write_its_list() -> None:
+    """An instance is frozen for seconds while its agent collects the flows.
+
+    The collection times out. The task ended with that error once, and no list was
+    written for the rest of the process's life.
+    """
+    agent = _Agent()
+    answers = iter([TimeoutError(), agent.packets])
+
+    def collect() -> list[bytes]:
+        answer = next(answers)
+        if isinstance(answer, TimeoutError):
+            raise answer
+        return answer
+
+    ledger = FlowLedger(
+        store=agent.store, member_id="agent-1", packets=collect, log=quiet_log()
+    )
+    ledger.step(now=0.0)
+    ledger.step(now=WRITE_SECONDS)
+
+    assert agent.restarted().load() == agent.packets
+
+
 @given(strategies.lists(strategies.binary(min_size=32, max_size=32), max_size=20))
 def test_packets_come_out_as_they_went_in(packets: list[bytes]) -> None:
     assert decode_packets(encode_packets(packets)) == packets
