--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -53,11 +53,12 @@
 # How long a caller's opening packet is kept while no agent can take it. Callers send
 # a copy after 200 ms; what waits longer is found again with that copy.
 HOLD_SECONDS = 0.25
-# Opening packets held at most, 1 KB each.
+# Opening packets held at most; chosen to bound memory, not measured.
 HELD_MAXIMUM = 2000
 # A record is dropped when its flow was silent for one to two of these.
 GENERATION_SECONDS = 60.0
-# Flows of a balancer at which it forgets the older half early; 0.6 KB each.
+# Flows of a balancer at which it forgets the older half early, so that memory
+# stays bounded. Their size has not been measured.
 RECORDS_MAXIMUM = 50_000
 
 
--- a/src/siskinshift/observability/event_log.py
+++ b/src/siskinshift/observability/event_log.py
@@ -30,7 +30,7 @@
 # A thousand lines are some 200 KB: two seconds of the busiest decisions.
 QUEUE_LINES_MAXIMUM = 1000
 # Decisions logged a second, and at once: above the rate of new flows of one instance
-# on an ordinary day, and some 2 % of a small instance's core at 20 us a line.
+# on an ordinary day. What a line costs has not been measured.
 DECISIONS_PER_SECOND = 100.0
 DECISIONS_BURST = 300.0
 STANDARD_OUTPUT = 1
--- a/src/siskinshift/observability/logs.py
+++ b/src/siskinshift/observability/logs.py
@@ -43,8 +43,8 @@
         settings: Chosen level.
         stream: Where to; standard error by default.
     """
-    # Imported here and in `_write`: the library takes a tenth of a second to load on
-    # a small instance, which a restarted node without these logs need not wait for.
+    # Imported here and in `_write`: the library took 70 to 100 ms to load on a busy
+    # machine, which a restarted node without these logs need not wait for.
     import eliot
 
     _switch.level = LEVELS.index(settings.level)
--- a/src/siskinshift/observability/node_metrics.py
+++ b/src/siskinshift/observability/node_metrics.py
@@ -1,8 +1,8 @@
 """Counters and histograms of a small node, as text for a scrape.
 
 Names and units follow OpenTelemetry's conventions in their Prometheus form. The SDK
-takes 10 MB and a quarter of a second to load, as much as the rest of such a node, so
-this is the nearest kin: a few dictionaries that cost well under a microsecond a call.
+brings far more modules than the rest of such a node, whose restart time and memory
+count, so this is the nearest kin: a few dictionaries.
 """
 
 from __future__ import annotations
--- a/src/siskinshift/runtime/http_server.py
+++ b/src/siskinshift/runtime/http_server.py
@@ -1,8 +1,8 @@
 """A small HTTP/1.1 server for health, heartbeats and messages between processes.
 
-One task for each connection. It holds few connections and small bodies, costs a
-megabyte less than the standard library's server and starts in a fraction of its time,
-which counts where a restarted node serves nobody until it is up.
+One task for each connection. It holds few connections and small bodies. The standard
+library's server loads far more modules, and a restarted node serves nobody until it is
+up.
 """
 
 from __future__ import annotations
