--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define
+from attrs import frozen
 
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToCaller
@@ -114,8 +115,7 @@
         Args:
             segment: Its packet.
         """
-        control = 1 if segment.flags & (SYN | FIN) else 0
-        follows = (segment.seq + segment.length + control) % SEQUENCE_SPACE
+        follows = segment.follows
         if not segment.flags & SYN:
             self.is_confirmed = True
         if self.lowest is None:
@@ -139,6 +139,36 @@
         self.highest = (number + UNSEEN_WINDOW) % SEQUENCE_SPACE
 
 
+@frozen
+class Offer:
+    """A packet of an unknown flow that the upstream was given, to see what it says.
+
+    Attributes:
+        asker: Balancer that sent the packet.
+        acknowledged: What the caller acknowledges in it.
+    """
+
+    asker: tuple[str, int]
+    acknowledged: int
+
+    def is_answered_by(self, segment: Segment) -> bool:
+        """Says whether a packet of the upstream shows that it holds the flow.
+
+        Guards against an upstream that was asked to open the flow, lost, and still
+        answers for it: its numbers are its own. Without the guard its agent was taken
+        for the owner, and the copies of a caller's last packet went there alone.
+
+        Args:
+            segment: The packet.
+
+        Returns:
+            Whether its numbers are those that the caller knows.
+        """
+        lowest = (self.acknowledged - IN_FLIGHT_MAXIMUM) % SEQUENCE_SPACE
+        highest = (self.acknowledged + IN_FLIGHT_MAXIMUM) % SEQUENCE_SPACE
+        return is_between(segment.follows, lowest, highest)
+
+
 class AgentFlows:
     """Flows of the upstream beside one agent.
 
@@ -157,7 +187,7 @@
         self._life = life
         self._log = log
         self._flows: dict[bytes, OwnedFlow] = {}
-        self._offered: dict[bytes, tuple[str, int]] = {}
+        self._offered: dict[bytes, Offer] = {}
         self._foreign_until: dict[bytes, float] = {}
         self._open_count = 0
         self._queue = RequestQueue()
@@ -230,14 +260,18 @@
             return self._on_bounce(segment, now=now)
         actions: list[Action] = [ToCaller(segment.flow, segment.datagram)]
         flow = self._flows.get(segment.flow)
+        offer = self._offered.pop(segment.flow, None)
+        if flow is None and offer is not None and not offer.is_answered_by(segment):
+            # Kept from the caller: it knows another upstream's numbers, and a reset
+            # would break the flow that it has with that one.
+            return [self._on_foreign_answer(segment, offer, now=now)]
         if flow is None:
             if segment.flags & RESET:
                 return actions
             flow = self._add(segment.flow, now=now)
             self._foreign_until.pop(segment.flow, None)
-        asker = self._offered.pop(segment.flow, None)
-        if asker is not None:
-            actions.append(self._say(Verdict.MINE, segment.flow, asker))
+        if offer is not None:
+            actions.append(self._say(Verdict.MINE, segment.flow, offer.asker))
         if flow.opener is not None and segment.flags & SYN:
             actions.append(self._say(Verdict.ACCEPTED, segment.flow, flow.opener))
             flow.opener = None
@@ -320,8 +354,8 @@
         """
         self._knows_all = True
         actions: list[Action] = [
-            self._say(Verdict.NOT_MINE, flow, asker)
-            for flow, asker in self._offered.items()
+            self._say(Verdict.NOT_MINE, flow, offer.asker)
+            for flow, offer in self._offered.items()
         ]
         self._offered.clear()
         for name, flow in self._flows.items():
@@ -399,9 +433,22 @@
             return []
         if self._knows_all or self._foreign_until.get(segment.flow, 0.0) > now:
             return [self._say(Verdict.NOT_MINE, segment.flow, sender, segment.datagram)]
-        self._offered[segment.flow] = sender
+        self._offered[segment.flow] = Offer(sender, segment.ack)
         return [ToUpstream(segment.datagram)]
 
+    def _on_foreign_answer(
+        self, segment: Segment, offer: Offer, *, now: float
+    ) -> Action:
+        self._mark_foreign(segment.flow, now=now)
+        self._log.decision(
+            "foreign answer",
+            flow=flow_name(segment.flow),
+            flags=segment.flags,
+            seq=segment.seq,
+            caller_acknowledged=offer.acknowledged,
+        )
+        return self._say(Verdict.NOT_MINE, segment.flow, offer.asker)
+
     def _on_bounce(self, segment: Segment, *, now: float) -> list[Action]:
         flow = self._flows.get(segment.flow)
         if segment.flags & SYN:
@@ -411,11 +458,11 @@
             self._end(segment.flow, flow, now=now)
             del self._flows[segment.flow]
             return [self._refuse(Verdict.FULL, segment.flow, sender)]
-        asker = self._offered.pop(segment.flow, None)
-        if asker is not None:
-            if len(self._foreign_until) < FOREIGN_MAXIMUM:
-                self._foreign_until[segment.flow] = now + FOREIGN_SECONDS
-            return [self._say(Verdict.NOT_MINE, segment.flow, asker, segment.datagram)]
+        offer = self._offered.pop(segment.flow, None)
+        if offer is not None:
+            self._mark_foreign(segment.flow, now=now)
+            packet = segment.datagram
+            return [self._say(Verdict.NOT_MINE, segment.flow, offer.asker, packet)]
         if flow is None or flow.ended_at:
             return []
         if not flow.is_confirmed:
@@ -434,6 +481,9 @@
     def _forget(self, name: bytes, flow: OwnedFlow, *, now: float) -> None:
         self._end(name, flow, now=now)
         del self._flows[name]
+        self._mark_foreign(name, now=now)
+
+    def _mark_foreign(self, name: bytes, *, now: float) -> None:
         if len(self._foreign_until) < FOREIGN_MAXIMUM:
             self._foreign_until[name] = now + FOREIGN_SECONDS
 
--- a/src/siskinshift/connections/segment.py
+++ b/src/siskinshift/connections/segment.py
@@ -38,6 +38,12 @@
     length: int
     datagram: bytes
 
+    @property
+    def follows(self) -> int:
+        """Sequence number of the sender's next byte; SYN and FIN count as one."""
+        control = 1 if self.flags & (SYN | FIN) else 0
+        return (self.seq + self.length + control) % SEQUENCE_SPACE
+
 
 def caller_host(flow: bytes) -> str:
     """Reads the caller's address.
--- a/tests/connections/test_agent_flows.py
+++ b/tests/connections/test_agent_flows.py
@@ -327,3 +327,57 @@
     assert _forward(flows, segment(1, SYN | ACK), Purpose.OPEN) == []
     assert _forward(flows, segment(1, SYN | ACK), Purpose.OWNED) == []
     assert _forward(flows, segment(1, ACK | BOUNCED), Purpose.SEARCH) == []
+
+
+def test_an_answer_with_foreign_numbers_is_no_proof_of_ownership() -> None:
+    """A caller closes its flow, and the packets of its end reach a new balancer.
+
+    The balancer asks agents. One that was restarted offers the packet to its upstream,
+    which holds an ended opening of that caller's and acknowledges with its own numbers.
+    Taken for the owner, it would get all copies, and the real owner none for seconds.
+    """
+    flows = agent_flows()
+    end = segment(1, FIN | ACK, seq=40, ack=UPSTREAM_SEQ + 900)
+    _forward(flows, end, Purpose.SEARCH)
+
+    foreign = segment(1, ACK, seq=UPSTREAM_SEQ + 7_000_000, ack=2)
+    actions: list[object] = list(flows.on_upstream_segment(foreign, now=0.01))
+    copy = _forward(flows, end, Purpose.SEARCH, now=0.2)
+
+    assert _verdicts(actions) == [(Verdict.NOT_MINE, BALANCER)]
+    assert _verdicts(copy) == [(Verdict.NOT_MINE, BALANCER)]
+    assert not any(isinstance(action, ToUpstream) for action in copy)
+    assert flows.load == Load(flows=0, running=0)
+
+
+def test_a_foreign_upstreams_reset_does_not_reach_the_caller() -> None:
+    """An upstream holds an ended opening of a flow that another one won.
+
+    It answers data of that flow with a reset. Passed on, the reset would break the
+    caller's flow while its own upstream serves it.
+    """
+    flows = agent_flows()
+    request = segment(1, seq=40, ack=UPSTREAM_SEQ + 900, length=10)
+    _forward(flows, request, Purpose.SEARCH)
+
+    reset = segment(1, RESET, seq=UPSTREAM_SEQ + 7_000_000, ack=50)
+    actions: list[object] = list(flows.on_upstream_segment(reset, now=0.01))
+
+    assert _verdicts(actions) == [(Verdict.NOT_MINE, BALANCER)]
+    assert not any(isinstance(action, ToCaller | ResetCaller) for action in actions)
+
+
+def test_an_answer_that_crosses_the_offered_packet_is_proof() -> None:
+    """An agent restarts while its upstream's last packets are on the way.
+
+    What the upstream sends next may be a copy from before the offered packet's
+    acknowledgement. It is the owner all the same.
+    """
+    flows = agent_flows()
+    offered = segment(1, seq=40, ack=UPSTREAM_SEQ + 2400, length=10)
+    _forward(flows, offered, Purpose.SEARCH)
+
+    copy = segment(1, seq=UPSTREAM_SEQ + 1200, ack=40, length=1200)
+    actions: list[object] = list(flows.on_upstream_segment(copy, now=0.01))
+
+    assert (Verdict.MINE, BALANCER) in _verdicts(actions)
