--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -323,7 +323,7 @@
             and now - flow.opened_at > LONG_AFTER_SECONDS
         ]
 
-    def restore(self, segments: Iterable[Segment], *, now: float) -> None:
+    def restore(self, segments: Iterable[Segment], *, now: float) -> list[Action]:
         """Takes flows that the process before this one owned.
 
         They are asked about as soon as the upstream is heard; see `verify_all`.
@@ -331,15 +331,20 @@
         Args:
             segments: A caller's packet of each.
             now: Clock reading, seconds.
+
+        Returns:
+            Resets, if the upstream that held them is known to be gone.
         """
-        for segment in segments:
-            if segment.flow in self._flows:
-                continue
+        new = [segment for segment in segments if segment.flow not in self._flows]
+        if self._knows_all:
+            return [ResetCaller(segment.flow, segment.ack) for segment in new]
+        for segment in new:
             flow = self._add(segment.flow, now=now)
             flow.begin_in_the_middle(segment.ack)
             flow.is_confirmed = True
             flow.acknowledged = segment.ack
             flow.bare_packet = segment.datagram
+        return []
 
     def upstream_ended(self, *, now: float) -> list[Action]:
         """Resets all flows of an upstream whose process is gone for certain.
@@ -362,9 +367,10 @@
             if not flow.ended_at:
                 actions.append(ResetCaller(name, flow.acknowledged))
                 self._end(name, flow, now=now)
-        self._log.decision(
-            "flows reset", reason="upstream gone", flows=len(self._flows)
-        )
+        if self._flows:
+            self._log.decision(
+                "flows reset", reason="upstream gone", flows=len(self._flows)
+            )
         self._flows.clear()
         return actions
 
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -84,6 +84,7 @@
         self._heartbeat_at = float("-inf")
         self._probed_at = float("-inf")
         self._is_probing = False
+        self._is_process_gone = False
         self._verified_id = ""
         self._left_by = float("inf")
 
@@ -156,6 +157,7 @@
         if segment is None:
             self.log.decision("packet unreadable", source=source[0])
             return
+        self._on_sign_of_life()
         self.perform(self.flows.on_upstream_segment(segment, now=now))
 
     def _answer_upstream(self, request: HttpRequest) -> HttpReply:
@@ -179,6 +181,7 @@
             self._update_member(now)
             return
         self._heartbeat_at = now
+        self._is_process_gone = False
         effect = self.life.on_heartbeat(call, now=now)
         if effect is HeartbeatEffect.NONE:
             return
@@ -206,9 +209,9 @@
 
     def _restore(self, segments: list[Segment]) -> None:
         now = self.clock()
-        self.flows.restore(segments, now=now)
+        self.perform(self.flows.restore(segments, now=now))
         self.log.fact("flows restored", flows=len(segments))
-        if self.life.upstream_id:
+        if self.life.accepts(now=now):
             self._verified_id = self.life.upstream_id
             self.perform(self.flows.verify_all(now=now))
 
@@ -229,13 +232,17 @@
         self.send_status(self.fleet.balancers())
 
     def _probe_if_late(self, now: float) -> None:
-        """Looks for the upstream's process when its heartbeat is late.
+        """Looks for the upstream's process while its heartbeat is awaited.
 
         Guards against callers that wait for an upstream that crashed: a port without
-        a listener proves that the process is gone, and its flows can be reset.
+        a listener proves that the process is gone, and its flows can be reset. And
+        against an upstream that idles beside an agent that has just started: one that
+        lets the agent connect takes flows before its next heartbeat.
         """
         late_at = self._heartbeat_at + self.node_settings.heartbeat_interval
-        if now <= late_at + LATE_SECONDS or not self.flows.waits_for_upstream:
+        if now <= late_at + LATE_SECONDS:
+            return
+        if self.life.upstream_id and not self.flows.waits_for_upstream:
             return
         if not self._is_probing and now - self._probed_at >= PROBE_INTERVAL_SECONDS:
             self._probed_at = now
@@ -249,6 +256,7 @@
                 self._upstream_address, PROBE_TIMEOUT_SECONDS
             )
             connection.close()
+            self.loop.call(self._on_sign_of_life)
         except ConnectionRefusedError:
             self.loop.call(lambda: self._on_process_gone(started_at))
         except OSError as error:
@@ -257,6 +265,18 @@
         finally:
             self._is_probing = False
 
+    def _on_sign_of_life(self) -> None:
+        if self.life.upstream_id:
+            return
+        now = self.clock()
+        self._is_process_gone = False
+        is_first = not self.life.accepts(now=now)
+        self.life.on_sign_of_life(now=now)
+        if is_first:
+            self.log.fact("upstream answers", service=self.life.service_id)
+            self._update_member(now)
+            self.perform(self.flows.verify_all(now=now))
+
     def on_stop(self) -> None:
         """Takes the entry of an agent away that does not come back."""
         super().on_stop()
@@ -268,5 +288,7 @@
             # A packet of the upstream that came meanwhile proves the opposite.
             self.log.fact("upstream probe contradicted", upstream=self.life.upstream_id)
             return
-        self.log.fact("upstream process gone", upstream=self.life.upstream_id)
+        if not self._is_process_gone:
+            self._is_process_gone = True
+            self.log.fact("upstream process gone", upstream=self.life.upstream_id)
         self.perform(self.flows.upstream_ended(now=self.clock()))
--- a/src/siskinshift/connections/upstream_life.py
+++ b/src/siskinshift/connections/upstream_life.py
@@ -86,6 +86,7 @@
         self._silence = MISSED_HEARTBEATS * heartbeat_interval
         self._sequence = -1
         self._heard_at = float("-inf")
+        self._signed_at = float("-inf")
         self._cold_until = float("-inf")
         self._ended: OrderedDict[str, None] = OrderedDict()
 
@@ -123,6 +124,19 @@
             return HeartbeatEffect.CHANGED
         return effect
 
+    def on_sign_of_life(self, *, now: float) -> None:
+        """Takes note that the upstream's process answers.
+
+        Counts until the first heartbeat alone. An agent that starts beside a running
+        upstream waits for that for 0.77 s at the users' sites, and meanwhile callers
+        would be turned away beside a free upstream. One that leaves says so again in
+        that heartbeat, and serves what it has taken until then.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        self._signed_at = now
+
     def on_end(self, upstream_id: str) -> bool:
         """Takes note that an incarnation ends of its own accord.
 
@@ -133,6 +147,8 @@
             Whether it is the present one.
         """
         self._remember_ended(upstream_id)
+        if not self.upstream_id:
+            self.upstream_id = upstream_id
         if upstream_id != self.upstream_id:
             return False
         self.is_leaving = True
@@ -157,11 +173,12 @@
             now: Clock reading, seconds.
 
         Returns:
-            JOINING before the first heartbeat and while it is silent.
+            JOINING before the first sign of life and while it is silent.
         """
         if self.is_leaving:
             return MemberState.DRAINING
-        if not self.upstream_id or now - self._heard_at > self._silence:
+        heard_at = self._heard_at if self.upstream_id else self._signed_at
+        if now - heard_at > self._silence:
             return MemberState.JOINING
         return MemberState.READY
 
@@ -172,9 +189,10 @@
             now: Clock reading, seconds.
 
         Returns:
-            Thousandths of a warm upstream's.
+            Thousandths of a warm upstream's; one that has not told counts as cold.
         """
-        return COLD_WEIGHT if now < self._cold_until else FULL_WEIGHT
+        is_cold = not self.upstream_id or now < self._cold_until
+        return COLD_WEIGHT if is_cold else FULL_WEIGHT
 
     def _begin(self, heartbeat: Heartbeat) -> None:
         if self.upstream_id:
--- a/tests/connections/test_agent_flows.py
+++ b/tests/connections/test_agent_flows.py
@@ -381,3 +381,18 @@
     actions: list[object] = list(flows.on_upstream_segment(copy, now=0.01))
 
     assert (Verdict.MINE, BALANCER) in _verdicts(actions)
+
+
+def test_flows_of_a_process_that_is_gone_are_reset_once_they_are_known() -> None:
+    """An instance loses power, and its agent is back before the upstream.
+
+    The upstream's port refuses connections, so its flows are gone for certain. The list
+    of them is read a moment later; callers need not wait for the new upstream to say.
+    """
+    flows = agent_flows()
+    flows.upstream_ended(now=0.0)
+
+    actions = flows.restore([segment(1, seq=40, ack=UPSTREAM_SEQ)], now=0.1)
+
+    assert actions == [ResetCaller(flow_of(1), UPSTREAM_SEQ)]
+    assert flows.load == Load(flows=0, running=0)
--- a/tests/connections/test_upstream_life.py
+++ b/tests/connections/test_upstream_life.py
@@ -5,6 +5,7 @@
 from siskinshift.connections.upstream_life import COLD_WEIGHT
 from siskinshift.connections.upstream_life import MISSED_HEARTBEATS
 from siskinshift.connections.upstream_life import HeartbeatEffect
+from siskinshift.connections.upstream_life import UpstreamLife
 from siskinshift.core.members import FULL_WEIGHT
 from siskinshift.messages.core import MemberState
 from tests.connections.builders import HEARTBEAT_SECONDS
@@ -65,3 +66,35 @@
 
     assert life.weight(now=1.9) == COLD_WEIGHT
     assert life.weight(now=2.1) == FULL_WEIGHT
+
+
+def test_a_restarted_agents_upstream_takes_flows_before_its_next_heartbeat() -> None:
+    """All instances come back from a loss of power, callers come back at once.
+
+    The upstreams' first heartbeats met no agent, the next ones follow after most of a
+    second. Until then each opening packet would be turned away beside free upstreams.
+    """
+    life = UpstreamLife(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+    assert life.state(now=10.0) is MemberState.JOINING
+
+    life.on_sign_of_life(now=10.0)
+
+    assert life.accepts(now=10.0)
+    assert life.weight(now=10.0) == COLD_WEIGHT
+    silent = 10.0 + MISSED_HEARTBEATS * HEARTBEAT_SECONDS + 0.01
+    assert life.state(now=silent) is MemberState.JOINING
+
+
+def test_a_sign_of_life_does_not_bring_a_leaving_upstream_back() -> None:
+    """An agent restarts while its upstream leaves; the upstream's end comes first.
+
+    The agent knows no incarnation yet, so the one that ends is the present one.
+    """
+    life = UpstreamLife(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+    life.on_sign_of_life(now=1.0)
+
+    assert life.on_end("u-1")
+    life.on_sign_of_life(now=1.1)
+
+    assert life.state(now=1.1) is MemberState.DRAINING
+    assert life.is_gone
