--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -40,6 +40,7 @@
 
     from siskinshift.connections.actions import Action
     from siskinshift.connections.peer_messages import Forward
+    from siskinshift.connections.peer_messages import Question
     from siskinshift.connections.request_queue import Terms
     from siskinshift.connections.segment import Segment
     from siskinshift.connections.upstream_life import UpstreamLife
@@ -146,10 +147,12 @@
     Attributes:
         asker: Balancer that sent the packet.
         acknowledged: What the caller acknowledges in it.
+        is_search: Whether that balancer searches, so that it has the packet.
     """
 
     asker: tuple[str, int]
     acknowledged: int
+    is_search: bool
 
     def is_answered_by(self, segment: Segment) -> bool:
         """Says whether a packet of the upstream shows that it holds the flow.
@@ -229,12 +232,12 @@
             return []
         flow = self._flows.get(segment.flow)
         if flow is None:
-            return self._offer(segment, sender, now=now)
+            return self._offer(forward, segment, sender, now=now)
         if not flow.acknowledges_it(segment.ack):
             # Another upstream's answer reached the caller first.
             if segment.flags & RESET:
                 return []
-            return [self._say(Verdict.NOT_MINE, segment.flow, sender, segment.datagram)]
+            return [self._deny(forward, segment, sender)]
         actions: list[Action] = []
         if self._note_caller_packet(flow, segment, forward.terms, now=now):
             actions.append(ToUpstream(segment.datagram))
@@ -245,6 +248,29 @@
             actions += self._start_waiting(now=now)
         return actions
 
+    def on_question(
+        self, question: Question, sender: tuple[str, int], *, now: float
+    ) -> list[Action]:
+        """Says whether the upstream holds a flow, as far as it is known here.
+
+        Args:
+            question: The flow.
+            sender: The balancer.
+            now: Clock reading, seconds.
+
+        Returns:
+            The answer.
+        """
+        flow = self._flows.get(question.flow)
+        if flow is not None:
+            is_own = flow.acknowledges_it(question.acknowledged)
+            verdict = Verdict.MINE if is_own else Verdict.NOT_MINE
+        elif self._is_foreign(question.flow, now=now):
+            verdict = Verdict.NOT_MINE
+        else:
+            verdict = Verdict.UNSURE
+        return [self._say(verdict, question.flow, sender)]
+
     def on_upstream_segment(self, segment: Segment, *, now: float) -> list[Action]:
         """Takes a packet of the upstream.
 
@@ -433,15 +459,27 @@
         return [ToUpstream(segment.datagram)]
 
     def _offer(
-        self, segment: Segment, sender: tuple[str, int], *, now: float
+        self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
     ) -> list[Action]:
         if segment.flags & RESET:
             return []
-        if self._knows_all or self._foreign_until.get(segment.flow, 0.0) > now:
-            return [self._say(Verdict.NOT_MINE, segment.flow, sender, segment.datagram)]
-        self._offered[segment.flow] = Offer(sender, segment.ack)
+        if self._is_foreign(segment.flow, now=now):
+            return [self._deny(forward, segment, sender)]
+        is_search = forward.purpose is Purpose.SEARCH
+        self._offered[segment.flow] = Offer(sender, segment.ack, is_search)
         return [ToUpstream(segment.datagram)]
 
+    def _is_foreign(self, name: bytes, *, now: float) -> bool:
+        return self._knows_all or self._foreign_until.get(name, 0.0) > now
+
+    def _deny(
+        self, forward: Forward, segment: Segment, sender: tuple[str, int]
+    ) -> ToPeer:
+        # A balancer that searches has the packet; to one that took this agent for the
+        # owner it goes back for the others.
+        packet = b"" if forward.purpose is Purpose.SEARCH else segment.datagram
+        return self._say(Verdict.NOT_MINE, segment.flow, sender, packet)
+
     def _on_foreign_answer(
         self, segment: Segment, offer: Offer, *, now: float
     ) -> Action:
@@ -467,7 +505,7 @@
         offer = self._offered.pop(segment.flow, None)
         if offer is not None:
             self._mark_foreign(segment.flow, now=now)
-            packet = segment.datagram
+            packet = b"" if offer.is_search else segment.datagram
             return [self._say(Verdict.NOT_MINE, segment.flow, offer.asker, packet)]
         if flow is None or flow.ended_at:
             return []
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -12,6 +12,7 @@
 from siskinshift.connections.flow_ledger import FlowLedger
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.peer_messages import Forward
+from siskinshift.connections.peer_messages import Question
 from siskinshift.connections.upstream_life import Heartbeat
 from siskinshift.connections.upstream_life import HeartbeatEffect
 from siskinshift.connections.upstream_life import UpstreamLife
@@ -120,7 +121,9 @@
     def on_message(
         self, message: PeerMessage, source: tuple[str, int], now: float
     ) -> Iterable[Action]:
-        """Takes a caller's packet from a balancer."""
+        """Takes a caller's packet, or a question about its flow, from a balancer."""
+        if isinstance(message, Question):
+            return self.flows.on_question(message, source, now=now)
         if not isinstance(message, Forward):
             return ()
         segment = decode_from_caller(message.datagram)
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -21,8 +21,10 @@
 from siskinshift.connections.owner_search import OwnerSearch
 from siskinshift.connections.peer_messages import NO_TERMS
 from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import Question
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import encode_forward
+from siskinshift.connections.peer_messages import encode_question
 from siskinshift.connections.recent_packets import RecentPackets
 from siskinshift.connections.request_queue import Terms
 from siskinshift.connections.routes import service_tag
@@ -215,12 +217,9 @@
         if record is None:
             return []
         if verdict.verdict is Verdict.MINE:
-            record.owner = agent
-            record.search = None
-            self._log.decision(
-                "owner found", flow=flow_name(record.flow), agent=agent.member.member_id
-            )
-            return []
+            return self._on_mine(agent, record)
+        if verdict.verdict is Verdict.UNSURE:
+            return self._on_unsure(agent, record)
         if verdict.verdict is Verdict.NOT_MINE:
             return self._on_not_mine(agent, record, verdict.packet, now=now)
         return self._on_opening_verdict(agent, record, verdict.verdict, now=now)
@@ -423,7 +422,7 @@
         if search is not None and search.is_waiting(self._fleet, now=now):
             search.add(segment.datagram)
             peers = [self._fleet.peers_by_id[i] for i in sorted(search.pending)]
-            return self._ask(record, [segment.datagram], peers)
+            return self._ask(record, search, [segment.datagram], peers)
         return self._begin_search(record, segment.datagram, now=now)
 
     def _begin_search(
@@ -449,7 +448,7 @@
         )
         if agents:
             self._searches.append((search.next_wave_at, record, search))
-            return self._ask(record, search.packets, agents)
+            return self._ask(record, search, search.packets, agents)
         if search.is_waiting(self._fleet, now=now):
             return []
         record.search = None
@@ -467,13 +466,44 @@
         return [ResetCaller(record.flow, record.acknowledged)]
 
     def _ask(
-        self, record: FlowRecord, packets: list[bytes], agents: list[Peer]
+        self,
+        record: FlowRecord,
+        search: OwnerSearch,
+        packets: list[bytes],
+        agents: list[Peer],
+    ) -> list[Action]:
+        question = encode_question(Question(record.flow, record.acknowledged))
+        actions: list[Action] = []
+        for agent in agents:
+            if agent.member.member_id in search.questioned:
+                actions.append(ToPeer(agent.address, question))
+            else:
+                actions += self._forward_all(agent, Purpose.SEARCH, packets, record)
+        return actions
+
+    def _on_unsure(self, agent: Peer, record: FlowRecord) -> list[Action]:
+        search = record.search
+        member_id = agent.member.member_id
+        if search is None or member_id not in search.questioned & search.pending:
+            return []
+        search.questioned.discard(member_id)
+        return self._forward_all(agent, Purpose.SEARCH, search.packets, record)
+
+    def _on_mine(self, agent: Peer, record: FlowRecord) -> list[Action]:
+        search = record.search
+        record.owner = agent
+        record.search = None
+        self._log.decision(
+            "owner found", flow=flow_name(record.flow), agent=agent.member.member_id
+        )
+        if search is None or agent.member.member_id not in search.questioned:
+            return []
+        return self._forward_all(agent, Purpose.OWNED, search.packets, record)
+
+    def _forward_all(
+        self, agent: Peer, purpose: Purpose, packets: list[bytes], record: FlowRecord
     ) -> list[Action]:
-        return [
-            self._forward(agent, Purpose.SEARCH, packet, record)
-            for agent in agents
-            for packet in packets
-        ]
+        return [self._forward(agent, purpose, packet, record) for packet in packets]
 
     def _on_not_mine(
         self, agent: Peer, record: FlowRecord, packet: bytes, *, now: float
--- a/src/siskinshift/connections/owner_search.py
+++ b/src/siskinshift/connections/owner_search.py
@@ -3,8 +3,9 @@
 Pattern: a balancer is restarted, or routers move hundreds of flows to it at once. To
 ask all agents of a service with each flow's packet takes 45 packets a flow in a fleet
 of 56 agents, and the weakest links carry 5 Mbit/s. A flow is placed on one of a few
-agents that its own hash names, so those are asked first: four packets find nearly all
-owners, and the rest is asked only when they have said no or nothing.
+agents that its own hash names, so those are sent the packet first: four packets find
+nearly all owners. The rest, asked only when those have said no or nothing, get a
+question of 17 bytes, and the packets only if they may hold the flow.
 """
 
 from __future__ import annotations
@@ -65,6 +66,7 @@
         first: Member ids to ask first, since they were asked to open the flow.
         pending: Member ids that were asked and have not said no.
         asked: Member ids that were asked.
+        questioned: Member ids that were asked without a packet.
         wave: Number of the next wave.
         next_wave_at: When to ask further ones at the latest, seconds.
     """
@@ -75,6 +77,7 @@
     first: tuple[str, ...] = ()
     pending: set[str] = Factory(set)
     asked: set[str] = Factory(set)
+    questioned: set[str] = Factory(set)
     wave: int = 0
     next_wave_at: float = 0.0
 
@@ -91,11 +94,14 @@
         """
         while self.wave < len(_WAVES):
             agents = _WAVES[self.wave](self, fleet, failure_domain)
-            self.wave += 1
             new = [a for a in agents if a.member.member_id not in self.asked]
+            is_likely = self.wave < _LIKELY_WAVES
+            self.wave += 1
             if new:
                 names = {agent.member.member_id for agent in new}
                 self.asked |= names
+                if not is_likely:
+                    self.questioned |= names
                 self.pending |= names
                 self.next_wave_at = now + WAVE_SECONDS
                 return new
@@ -171,3 +177,5 @@
 
 
 _WAVES = (_opened, _near_home, _far_home, _service, _everybody)
+# The first of them, which nearly always meet the owner, get the packets at once.
+_LIKELY_WAVES = 2
--- a/src/siskinshift/connections/peer_messages.py
+++ b/src/siskinshift/connections/peer_messages.py
@@ -31,6 +31,7 @@
     STATUS = 3
     MEMBERS = 4
     ALIVE = 5
+    QUESTION = 6
 
 
 class Purpose(IntEnum):
@@ -50,7 +51,8 @@
 
     ACCEPTED: its upstream answered the opening packet. MINE: its upstream holds the
     flow. FULL, UNAVAILABLE, WRONG_SERVICE: the opening packet was not taken.
-    NOT_MINE: its upstream does not hold the flow, for certain.
+    NOT_MINE: its upstream does not hold the flow, for certain. UNSURE: only the
+    upstream knows; a packet of the flow would show.
     """
 
     ACCEPTED = 1
@@ -59,6 +61,7 @@
     UNAVAILABLE = 4
     WRONG_SERVICE = 5
     NOT_MINE = 6
+    UNSURE = 7
 
 
 @frozen
@@ -79,6 +82,19 @@
     terms: Terms = NO_TERMS
 
 
+@frozen
+class Question:
+    """A balancer asks an agent whether its upstream holds a flow.
+
+    Attributes:
+        flow: The flow.
+        acknowledged: What its caller acknowledged last; it names the upstream.
+    """
+
+    flow: bytes
+    acknowledged: int
+
+
 @frozen
 class Load:
     """What an agent sees of its upstream's load.
@@ -159,7 +175,7 @@
     members: tuple[Member, ...]
 
 
-PeerMessage: TypeAlias = Forward | FlowVerdict | Status | Alive | Members
+PeerMessage: TypeAlias = Forward | FlowVerdict | Status | Alive | Members | Question
 
 # kind, purpose, service tag, urgency, objective and deadline in milliseconds
 _FORWARD_HEADER = struct.Struct("!BBIBHH")
@@ -168,6 +184,7 @@
 # kind, incarnation, record's version, flows, running, configuration's version
 _ALIVE = struct.Struct("!BQIHHI")
 _VERDICT = struct.Struct(f"!BB{FLOW_SIZE}sHH")
+_QUESTION = struct.Struct(f"!B{FLOW_SIZE}sI")
 _COUNT_MAXIMUM = 0xFFFF
 _PURPOSES = tuple(Purpose)
 _VERDICTS = tuple(Verdict)
@@ -198,6 +215,18 @@
     return header + datagram
 
 
+def encode_question(question: Question) -> bytes:
+    """Writes a balancer's question for a flow's owner.
+
+    Args:
+        question: The question.
+
+    Returns:
+        The message.
+    """
+    return _QUESTION.pack(_Kind.QUESTION, question.flow, question.acknowledged)
+
+
 def encode_verdict(verdict: FlowVerdict) -> bytes:
     """Writes an agent's word about a flow.
 
@@ -285,6 +314,9 @@
             return _decode_forward(datagram)
         if datagram[0] == _Kind.VERDICT:
             return _decode_verdict(datagram)
+        if datagram[0] == _Kind.QUESTION:
+            _, flow, acknowledged = _QUESTION.unpack(datagram)
+            return Question(flow, acknowledged)
         if datagram[0] == _Kind.STATUS:
             return _decode_status(datagram)
         if datagram[0] == _Kind.ALIVE:
--- a/tests/connections/test_agent_flows.py
+++ b/tests/connections/test_agent_flows.py
@@ -13,6 +13,7 @@
 from siskinshift.connections.peer_messages import Forward
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import Question
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import decode_peer_message
 from siskinshift.connections.routes import service_tag
@@ -396,3 +397,44 @@
 
     assert actions == [ResetCaller(flow_of(1), UPSTREAM_SEQ)]
     assert flows.load == Load(flows=0, running=0)
+
+
+def test_a_question_is_answered_by_what_the_agent_knows() -> None:
+    """A balancer that was restarted asks who holds a flow, without a packet of it.
+
+    An agent that has seen all flows of its upstream says no to the others; one that was
+    restarted can't know before its upstream has seen a packet.
+    """
+    flows = agent_flows()
+    _opened(flows, 1)
+
+    def answer(port: int, acknowledged: int) -> list[tuple[Verdict, tuple[str, int]]]:
+        question = Question(flow_of(port), acknowledged)
+        return _verdicts(list(flows.on_question(question, BALANCER, now=0.1)))
+
+    assert answer(1, UPSTREAM_SEQ + 1) == [(Verdict.MINE, BALANCER)]
+    assert answer(1, UPSTREAM_SEQ + 5_000_000) == [(Verdict.NOT_MINE, BALANCER)]
+    assert answer(2, 7) == [(Verdict.UNSURE, BALANCER)]
+    flows.upstream_ended(now=0.2)
+    assert answer(2, 7) == [(Verdict.NOT_MINE, BALANCER)]
+
+
+def test_a_searching_balancer_is_not_sent_its_own_packet_back() -> None:
+    """Hundreds of flows move to a balancer on a link of 7 Mbit/s, which asks for each.
+
+    With each refusal the packet came back, up to 1.2 KB from each of 48 agents; the
+    link filled up, and verdicts and heartbeats were lost with the rest.
+    """
+    flows = agent_flows()
+    flows.upstream_ended(now=0.0)
+    request = segment(1, seq=40, ack=9, length=900)
+
+    search = _forward(flows, request, Purpose.SEARCH)
+    owned = _forward(flows, request, Purpose.OWNED)
+
+    returned = [
+        action.datagram.endswith(request.datagram)
+        for action in search + owned
+        if isinstance(action, ToPeer)
+    ]
+    assert returned == [False, True]
