--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -437,6 +437,7 @@
             packets=[packet],
             first=tuple(a.agent.member.member_id for a in record.attempts),
             asked={denied_by} if denied_by else set(),
+            denied={denied_by} if denied_by else set(),
         )
         return self._next_wave(record, record.search, now=now)
 
@@ -452,9 +453,9 @@
         if search.is_waiting(self._fleet, now=now):
             return []
         record.search = None
-        if not self._fleet.is_complete(now=now):
-            # The owner may be an agent that has not made itself known yet: the
-            # caller's next packet asks again.
+        if not self._fleet.is_complete(now=now) or not search.is_conclusive:
+            # The owner may be an agent that has not made itself known yet, or that
+            # this balancer can't hear: the caller's next packet asks again.
             return []
         self._drop(record.flow)
         self._log.decision(
--- a/src/siskinshift/connections/owner_search.py
+++ b/src/siskinshift/connections/owner_search.py
@@ -30,6 +30,11 @@
 # Agents that have not answered by now are not waited for; a verdict takes one to three
 # milliseconds.
 WAVE_SECONDS = 0.03
+# Part of the agents asked that may have fallen silent while the others' word that they
+# do not hold the flow still counts as everybody's. Instances that die together are a
+# failure domain's, a third to a fifth; beyond that the silence is likely the balancer's
+# own, whose link or processor is overloaded.
+SILENT_PART_MAXIMUM = 0.25
 # Packets kept for a search; callers have sixteen on the way at most.
 PACKETS_MAXIMUM = 16
 
@@ -67,6 +72,7 @@
         pending: Member ids that were asked and have not said no.
         asked: Member ids that were asked.
         questioned: Member ids that were asked without a packet.
+        denied: Member ids that have said no.
         wave: Number of the next wave.
         next_wave_at: When to ask further ones at the latest, seconds.
     """
@@ -78,6 +84,7 @@
     pending: set[str] = Factory(set)
     asked: set[str] = Factory(set)
     questioned: set[str] = Factory(set)
+    denied: set[str] = Factory(set)
     wave: int = 0
     next_wave_at: float = 0.0
 
@@ -123,6 +130,16 @@
             member_id: The agent.
         """
         self.pending.discard(member_id)
+        self.denied.add(member_id)
+
+    @property
+    def is_conclusive(self) -> bool:
+        """Whether enough have said no, so that nobody holds the flow.
+
+        Guards against a balancer that can't hear: a reset would cut a living flow.
+        """
+        silent = len(self.asked - self.denied)
+        return silent <= max(1, SILENT_PART_MAXIMUM * len(self.asked))
 
     def is_waiting(self, fleet: Fleet, *, now: float) -> bool:
         """Says whether an agent that lives may still say yes.
--- a/src/siskinshift/connections/placement.py
+++ b/src/siskinshift/connections/placement.py
@@ -71,13 +71,11 @@
         Returns:
             The agent, or None when none may be asked.
         """
-        open_agents = [
-            agent
-            for agent in agents
-            if agent.member.state is MemberState.READY
-            and agent.member.member_id not in tried
-            and not agent.is_silent(now=now)
-        ]
+        ready = [a for a in agents if a.member.state is MemberState.READY]
+        # A full link loses all heartbeats alike. That nobody is heard is hardly the
+        # agents' fault; refused callers would go without free upstreams.
+        heard = [a for a in ready if not a.is_silent(now=now)] or ready
+        open_agents = [a for a in heard if a.member.member_id not in tried]
         if not open_agents:
             return None
         sure = [agent for agent in open_agents if agent.unanswered < DOUBTED_AFTER]
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -9,6 +9,8 @@
 from siskinshift.connections.balancer_flows import HOLD_SECONDS
 from siskinshift.connections.balancer_flows import RETRY_AFTER_SECONDS
 from siskinshift.connections.fleet import ANSWER_SECONDS
+from siskinshift.connections.fleet import SILENT_AFTER_SECONDS
+from siskinshift.connections.owner_search import HOME_AGENTS
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import Forward
 from siskinshift.connections.peer_messages import Load
@@ -354,3 +356,45 @@
     flows = balancer_flows(fleet)
 
     assert {_open(flows, port) for port in range(1, 20)} == {"10.0.1.2"}
+
+
+def test_a_balancer_that_hears_hardly_anybody_resets_no_flow() -> None:
+    """Routers move a whole domain's callers to one balancer, and its link fills up.
+
+    Heartbeats and verdicts of most agents are lost, so they look silent; the few that
+    are heard do not hold the flow. The owner lives, and a reset would cut its flow: the
+    silence is the balancer's own. The caller's next packet asks again.
+    """
+    fleet = fleet_of(*agents(8))
+    flows = balancer_flows(fleet)
+    flows.on_segment(segment(1, ack=9), now=0.0)
+    deaf_until = SILENT_AFTER_SECONDS + 0.1
+    for member_of_fleet in agents(2):
+        fleet.heard(Status(member_of_fleet, Load()), now=deaf_until)
+
+    actions: list[Action] = []
+    for host in ("10.0.1.1", "10.0.1.2"):
+        actions += _verdict(flows, fleet, host, Verdict.NOT_MINE, now=deaf_until)
+    actions += flows.tick(now=deaf_until + 0.1)
+
+    assert not any(isinstance(action, ResetCaller) for action in actions)
+    for member_of_fleet in agents(8):
+        fleet.heard(Status(member_of_fleet, Load()), now=4.0)
+    assert len(_sent(flows.on_segment(segment(1, ack=9), now=4.0))) >= HOME_AGENTS
+
+
+def test_one_dead_agent_does_not_hold_up_resets() -> None:
+    fleet = fleet_of(*agents(8))
+    flows = balancer_flows(fleet)
+    flows.on_segment(segment(1, ack=9), now=0.0)
+    later = SILENT_AFTER_SECONDS + 0.1
+    actions: list[Action] = []
+    for number in range(1, 8):
+        fleet.heard(Status(agents(8)[number], Load()), now=later)
+    for _ in range(3):
+        actions += flows.tick(now=later)
+        for number in range(2, 9):
+            host = f"10.0.1.{number}"
+            actions += _verdict(flows, fleet, host, Verdict.NOT_MINE, now=later)
+
+    assert actions[-1] == ResetCaller(flow_of(1), 9)
