--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -119,7 +119,7 @@
         self.log.fact(
             "started", role=self.member.role.value, incarnation=self.member.incarnation
         )
-        self.loop.add_socket(self.peer_socket, self._on_peer_datagram)
+        self.loop.add_socket(self.peer_socket, self._on_peer_datagram, is_last=True)
         self.loop.add_timer(self._tick)
         own = Endpoint(self.node_settings.host, self.node_settings.peer_port)
         self.serve(own, self.answer_peer)
--- a/src/siskinshift/runtime/event_loop.py
+++ b/src/siskinshift/runtime/event_loop.py
@@ -9,6 +9,7 @@
 from concurrent.futures import Future
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import TypeAlias
 from typing import TypeVar
 
 
@@ -26,9 +27,13 @@
 RECEIVE_BUFFER_BYTES = 1 << 20
 # Datagrams of one socket taken before the others get their turn.
 BATCH_DATAGRAMS = 64
+# The same for a socket that is read last, just before timers look for what is overdue:
+# one packet of an unknown flow may be followed by an answer of each of 60 agents.
+LAST_BATCH_DATAGRAMS = 512
 WAIT_MAXIMUM_SECONDS = 1.0
 
 ResultT = TypeVar("ResultT")
+DatagramHandler: TypeAlias = "Callable[[bytes, tuple[str, int], float], None]"
 
 
 def open_datagram_socket(host: str, port: int) -> socket.socket:
@@ -67,18 +72,28 @@
         self._wake_sender.setblocking(False)
         self._selector.register(self._wake_receiver, selectors.EVENT_READ, None)
         self._timers: list[Callable[[float], float]] = []
+        self._last_sockets: list[tuple[socket.socket, DatagramHandler]] = []
+        self._read_last: set[Any] = set()
 
     def add_socket(
         self,
         opened: socket.socket,
-        handle: Callable[[bytes, tuple[str, int], float], None],
+        handle: DatagramHandler,
+        *,
+        is_last: bool = False,
     ) -> None:
         """Hands a socket's datagrams to a handler.
 
         Args:
             opened: A socket of `open_datagram_socket`; the caller closes it.
             handle: Takes the datagram, its source and the time.
+            is_last: Whether it is read last in each turn, so that timers see all that
+                has come. Guards against an overloaded process that takes answers
+                which it has not read yet for missing and asks again.
         """
+        if is_last:
+            self._last_sockets.append((opened, handle))
+            self._read_last.add(opened)
         self._selector.register(opened, selectors.EVENT_READ, handle)
 
     def add_timer(self, step: Callable[[float], float]) -> None:
@@ -117,11 +132,15 @@
                 (self._run_timer(step, now) for step in self._timers), default=now
             )
             wait = min(max(due - self._clock(), 0.0), WAIT_MAXIMUM_SECONDS)
-            for key, _ in self._selector.select(wait):
+            ready = [key for key, _ in self._selector.select(wait)]
+            for key in ready:
                 if key.data is None:
                     self._run_calls()
-                else:
-                    self._receive(key.fileobj, key.data)
+                elif key.fileobj not in self._read_last:
+                    self._receive(key.fileobj, key.data, BATCH_DATAGRAMS)
+            if ready:
+                for opened, handle in self._last_sockets:
+                    self._receive(opened, handle, LAST_BATCH_DATAGRAMS)
 
     def close(self) -> None:
         """Closes what the loop opened."""
@@ -151,9 +170,10 @@
     def _receive(
         self,
         opened: Any,
-        handle: Callable[[bytes, tuple[str, int], float], None],
+        handle: DatagramHandler,
+        count: int,
     ) -> None:
-        for _ in range(BATCH_DATAGRAMS):
+        for _ in range(count):
             try:
                 datagram, source = opened.recvfrom(DATAGRAM_SIZE_MAXIMUM)
             except OSError:
