--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -92,11 +92,15 @@
     def on_start(self) -> None:
         """Starts to listen to the upstream and to peers."""
         super().on_start()
-        self.loop.add_socket(self._upstream_socket, self._on_upstream_datagram)
         if self.node_settings.heartbeats is not None:
             self.serve(self.node_settings.heartbeats, self._answer_upstream)
         self.spawn(self._keep_ledger)
 
+    def add_sockets(self) -> None:
+        """Adds the socket of the upstream's packets."""
+        super().add_sockets()
+        self.loop.add_socket(self._upstream_socket, self._on_upstream_datagram)
+
     @property
     def is_ready(self) -> bool:
         """Whether the upstream takes new flows."""
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -29,6 +29,7 @@
     from siskinshift.connections.fleet import Peer
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.peer_messages import PeerMessage
+    from siskinshift.connections.routes import RouteTable
     from siskinshift.messages.core import Endpoint
     from siskinshift.runtime.http_server import HttpRequest
 
@@ -91,10 +92,14 @@
     def on_start(self) -> None:
         """Starts to forward; readiness follows with configuration and agents."""
         super().on_start()
-        self.loop.add_socket(self._caller_socket, self._on_caller_datagram)
         self.owns(self._follower.stop)
         self.spawn(self._follower.follow_until, self.stopping)
 
+    def add_sockets(self) -> None:
+        """Adds the socket of callers' packets."""
+        super().add_sockets()
+        self.loop.add_socket(self._caller_socket, self._on_caller_datagram)
+
     @property
     def is_ready(self) -> bool:
         """Whether flows can be placed: a configuration and one ready agent."""
@@ -223,17 +228,24 @@
             self.log.fact("configuration refused", error=str(error))
             return
 
-        def take() -> None:
-            if self._flows.configure(routes):
-                self._configuration_value = value
-                self.log.fact(
-                    "configuration in force",
-                    version=routes.version,
-                    routes=len(routes.routes_by_address),
-                )
-                self.send_status(self.fleet.balancers())
-
-        self.loop.call(take)
+        self.loop.call(lambda: self.configure(routes, value))
+
+    def configure(self, routes: RouteTable, value: bytes = b"") -> None:
+        """Puts a configuration in force unless a newer one is; on the loop's thread.
+
+        Args:
+            routes: The configuration.
+            value: The same as the store holds it, for peers that can't read there.
+        """
+        if not self._flows.configure(routes):
+            return
+        self._configuration_value = value
+        self.log.fact(
+            "configuration in force",
+            version=routes.version,
+            routes=len(routes.routes_by_address),
+        )
+        self.send_status(self.fleet.balancers())
 
     def _fetch_if_newer(self, peer: Peer, now: float) -> None:
         if peer.configuration_version <= self.configuration_version:
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -119,14 +119,18 @@
         self.log.fact(
             "started", role=self.member.role.value, incarnation=self.member.incarnation
         )
-        self.loop.add_socket(self.peer_socket, self._on_peer_datagram, is_last=True)
-        self.loop.add_timer(self._tick)
+        self.add_sockets()
         own = Endpoint(self.node_settings.host, self.node_settings.peer_port)
         self.serve(own, self.answer_peer)
         if self.node_settings.readiness is not None:
             self.serve(self.node_settings.readiness, self._answer_readiness)
         self.spawn(self._keep_registered)
 
+    def add_sockets(self) -> None:
+        """Hands the node's sockets and timers to its loop."""
+        self.loop.add_socket(self.peer_socket, self._on_peer_datagram, is_last=True)
+        self.loop.add_timer(self._tick)
+
     def run(self) -> None:
         """Runs the loop on the calling thread until the application stops."""
         signal.signal(signal.SIGTERM, lambda *_: self.loop.call(self._leave))
--- a/src/siskinshift/runtime/event_loop.py
+++ b/src/siskinshift/runtime/event_loop.py
@@ -127,20 +127,22 @@
             stopping: Ends the loop when set.
         """
         while not stopping.is_set():
-            now = self._clock()
-            due = min(
-                (self._run_timer(step, now) for step in self._timers), default=now
-            )
-            wait = min(max(due - self._clock(), 0.0), WAIT_MAXIMUM_SECONDS)
-            ready = [key for key, _ in self._selector.select(wait)]
-            for key in ready:
-                if key.data is None:
-                    self._run_calls()
-                elif key.fileobj not in self._read_last:
-                    self._receive(key.fileobj, key.data, BATCH_DATAGRAMS)
-            if ready:
-                for opened, handle in self._last_sockets:
-                    self._receive(opened, handle, LAST_BATCH_DATAGRAMS)
+            self.turn()
+
+    def turn(self) -> None:
+        """Runs due timers, waits for the next event and handles what has come."""
+        now = self._clock()
+        due = min((self._run_timer(step, now) for step in self._timers), default=now)
+        wait = min(max(due - self._clock(), 0.0), WAIT_MAXIMUM_SECONDS)
+        ready = [key for key, _ in self._selector.select(wait)]
+        for key in ready:
+            if key.data is None:
+                self._run_calls()
+            elif key.fileobj not in self._read_last:
+                self._receive(key.fileobj, key.data, BATCH_DATAGRAMS)
+        if ready:
+            for opened, handle in self._last_sockets:
+                self._receive(opened, handle, LAST_BATCH_DATAGRAMS)
 
     def close(self) -> None:
         """Closes what the loop opened."""
