--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -123,6 +123,8 @@
             started_at=self.clock(),
             leave_seconds=self.node_settings.leave_seconds,
         )
+        self._depart(self.clock())
+        self._update_state()
 
     def on_message(
         self, message: PeerMessage, source: tuple[str, int], now: float
