--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -314,15 +314,12 @@
             self._end_if_closed(segment.flow, flow, now=now)
         return [*actions, *self._start_waiting(now=now)]
 
-    def verify_all(self, *, now: float) -> list[Action]:
+    def verify_all(self) -> list[Action]:
         """Asks the upstream about each flow; those that it lost are reset in turn.
 
         Guards against callers that wait for an incarnation that has ended: they would
         find out at the deadline of their next request.
 
-        Args:
-            now: Clock reading, seconds.
-
         Returns:
             A packet of each flow that has one to repeat.
         """
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -202,7 +202,7 @@
         self._update_member(now)
         if effect is HeartbeatEffect.REPLACED or call.upstream_id != self._verified_id:
             self._verified_id = call.upstream_id
-            self.perform(self.flows.verify_all(now=now))
+            self.perform(self.flows.verify_all())
 
     def _keep_ledger(self) -> None:
         packets = self._ledger.load()
@@ -220,7 +220,7 @@
         self.log.fact("flows restored", flows=len(segments))
         if self.life.accepts(now=now):
             self._verified_id = self.life.upstream_id
-            self.perform(self.flows.verify_all(now=now))
+            self.perform(self.flows.verify_all())
 
     def _long_flows(self) -> list[bytes]:
         listing = self.loop.call(lambda: self.flows.long_flows(now=self.clock()))
@@ -282,7 +282,7 @@
         if is_first:
             self.log.fact("upstream answers", service=self.life.service_id)
             self._update_member(now)
-            self.perform(self.flows.verify_all(now=now))
+            self.perform(self.flows.verify_all())
 
     def on_stop(self) -> None:
         """Takes the entry of an agent away that does not come back."""
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -97,6 +97,8 @@
         terms: What callers on its route want.
         search: The search for its owner, if there is one.
         acknowledged: What the caller acknowledged last.
+        owned_header: What goes before each packet for the owner, once it was worked
+            out: most packets of a balancer are of open flows.
     """
 
     flow: bytes
@@ -108,6 +110,7 @@
     terms: Terms = NO_TERMS
     search: OwnerSearch | None = None
     acknowledged: int = 0
+    owned_header: bytes = b""
 
     def attempt_with(self, agent: Peer) -> Attempt | None:
         """Finds the attempt with an agent."""
@@ -199,7 +202,9 @@
         if record is None:
             record = self._add(FlowRecord(segment.flow))
         record.acknowledged = segment.ack
-        record.terms = route.terms
+        if record.terms is not route.terms:
+            record.terms = route.terms
+            record.owned_header = b""
         if record.owner is not None:
             return [self._forward_owned(record, record.owner, segment, now=now)]
         return self._find_owner(record, segment, now=now)
@@ -566,7 +571,10 @@
     ) -> ToPeer:
         if segment.length:
             self._recent.add(owner.member.member_id, segment.datagram, now=now)
-        return self._forward(owner, Purpose.OWNED, segment.datagram, record)
+        if not record.owned_header:
+            tag = self._tag_of(record.service_id)
+            record.owned_header = encode_forward(Purpose.OWNED, tag, b"", record.terms)
+        return ToPeer(owner.address, record.owned_header + segment.datagram)
 
     def _forward(
         self,
