--- a/src/siskinshift/bench/connection_costs.py
+++ b/src/siskinshift/bench/connection_costs.py
@@ -190,7 +190,7 @@
         service_id="",
         heartbeat_interval=1.0,
         leave_seconds=6.0,
-        flow_seconds=60.0,
+        link_bytes_per_second=125e6,
         store=StoreSettings(Endpoint(BALANCER, 1), 10.0, 20, 1.0),
     )
 
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -9,7 +9,9 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import deque
+from itertools import count
 from typing import TYPE_CHECKING
 
 from attrs import Factory
@@ -36,6 +38,8 @@
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import flow_name
 from siskinshift.connections.segment import service_address
+from siskinshift.flows.pacing import ByteBudget
+from siskinshift.load.retry_budget import RetryBudget
 
 
 if TYPE_CHECKING:
@@ -66,6 +70,21 @@
 RECORDS_MAXIMUM = 50_000
 
 
+# Second attempts after silence that one accepted flow pays for. A failure domain's
+# agents, a third of all, may die at once: each two flows accepted pay for the one that
+# met them. While nobody answers, attempts do not multiply.
+RETRY_PART = 0.5
+# Searches take at most this part of the link, and this much on the strongest. Without a
+# bound the questions for some hundred flows filled a link of 7 Mbit/s; what was lost
+# was asked again, and the link stayed full after the cause was gone.
+SEARCH_LINK_PART = 0.15
+SEARCH_BYTES_PER_SECOND_MAXIMUM = 500_000.0
+SEARCH_BURST_SECONDS = 1.0
+# A search that finds no room goes on after this; the next of the caller's copies comes
+# after 200 ms and more.
+POSTPONED_SECONDS = 0.1
+# Headers of the datagrams below what we count.
+DATAGRAM_HEADER_BYTES = 28
 # Flows named in one datagram: 1,200 bytes, as much as a caller's packet.
 OWNED_FLOWS_MAXIMUM = 90
 
@@ -129,6 +148,7 @@
         fleet: Fleet,
         placement: AgentPlacement,
         failure_domain: str,
+        link_bytes_per_second: float,
         log: EventLog,
     ) -> None:
         """Starts without a configuration.
@@ -137,6 +157,7 @@
             fleet: The agents.
             placement: Chooses among them.
             failure_domain: Failure domain of this balancer.
+            link_bytes_per_second: What its link carries.
             log: Takes a line for each decision.
         """
         self._fleet = fleet
@@ -151,7 +172,16 @@
         self._generation_at = 0.0
         self._retries: deque[tuple[float, FlowRecord, Attempt]] = deque()
         self._held: deque[FlowRecord] = deque()
-        self._searches: deque[tuple[float, FlowRecord, OwnerSearch]] = deque()
+        self._searches: list[tuple[float, int, FlowRecord, OwnerSearch]] = []
+        self._search_numbers = count()
+        self._retry_budget = RetryBudget(part=RETRY_PART)
+        self._search_budget = ByteBudget(
+            bytes_per_second=min(
+                SEARCH_LINK_PART * link_bytes_per_second,
+                SEARCH_BYTES_PER_SECOND_MAXIMUM,
+            ),
+            burst_seconds=SEARCH_BURST_SECONDS,
+        )
         self._recent = RecentPackets()
 
     def __len__(self) -> int:
@@ -290,6 +320,18 @@
             if self._find(flow) is None:
                 self._add(FlowRecord(flow, owner=agent))
 
+    def search_of(self, flow: bytes) -> OwnerSearch | None:
+        """Gives the search for a flow's owner that is under way.
+
+        Args:
+            flow: The flow.
+
+        Returns:
+            The search; None if there is none.
+        """
+        record = self._find(flow)
+        return record.search if record is not None else None
+
     def retry_held(self, *, now: float) -> list[Action]:
         """Places opening packets that found no agent; call it when one has come.
 
@@ -320,10 +362,13 @@
             _, record, attempt = self._retries.popleft()
             if attempt.verdict is None and self._find(record.flow) is record:
                 attempt.agent.unanswered += 1
-                if len(record.attempts) < ATTEMPTS_MAXIMUM:
+                if (
+                    len(record.attempts) < ATTEMPTS_MAXIMUM
+                    and self._retry_budget.take()
+                ):
                     actions += self._try_next(record, now=now)
         while self._searches and self._searches[0][0] <= now:
-            _, record, search = self._searches.popleft()
+            _, _, record, search = heapq.heappop(self._searches)
             if record.search is search and search.next_wave_at <= now:
                 actions += self._next_wave(record, search, now=now)
         while self._held and now - self._held[0].opened_at > HOLD_SECONDS:
@@ -443,6 +488,7 @@
             verdict=verdict.name.lower(),
         )
         if verdict is Verdict.ACCEPTED:
+            self._retry_budget.succeeded()
             self._log.metrics.observe("flow_opening", now - record.opened_at)
             return []
         if any(a.verdict in (None, Verdict.ACCEPTED) for a in record.attempts):
@@ -462,15 +508,21 @@
             record.opening = b""
             return [self._forward_owned(record, record.owner, segment, now=now)]
         search = record.search
-        if search is not None and search.is_waiting(self._fleet, now=now):
-            search.add(segment.datagram)
-            peers = [self._fleet.peers_by_id[i] for i in sorted(search.pending)]
-            return self._ask(record, search, [segment.datagram], peers)
-        return self._begin_search(record, segment.datagram, now=now)
+        if search is None or search.is_over(self._fleet, now=now):
+            return self._begin_search(record, segment.datagram, now=now)
+        search.add(segment.datagram)
+        if self._search_budget.wait(now=now):
+            return []
+        peers = [self._fleet.peers_by_id[i] for i in sorted(search.pending)]
+        return self._ask(record, search, [segment.datagram], peers, now=now)
 
     def _begin_search(
         self, record: FlowRecord, packet: bytes, *, now: float, denied_by: str = ""
     ) -> list[Action]:
+        record.search = None
+        if self._search_budget.wait(now=now):
+            # The caller's next copy asks again; a full link would lose this one.
+            return []
         route = None
         if self._routes is not None:
             route = self._routes.routes_by_address.get(service_address(record.flow))
@@ -487,12 +539,16 @@
     def _next_wave(
         self, record: FlowRecord, search: OwnerSearch, *, now: float
     ) -> list[Action]:
+        if self._search_budget.wait(now=now):
+            search.next_wave_at = now + POSTPONED_SECONDS
+            self._schedule(record, search)
+            return []
         agents = search.next_wave(
             self._fleet, failure_domain=self._failure_domain, now=now
         )
         if agents:
-            self._searches.append((search.next_wave_at, record, search))
-            return self._ask(record, search, search.packets, agents)
+            self._schedule(record, search)
+            return self._ask(record, search, search.packets, agents, now=now)
         if search.is_waiting(self._fleet, now=now):
             return []
         record.search = None
@@ -509,21 +565,29 @@
         )
         return [ResetCaller(record.flow, record.acknowledged)]
 
+    def _schedule(self, record: FlowRecord, search: OwnerSearch) -> None:
+        number = next(self._search_numbers)
+        heapq.heappush(self._searches, (search.next_wave_at, number, record, search))
+
     def _ask(
         self,
         record: FlowRecord,
         search: OwnerSearch,
         packets: list[bytes],
         agents: list[Peer],
+        *,
+        now: float,
     ) -> list[Action]:
         question = encode_question(Question(record.flow, record.acknowledged))
-        actions: list[Action] = []
+        actions: list[ToPeer] = []
         for agent in agents:
             if agent.member.member_id in search.questioned:
                 actions.append(ToPeer(agent.address, question))
             else:
                 actions += self._forward_all(agent, Purpose.SEARCH, packets, record)
-        return actions
+        size = sum(len(a.datagram) + DATAGRAM_HEADER_BYTES for a in actions)
+        self._search_budget.take(size, now=now)
+        return list(actions)
 
     def _on_unsure(self, agent: Peer, record: FlowRecord) -> list[Action]:
         search = record.search
@@ -531,7 +595,7 @@
         if search is None or member_id not in search.questioned & search.pending:
             return []
         search.questioned.discard(member_id)
-        return self._forward_all(agent, Purpose.SEARCH, search.packets, record)
+        return list(self._forward_all(agent, Purpose.SEARCH, search.packets, record))
 
     def _on_mine(self, agent: Peer, record: FlowRecord) -> list[Action]:
         search = record.search
@@ -542,11 +606,11 @@
         )
         if search is None or agent.member.member_id not in search.questioned:
             return []
-        return self._forward_all(agent, Purpose.OWNED, search.packets, record)
+        return list(self._forward_all(agent, Purpose.OWNED, search.packets, record))
 
     def _forward_all(
         self, agent: Peer, purpose: Purpose, packets: list[bytes], record: FlowRecord
-    ) -> list[Action]:
+    ) -> list[ToPeer]:
         return [self._forward(agent, purpose, packet, record) for packet in packets]
 
     def _on_not_mine(
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -66,6 +66,7 @@
             fleet=self.fleet,
             placement=placement,
             failure_domain=settings.failure_domain,
+            link_bytes_per_second=settings.link_bytes_per_second,
             log=self.log,
         )
         caller_packets = settings.caller_packets
--- a/src/siskinshift/connections/node_settings.py
+++ b/src/siskinshift/connections/node_settings.py
@@ -43,7 +43,7 @@
         service_id: Service of the upstream; empty for a balancer.
         heartbeat_interval: Seconds between two heartbeats of an upstream.
         leave_seconds: Time from the signal to end until the process is killed.
-        flow_seconds: Longest life of a flow.
+        link_bytes_per_second: What the instance's own link carries each way.
         store: The platform's store.
     """
 
@@ -61,5 +61,5 @@
     service_id: str
     heartbeat_interval: float
     leave_seconds: float
-    flow_seconds: float
+    link_bytes_per_second: float
     store: StoreSettings
--- a/src/siskinshift/connections/owner_search.py
+++ b/src/siskinshift/connections/owner_search.py
@@ -147,6 +147,18 @@
         silent = len(self.asked - self.denied)
         return silent <= max(1, SILENT_PART_MAXIMUM * len(self.asked))
 
+    def is_over(self, fleet: Fleet, *, now: float) -> bool:
+        """Says whether nobody is left to answer or to be asked soon.
+
+        Args:
+            fleet: The agents.
+            now: Clock reading, seconds.
+
+        Returns:
+            Whether a new search has to begin.
+        """
+        return now >= self.next_wave_at and not self.is_waiting(fleet, now=now)
+
     def is_waiting(self, fleet: Fleet, *, now: float) -> bool:
         """Says whether an agent that lives may still say yes.
 
--- a/src/siskinshift/flows/pacing.py
+++ b/src/siskinshift/flows/pacing.py
@@ -19,14 +19,17 @@
     ordinary planned change of a few thousand flows through without waiting.
     """
 
-    def __init__(self, *, bytes_per_second: int) -> None:
+    def __init__(
+        self, *, bytes_per_second: float, burst_seconds: float = BURST_SECONDS
+    ) -> None:
         """Prepares a full bucket.
 
         Args:
             bytes_per_second: Rate, bytes a second.
+            burst_seconds: Time that a full bucket lasts at that rate.
         """
         self._rate = float(bytes_per_second)
-        self._capacity = self._rate * BURST_SECONDS
+        self._capacity = self._rate * burst_seconds
         self._level = self._capacity
         self._filled_at: float | None = None
 
--- a/src/siskinshift/platform/settings.py
+++ b/src/siskinshift/platform/settings.py
@@ -26,6 +26,7 @@
 
 PATH_VARIABLE = "SISKINSHIFT_NODE_FILE"
 MILLISECONDS = 1000.0
+BYTES_PER_MEGABIT = 125_000.0
 # A node needs a few calls at its start and one each ten seconds after; a whole fleet
 # that starts at once must stay below the store's rates with room for the operators.
 CALL_RATE = 10.0
@@ -153,6 +154,7 @@
     fields = _Fields(source, document)
     listen = fields.table("listen")
     bounds = fields.table("bounds")
+    limits = fields.table("limits")
     heartbeat_ms = fields.number("heartbeat-ms", minimum=10, maximum=60_000)
     return NodeSettings(
         node_id=fields.text("node-name"),
@@ -170,7 +172,8 @@
         service_id=fields.text("service", ""),
         heartbeat_interval=heartbeat_ms / MILLISECONDS,
         leave_seconds=bounds.number("grace-s", minimum=0.1, maximum=3600),
-        flow_seconds=bounds.number("max-flow-s", minimum=1, maximum=1e7),
+        link_bytes_per_second=limits.number("link-mbps", minimum=0.01, maximum=1e6)
+        * BYTES_PER_MEGABIT,
         store=_decode_store(fields.table("platform")),
     )
 
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.balancer_flows import DATAGRAM_HEADER_BYTES
 from siskinshift.connections.balancer_flows import HOLD_SECONDS
 from siskinshift.connections.balancer_flows import RETRY_AFTER_SECONDS
+from siskinshift.connections.balancer_flows import SEARCH_BURST_SECONDS
+from siskinshift.connections.balancer_flows import SEARCH_LINK_PART
 from siskinshift.connections.fleet import ANSWER_SECONDS
 from siskinshift.connections.fleet import SILENT_AFTER_SECONDS
 from siskinshift.connections.owner_search import HOME_AGENTS
@@ -24,6 +28,7 @@
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import pack_service_address
+from siskinshift.load.retry_budget import SAVED_RETRIES_MAXIMUM
 from siskinshift.messages.core import MemberState
 from tests.connections.builders import SERVICE_ADDRESS
 from tests.connections.builders import agents
@@ -438,3 +443,64 @@
     sent = _sent(flows.on_segment(segment(1, ack=10), now=0.1))
     assert sent == [("10.0.1.1", Purpose.OWNED)]
     assert len(flows) == 1
+
+
+def test_attempts_do_not_multiply_while_nobody_answers() -> None:
+    """A balancer's link is full of callers' copies, so agents' answers are lost.
+
+    Each opening packet was sent to four agents in turn, each answer was lost as well,
+    and the link stayed full long after its cause was gone. Callers send copies of
+    their own; those are enough while nothing succeeds.
+    """
+    flows = balancer_flows(fleet_of(*agents(8)))
+    for port in range(1, 201):
+        _open(flows, port)
+
+    sent: list[Action] = []
+    for step in range(1, 6):
+        sent += flows.tick(now=step * RETRY_AFTER_SECONDS + 0.001)
+
+    assert 1 <= len(sent) <= SAVED_RETRIES_MAXIMUM
+
+
+def test_searches_for_hundreds_of_flows_leave_the_link_to_the_callers() -> None:
+    """Routers move the flows of a whole domain to one balancer on a link of 7 Mbit/s.
+
+    Each of 400 flows was asked for at 48 agents with its packet, several megabytes at
+    once; openings, answers and heartbeats were lost with the rest. Searches keep to
+    their part of the link, and all owners are found within seconds.
+    """
+    near = [member(f"n-{i}", host=f"10.0.2.{i}") for i in range(12)]
+    far = [member(f"f-{i}", host=f"10.0.3.{i}", domain="b") for i in range(36)]
+    fleet = fleet_of(*near, *far)
+    link = 7 * 125_000.0
+    flows = balancer_flows(fleet, link_bytes_per_second=link)
+    owner = fleet.peers_by_id["f-35"]
+    unknown = set(range(1, 401))
+    sizes: Counter[int] = Counter()
+
+    def count(actions: list[Action], now: float) -> None:
+        for action in actions:
+            assert isinstance(action, ToPeer)
+            sizes[int(now)] += len(action.datagram) + DATAGRAM_HEADER_BYTES
+
+    for step in range(200):
+        now = step * 0.05
+        for member_of_fleet in fleet.peers_by_id.values():
+            fleet.answered(member_of_fleet, now=now)
+        if step % 4 == 0:
+            for port in sorted(unknown):
+                packet = segment(port, ack=9, length=100)
+                count(list(flows.on_segment(packet, now=now)), now)
+        for number in range(3):
+            count(list(flows.tick(now=now + number * 0.01)), now)
+        for port in sorted(unknown):
+            record = flows.search_of(flow_of(port))
+            if record is not None and "f-35" in record.asked:
+                word = FlowVerdict(Verdict.MINE, flow_of(port), Load())
+                flows.on_verdict(owner, word, now=now)
+                unknown.discard(port)
+
+    assert not unknown
+    burst = SEARCH_LINK_PART * link * (1 + SEARCH_BURST_SECONDS)
+    assert max(sizes.values()) < 1.2 * burst
