--- a/src/siskinshift/bench/connection_costs.py
+++ b/src/siskinshift/bench/connection_costs.py
@@ -38,7 +38,7 @@
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.platform.packets import HEADER_SIZE
-from siskinshift.runtime.datagram_sockets import open_datagram_socket
+from siskinshift.runtime.event_loop import open_datagram_socket
 from siskinshift.standins.connection_ends import encode_packet
 
 
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -24,7 +24,7 @@
 from siskinshift.platform.heartbeats import decode_upstream_call
 from siskinshift.platform.packets import decode_from_caller
 from siskinshift.platform.packets import decode_from_upstream
-from siskinshift.runtime.datagram_sockets import open_datagram_socket
+from siskinshift.runtime.event_loop import open_datagram_socket
 from siskinshift.runtime.http_server import HttpReply
 
 
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -17,7 +17,7 @@
 from siskinshift.platform.configuration import CONFIGURATION_KEY
 from siskinshift.platform.configuration import decode_configuration
 from siskinshift.platform.packets import decode_from_caller
-from siskinshift.runtime.datagram_sockets import open_datagram_socket
+from siskinshift.runtime.event_loop import open_datagram_socket
 from siskinshift.runtime.http_client import HttpClient
 from siskinshift.runtime.http_server import HttpReply
 
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -35,8 +35,8 @@
 from siskinshift.platform.settings import load_node_settings
 from siskinshift.platform.settings import settings_path
 from siskinshift.platform.store import PlatformStore
-from siskinshift.runtime.datagram_sockets import open_datagram_socket
 from siskinshift.runtime.event_loop import EventLoop
+from siskinshift.runtime.event_loop import open_datagram_socket
 from siskinshift.runtime.http_server import HttpReply
 from siskinshift.runtime.http_server import HttpServer
 from siskinshift.runtime.life_cycle import LifeCycle
--- a/src/siskinshift/platform/settings.py
+++ b/src/siskinshift/platform/settings.py
@@ -15,7 +15,6 @@
 from siskinshift.connections.node_settings import NodeSettings
 from siskinshift.connections.node_settings import StoreSettings
 from siskinshift.core.endpoints import parse_endpoint
-from siskinshift.platform.early_settings import PATH_VARIABLE
 from siskinshift.settings.exceptions import SettingsError
 
 
@@ -25,6 +24,7 @@
     from siskinshift.messages.core import Endpoint
 
 
+PATH_VARIABLE = "SISKINSHIFT_NODE_FILE"
 MILLISECONDS = 1000.0
 BYTES_PER_MEGABIT = 125_000.0
 # A node needs a few calls at its start and one each ten seconds after; a whole fleet
--- a/src/siskinshift/runtime/event_loop.py
+++ b/src/siskinshift/runtime/event_loop.py
@@ -22,6 +22,9 @@
 
 
 DATAGRAM_SIZE_MAXIMUM = 65535
+# Room for half a second of the busiest link's packets while the process starts or
+# stands still; the kernel may allow less.
+RECEIVE_BUFFER_BYTES = 1 << 20
 # Datagrams of one socket taken before the others get their turn.
 BATCH_DATAGRAMS = 64
 # The same for a socket that is read last, just before timers look for what is overdue:
@@ -36,6 +39,23 @@
 DatagramHandler: TypeAlias = "Callable[[bytes, tuple[str, int], float], None]"
 
 
+def open_datagram_socket(host: str, port: int) -> socket.socket:
+    """Binds a UDP socket that never blocks.
+
+    Args:
+        host: Own IP number.
+        port: Port; 0 takes a free one.
+
+    Returns:
+        The socket.
+    """
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    opened.bind((host, port))
+    opened.setblocking(False)
+    return opened
+
+
 class EventLoop:
     """Runs handlers one after the other, so that they need no locks."""
 
--- a/src/siskinshift/standins/connection_ends.py
+++ b/src/siskinshift/standins/connection_ends.py
@@ -26,7 +26,7 @@
 from siskinshift.connections.segment import SYN
 from siskinshift.platform.packets import decode_from_caller
 from siskinshift.platform.packets import decode_from_upstream
-from siskinshift.runtime.datagram_sockets import open_datagram_socket
+from siskinshift.runtime.event_loop import open_datagram_socket
 
 
 if TYPE_CHECKING:
--- a/tests/connections/deployment.py
+++ b/tests/connections/deployment.py
@@ -17,8 +17,8 @@
 from siskinshift.connections.segment import pack_service_address
 from siskinshift.observability.event_log import EventLog
 from siskinshift.platform.configuration import CONFIGURATION_KEY
-from siskinshift.platform.early_settings import PATH_VARIABLE
-from siskinshift.runtime.datagram_sockets import open_datagram_socket
+from siskinshift.platform.settings import PATH_VARIABLE
+from siskinshift.runtime.event_loop import open_datagram_socket
 from siskinshift.runtime.http_client import HttpClient
 from siskinshift.runtime.life_cycle import LifeCycle
 from siskinshift.standins.connection_ends import ConnectionCaller
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,7 +9,7 @@
 import pytest
 
 from siskinshift.messages.core import Endpoint
-from siskinshift.platform.early_settings import PATH_VARIABLE
+from siskinshift.platform.settings import PATH_VARIABLE
 from siskinshift.platform.settings import decode_node_settings
 from siskinshift.platform.settings import load_node_settings
 from siskinshift.platform.settings import settings_path
--- a/tests/runtime/test_event_loop.py
+++ b/tests/runtime/test_event_loop.py
@@ -6,9 +6,9 @@
 import threading
 from typing import TYPE_CHECKING
 
-from siskinshift.runtime.datagram_sockets import open_datagram_socket
 from siskinshift.runtime.event_loop import TIMER_PAUSE_SECONDS
 from siskinshift.runtime.event_loop import EventLoop
+from siskinshift.runtime.event_loop import open_datagram_socket
 from tests.connections.builders import quiet_log
 
 
