--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -14,12 +14,11 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from attrs import Factory
-from attrs import define
-
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToPeer
-from siskinshift.connections.fleet import Peer
+from siskinshift.connections.flow_records import Attempt
+from siskinshift.connections.flow_records import FlowRecord
+from siskinshift.connections.flow_records import FlowRecords
 from siskinshift.connections.owner_search import OwnerSearch
 from siskinshift.connections.peer_messages import NO_TERMS
 from siskinshift.connections.peer_messages import Owned
@@ -30,7 +29,6 @@
 from siskinshift.connections.peer_messages import encode_owned
 from siskinshift.connections.peer_messages import encode_question
 from siskinshift.connections.recent_packets import RecentPackets
-from siskinshift.connections.request_queue import Terms
 from siskinshift.connections.routes import service_tag
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
@@ -45,6 +43,7 @@
 if TYPE_CHECKING:
     from siskinshift.connections.actions import Action
     from siskinshift.connections.fleet import Fleet
+    from siskinshift.connections.fleet import Peer
     from siskinshift.connections.peer_messages import FlowVerdict
     from siskinshift.connections.placement import AgentPlacement
     from siskinshift.connections.routes import ConnectionRoute
@@ -63,11 +62,6 @@
 HOLD_SECONDS = 0.25
 # Opening packets held at most; chosen to bound memory, not measured.
 HELD_MAXIMUM = 2000
-# A record is dropped when its flow was silent for one to two of these.
-GENERATION_SECONDS = 60.0
-# Flows of a balancer at which it forgets the older half early, so that memory
-# stays bounded. Their size has not been measured.
-RECORDS_MAXIMUM = 50_000
 
 
 # Second attempts after silence that one accepted flow pays for. A failure domain's
@@ -89,56 +83,6 @@
 OWNED_FLOWS_MAXIMUM = 90
 
 
-@define(eq=False)
-class Attempt:
-    """An agent that was asked to take a flow.
-
-    Attributes:
-        agent: The agent.
-        verdict: Its word; None before it came.
-    """
-
-    agent: Peer
-    verdict: Verdict | None = None
-
-
-@define(eq=False)
-class FlowRecord:
-    """What a balancer remembers of a flow.
-
-    Attributes:
-        flow: The flow.
-        service_id: Service that was drawn for it; empty when it was not seen to open.
-        owner: The agent whose upstream holds it, once known.
-        opening: The opening packet, until the flow is open.
-        opened_at: When that came, seconds.
-        attempts: Agents asked to take it.
-        terms: What callers on its route want.
-        search: The search for its owner, if there is one.
-        acknowledged: What the caller acknowledged last.
-        owned_header: What goes before each packet for the owner, once it was worked
-            out: most packets of a balancer are of open flows.
-    """
-
-    flow: bytes
-    service_id: str = ""
-    owner: Peer | None = None
-    opening: bytes = b""
-    opened_at: float = 0.0
-    attempts: list[Attempt] = Factory(list)
-    terms: Terms = NO_TERMS
-    search: OwnerSearch | None = None
-    acknowledged: int = 0
-    owned_header: bytes = b""
-
-    def attempt_with(self, agent: Peer) -> Attempt | None:
-        """Finds the attempt with an agent."""
-        for attempt in self.attempts:
-            if attempt.agent is agent:
-                return attempt
-        return None
-
-
 class BalancerFlows:
     """Flows as one balancer sees them."""
 
@@ -167,9 +111,7 @@
         self._routes: RouteTable | None = None
         self._dropped_addresses: set[bytes] = set()
         self._tags: dict[str, int] = {}
-        self._young: dict[bytes, FlowRecord] = {}
-        self._old: dict[bytes, FlowRecord] = {}
-        self._generation_at = 0.0
+        self._records = FlowRecords()
         self._retries: deque[tuple[float, FlowRecord, Attempt]] = deque()
         self._held: deque[FlowRecord] = deque()
         self._searches: list[tuple[float, int, FlowRecord, OwnerSearch]] = []
@@ -185,7 +127,7 @@
         self._recent = RecentPackets()
 
     def __len__(self) -> int:
-        return len(self._young) + len(self._old)
+        return len(self._records)
 
     @property
     def routes(self) -> RouteTable | None:
@@ -228,9 +170,9 @@
             return self._without_route(segment)
         if flags & SYN:
             return self._on_opening(route, segment, now=now)
-        record = self._find(segment.flow)
+        record = self._records.find(segment.flow)
         if record is None:
-            record = self._add(FlowRecord(segment.flow))
+            record = self._records.add(FlowRecord(segment.flow))
         record.acknowledged = segment.ack
         if record.terms is not route.terms:
             record.terms = route.terms
@@ -254,7 +196,7 @@
         """
         self._fleet.answered(agent, now=now)
         self._fleet.took_load(agent, verdict.load)
-        record = self._find(verdict.flow)
+        record = self._records.find(verdict.flow)
         if record is None:
             return []
         if verdict.verdict is Verdict.MINE:
@@ -295,7 +237,7 @@
             Messages for each of them.
         """
         flows_by_agent: dict[str, list[bytes]] = {}
-        for record in (*self._young.values(), *self._old.values()):
+        for record in self._records:
             if record.owner is not None:
                 member_id = record.owner.member.member_id
                 flows_by_agent.setdefault(member_id, []).append(record.flow)
@@ -317,8 +259,8 @@
         if agent is None:
             return
         for flow in owned.flows:
-            if self._find(flow) is None:
-                self._add(FlowRecord(flow, owner=agent))
+            if self._records.find(flow) is None:
+                self._records.add(FlowRecord(flow, owner=agent))
 
     def search_of(self, flow: bytes) -> OwnerSearch | None:
         """Gives the search for a flow's owner that is under way.
@@ -329,7 +271,7 @@
         Returns:
             The search; None if there is none.
         """
-        record = self._find(flow)
+        record = self._records.find(flow)
         return record.search if record is not None else None
 
     def retry_held(self, *, now: float) -> list[Action]:
@@ -360,21 +302,16 @@
         actions: list[Action] = []
         while self._retries and self._retries[0][0] <= now:
             _, record, attempt = self._retries.popleft()
-            if attempt.verdict is None and self._find(record.flow) is record:
+            if attempt.verdict is None and self._records.find(record.flow) is record:
                 attempt.agent.unanswered += 1
-                if (
-                    len(record.attempts) < ATTEMPTS_MAXIMUM
-                    and self._retry_budget.take()
-                ):
-                    actions += self._try_next(record, now=now)
+                actions += self._try_again(record, now=now)
         while self._searches and self._searches[0][0] <= now:
             _, _, record, search = heapq.heappop(self._searches)
             if record.search is search and search.next_wave_at <= now:
                 actions += self._next_wave(record, search, now=now)
         while self._held and now - self._held[0].opened_at > HOLD_SECONDS:
             actions += self._give_up(self._held.popleft())
-        if now - self._generation_at > GENERATION_SECONDS:
-            self._next_generation(now=now)
+        self._records.forget_silent(now=now)
         return actions
 
     def next_due(self) -> float:
@@ -383,7 +320,7 @@
         Returns:
             Clock reading, seconds.
         """
-        due = self._generation_at + GENERATION_SECONDS
+        due = self._records.due
         if self._retries:
             due = min(due, self._retries[0][0])
         if self._searches:
@@ -401,7 +338,7 @@
             # The route may have been added a moment ago: the caller's next copy,
             # 200 ms later, finds it in force or is refused.
             return []
-        self._drop(segment.flow)
+        self._records.drop(segment.flow)
         self._log.decision(
             "reset",
             flow=flow_name(segment.flow),
@@ -413,9 +350,9 @@
     def _on_opening(
         self, route: ConnectionRoute, segment: Segment, *, now: float
     ) -> list[Action]:
-        record = self._find(segment.flow)
+        record = self._records.find(segment.flow)
         if record is None or not record.attempts:
-            record = self._add(FlowRecord(segment.flow))
+            record = self._records.add(FlowRecord(segment.flow))
             record.service_id = route.service_for(segment.flow)
             record.terms = route.terms
             record.opening = segment.datagram
@@ -452,6 +389,17 @@
         )
         return [self._forward(agent, Purpose.OPEN, record.opening, record)]
 
+    def _try_again(self, record: FlowRecord, *, now: float) -> list[Action]:
+        """Tries another agent after silence, as far as accepted flows pay for it."""
+        if len(record.attempts) >= ATTEMPTS_MAXIMUM:
+            return []
+        if not self._retry_budget.take():
+            self._log.decision(
+                "not tried again", flow=flow_name(record.flow), reason="retry budget"
+            )
+            return []
+        return self._try_next(record, now=now)
+
     def _hold(self, record: FlowRecord, *, now: float) -> list[Action]:
         if any(attempt.verdict is None for attempt in record.attempts):
             return []
@@ -463,9 +411,9 @@
         return []
 
     def _give_up(self, record: FlowRecord) -> list[Action]:
-        if self._find(record.flow) is not record or record.owner is not None:
+        if self._records.find(record.flow) is not record or record.owner is not None:
             return []
-        self._drop(record.flow)
+        self._records.drop(record.flow)
         self._log.decision(
             "reset",
             flow=flow_name(record.flow),
@@ -523,6 +471,9 @@
         record.search = None
         if self._search_budget.wait(now=now):
             # The caller's next copy asks again; a full link would lose this one.
+            self._log.decision(
+                "not searched", flow=flow_name(record.flow), reason="link budget"
+            )
             return []
         route = None
         if self._routes is not None:
@@ -557,7 +508,7 @@
             # The owner may be an agent that has not made itself known yet, or that
             # this balancer can't hear: the caller's next packet asks again.
             return []
-        self._drop(record.flow)
+        self._records.drop(record.flow)
         self._log.decision(
             "reset",
             flow=flow_name(record.flow),
@@ -657,29 +608,3 @@
         if tag is None:
             tag = self._tags[service_id] = service_tag(service_id)
         return tag
-
-    def _find(self, flow: bytes) -> FlowRecord | None:
-        record = self._young.get(flow)
-        if record is not None:
-            return record
-        record = self._old.pop(flow, None)
-        if record is not None:
-            self._young[flow] = record
-        return record
-
-    def _add(self, record: FlowRecord) -> FlowRecord:
-        if len(self._young) >= RECORDS_MAXIMUM // 2:
-            self._old = self._young
-            self._young = {}
-        self._old.pop(record.flow, None)
-        self._young[record.flow] = record
-        return record
-
-    def _drop(self, flow: bytes) -> None:
-        self._young.pop(flow, None)
-        self._old.pop(flow, None)
-
-    def _next_generation(self, *, now: float) -> None:
-        self._generation_at = now
-        self._old = self._young
-        self._young = {}
--- a/src/siskinshift/observability/explanation.py
+++ b/src/siskinshift/observability/explanation.py
@@ -38,6 +38,12 @@
     ("reset", "no agent takes it"): (
         "refused under load or without agents: each agent refused or none was ready"
     ),
+    ("not tried again", "retry budget"): (
+        "an agent did not answer, and the balancer was too loaded to ask another one"
+    ),
+    ("not searched", "link budget"): (
+        "the balancer did not know its owner, and searches had used up their link"
+    ),
     ("refused", "full"): "refused under load: the upstream takes no more flows",
     ("refused", "unavailable"): "the upstream leaves, is silent or its agent ends",
     ("refused", "wrong_service"): "the balancer meant another service at this address",
--- a/tests/observability/test_explanation.py
+++ b/tests/observability/test_explanation.py
@@ -23,6 +23,8 @@
     [
         ("reset", "no route", "has no route"),
         ("reset", "no upstream holds the flow", "its upstream is gone"),
+        ("not tried again", "retry budget", "too loaded to ask another"),
+        ("not searched", "link budget", "searches had used up their link"),
         ("reset", "no agent takes it", "refused under load"),
         ("refused", "unavailable", "its agent ends"),
     ],
