--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -544,6 +544,10 @@
         if not segment.length:
             flow.bare_packet = segment.datagram
             return True
+        if flow.ended_at:
+            # Late data of a caller that has given up: the upstream answers it with
+            # a reset or not at all, so it must not hold a slot until it is stuck.
+            return True
         is_new = flow.sent_up_to is None or is_after(segment.seq, flow.sent_up_to)
         if is_new:
             flow.sent_up_to = (segment.seq + segment.length) % SEQUENCE_SPACE
@@ -565,9 +569,9 @@
         return flow
 
     def _end(self, name: bytes, flow: OwnedFlow, *, now: float) -> None:
+        self._queue.finished(name, now=now)
         if flow.ended_at:
             return
-        self._queue.finished(name, now=now)
         flow.ended_at = now
         self._open_count -= 1
 
--- a/tests/connections/test_agent_flows.py
+++ b/tests/connections/test_agent_flows.py
@@ -438,3 +438,50 @@
         if isinstance(action, ToPeer)
     ]
     assert returned == [False, True]
+
+
+def test_late_requests_of_ended_flows_hold_no_slot() -> None:
+    """A balancer stands still for four seconds and then sends what it had received.
+
+    Its callers have given up and ended their flows by way of other balancers. Their
+    requests were handed to the upstream, which does not answer them, and held its slot:
+    all others waited beside an idle upstream until their callers gave up as well.
+    """
+    flows = agent_flows()
+    for port in range(1, 5):
+        _opened(flows, port)
+        end = segment(port, RESET, seq=2, ack=UPSTREAM_SEQ + 1)
+        _forward(flows, end, Purpose.OWNED, now=0.1)
+    late = [segment(p, seq=2, ack=UPSTREAM_SEQ + 1, length=50) for p in range(1, 5)]
+    for packet in late:
+        _forward(flows, packet, Purpose.OWNED, now=0.2)
+    assert flows.load.running == 0
+
+    _opened(flows, 9, now=0.3)
+    request = segment(9, seq=2, ack=UPSTREAM_SEQ + 1, length=50)
+    sent = _forward(flows, request, Purpose.OWNED, now=0.4)
+
+    assert ToUpstream(request.datagram) in sent
+
+
+def test_a_request_that_its_upstream_returns_frees_its_slot() -> None:
+    """An upstream closes a flow while a request of it is on the way.
+
+    The upstream returns the request or resets the flow; either way nothing runs.
+    """
+    for flags in (RESET, ACK | BOUNCED):
+        flows = agent_flows()
+        _opened(flows, 1)
+        request = segment(1, seq=2, ack=UPSTREAM_SEQ + 1, length=50)
+        _forward(flows, request, Purpose.OWNED, now=0.1)
+        end = segment(1, FIN | ACK, seq=52, ack=UPSTREAM_SEQ + 1)
+        _forward(flows, end, Purpose.OWNED, now=0.1)
+        flows.on_upstream_segment(
+            segment(1, FIN | ACK, seq=UPSTREAM_SEQ + 1, ack=52), now=0.1
+        )
+        again = segment(1, seq=52, ack=UPSTREAM_SEQ + 2, length=50)
+        _forward(flows, again, Purpose.OWNED, now=0.2)
+
+        flows.on_upstream_segment(segment(1, flags, seq=UPSTREAM_SEQ + 2), now=0.2)
+
+        assert flows.load.running == 0
