--- a/src/siskinshift/connections/upstream_life.py
+++ b/src/siskinshift/connections/upstream_life.py
@@ -148,6 +148,7 @@
         """
         self._remember_ended(upstream_id)
         if not self.upstream_id:
+            # Its end came before any heartbeat: the agent has restarted meanwhile.
             self.upstream_id = upstream_id
         if upstream_id != self.upstream_id:
             return False
