--- a/src/siskinshift/standins/connection_ends.py
+++ b/src/siskinshift/standins/connection_ends.py
@@ -267,6 +267,10 @@
         self._seq = random.getrandbits(32)
         self._received = 0
 
+    def close(self) -> None:
+        """Gives the caller's address back; says nothing."""
+        self._socket.close()
+
     def open(self, *, timeout: float = 1.4) -> None:
         """Opens the flow.
 
