--- a/src/siskinshift/runtime/http_client.py
+++ b/src/siskinshift/runtime/http_client.py
@@ -14,6 +14,12 @@
 
 READ_BYTES = 262144
 ANSWER_MAXIMUM_BYTES = 64 << 20
+# A part of an answer that comes now and then must not hold a task for good. The largest
+# value of the store, a megabyte, takes 2.2 s at 5 Mbit/s; several times that.
+FLOWING_SECONDS_MAXIMUM = 10.0
+# Silence within an answer: a lost segment is sent again within this. A call that waits
+# for a change may be silent for far longer before its answer begins.
+PART_SECONDS_MAXIMUM = 1.0
 # A connection may go silent for good without a reset. Probes begin after a second of
 # silence, and two without an answer end it: a call that waits fails within three.
 PROBE_AFTER_SECONDS = 1
@@ -76,16 +82,18 @@
             method: HTTP method.
             target: Path with query.
             body: Body, JSON.
-            timeout: Time allowed for the whole answer, seconds.
+            timeout: Silence allowed until the answer and within it, seconds. A long
+                answer on a slow link is not lost while it flows: at 5 Mbit/s the
+                configuration of 1,700 routes takes 0.65 s, and with a time for the
+                whole each try was given up just before its end.
 
         Returns:
             The answer, whatever its status.
 
         Raises:
             CallNotSentError: No connection.
-            AnswerLostError: No whole answer in time.
+            AnswerLostError: The answer or a part of it did not come in time.
         """
-        until = time.monotonic() + timeout
         connection = self._connect(timeout)
         head = (
             f"{method} {target} HTTP/1.1\r\n"
@@ -96,7 +104,7 @@
         try:
             connection.settimeout(timeout)
             connection.sendall(head.encode() + body)
-            return self._read(connection, until)
+            return self._read(connection, timeout)
         except (OSError, ValueError, httptools.HttpParserError) as error:
             self.close()
             raise AnswerLostError(str(error)) from error
@@ -126,18 +134,18 @@
             _notice_silence(self._socket)
         return self._socket
 
-    def _read(self, connection: socket.socket, until: float) -> HttpAnswer:
+    def _read(self, connection: socket.socket, timeout: float) -> HttpAnswer:
         reader = _AnswerReader()
         parser = httptools.HttpResponseParser(reader)
+        give_up_at = time.monotonic() + timeout + FLOWING_SECONDS_MAXIMUM
         while not reader.is_complete:
-            left = until - time.monotonic()
-            if left <= 0:
+            if time.monotonic() > give_up_at:
                 raise TimeoutError("answer too slow")
-            connection.settimeout(left)
             data = connection.recv(READ_BYTES)
             if not data:
                 raise ConnectionResetError("closed before the answer's end")
             parser.feed_data(data)
+            connection.settimeout(min(timeout, PART_SECONDS_MAXIMUM))
         if not parser.should_keep_alive():
             self.close()
         return HttpAnswer(parser.get_status_code(), b"".join(reader.parts))
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -117,3 +117,53 @@
     with socket.create_connection(("127.0.0.1", server.port), 2.0) as connection:
         connection.sendall(b"\x00\x01nonsense\r\n\r\n")
         assert connection.recv(100) == b""
+
+
+def test_a_long_answer_on_a_slow_link_is_read_to_its_end() -> None:
+    """All balancers restart and read a long configuration over links of 5 Mbit/s.
+
+    The answer takes longer than the time for a call. Given up just before its end and
+    asked for again, it left callers unserved for two seconds beside free upstreams.
+    """
+    pieces, pause = 15, 0.1
+    timeout = pieces * pause * 0.7
+    body = b"x" * 100 * pieces
+
+    def answer_slowly(listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(1000)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1500\r\n\r\n")
+            for number in range(pieces):
+                time.sleep(pause)
+                connection.sendall(body[number * 100 : (number + 1) * 100])
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        server = threading.Thread(target=answer_slowly, args=(listener,), daemon=True)
+        server.start()
+        client = HttpClient(*listener.getsockname(), connect_timeout=1.0)
+        answer = client.call("GET", "/", timeout=timeout)
+        client.close()
+        server.join()
+
+    assert answer.body == body
+
+
+def test_an_answer_that_stops_half_way_is_lost() -> None:
+    def answer_in_part(listener: socket.socket, hold: threading.Event) -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(1000)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1500\r\n\r\nx")
+            hold.wait(10.0)
+
+    hold = threading.Event()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        arguments = (listener, hold)
+        server = threading.Thread(target=answer_in_part, args=arguments, daemon=True)
+        server.start()
+        client = HttpClient(*listener.getsockname(), connect_timeout=1.0)
+        with pytest.raises(AnswerLostError):
+            client.call("GET", "/", timeout=0.2)
+        hold.set()
+        server.join()
