--- a/src/siskinshift/connections/flow_records.py
+++ b/src/siskinshift/connections/flow_records.py
@@ -45,6 +45,7 @@
     Attributes:
         flow: The flow.
         service_id: Service that was drawn for it; empty when it was not seen to open.
+        service_ids: Services that may hold it by the configuration.
         owner: The agent whose upstream holds it, once known.
         opening: The opening packet, until the flow is open.
         opened_at: When that came, seconds.
@@ -66,6 +67,14 @@
     search: OwnerSearch | None = None
     acknowledged: int = 0
     owned_header: bytes = b""
+    service_ids: tuple[str, ...] = ()
+
+    @property
+    def only_acceptance(self) -> Peer | None:
+        """The agent that took it, if no other one was asked."""
+        if len(self.attempts) == 1 and self.attempts[0].verdict is Verdict.ACCEPTED:
+            return self.attempts[0].agent
+        return None
 
     def attempt_with(self, agent: Peer) -> Attempt | None:
         """Finds the attempt with an agent."""
--- /dev/null
+++ b/src/siskinshift/connections/owner_finder.py
@@ -0,0 +1,269 @@
+"""Finds out which agent owns a flow that this balancer does not know.
+
+A balancer's memory of flows is a cache: it is empty after a restart, and routers move
+flows between balancers. Whom to ask in which order is `owner_search`'s; here stand the
+searches under way, their part of the link, and what the agents' words mean for them.
+"""
+
+from __future__ import annotations
+
+import heapq
+from itertools import count
+from typing import TYPE_CHECKING
+
+from siskinshift.connections.actions import ResetCaller
+from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.owner_search import OwnerSearch
+from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import Question
+from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import encode_question
+from siskinshift.connections.segment import flow_name
+from siskinshift.flows.pacing import ByteBudget
+
+
+if TYPE_CHECKING:
+    from siskinshift.connections.actions import Action
+    from siskinshift.connections.fleet import Fleet
+    from siskinshift.connections.fleet import Peer
+    from siskinshift.connections.flow_records import FlowRecord
+    from siskinshift.connections.flow_records import FlowRecords
+    from siskinshift.connections.forwarding import Forwarding
+    from siskinshift.connections.peer_messages import FlowVerdict
+    from siskinshift.connections.segment import Segment
+    from siskinshift.observability.event_log import EventLog
+
+
+# Searches take at most this part of the link, and this much on the strongest. Without a
+# bound the questions for some hundred flows filled a link of 7 Mbit/s; what was lost
+# was asked again, and the link stayed full after the cause was gone.
+SEARCH_LINK_PART = 0.15
+SEARCH_BYTES_PER_SECOND_MAXIMUM = 500_000.0
+SEARCH_BURST_SECONDS = 1.0
+# A search that finds no room goes on after this; the next of the caller's copies comes
+# after 200 ms and more.
+POSTPONED_SECONDS = 0.1
+# Headers of the datagrams below what we count.
+DATAGRAM_HEADER_BYTES = 28
+
+
+class OwnerFinder:
+    """The searches of one balancer."""
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        records: FlowRecords,
+        forwarding: Forwarding,
+        failure_domain: str,
+        link_bytes_per_second: float,
+        log: EventLog,
+    ) -> None:
+        """Starts without any search.
+
+        Args:
+            fleet: The agents.
+            records: What the balancer knows of flows.
+            forwarding: Writes the messages.
+            failure_domain: Failure domain of the balancer.
+            link_bytes_per_second: What its link carries.
+            log: Takes a line for each decision.
+        """
+        self._fleet = fleet
+        self._records = records
+        self._forwarding = forwarding
+        self._failure_domain = failure_domain
+        self._log = log
+        self._searches: list[tuple[float, int, FlowRecord, OwnerSearch]] = []
+        self._search_numbers = count()
+        self._budget = ByteBudget(
+            bytes_per_second=min(
+                SEARCH_LINK_PART * link_bytes_per_second,
+                SEARCH_BYTES_PER_SECOND_MAXIMUM,
+            ),
+            burst_seconds=SEARCH_BURST_SECONDS,
+        )
+
+    @property
+    def next_due(self) -> float:
+        """When `tick` is needed next: clock reading, seconds."""
+        return self._searches[0][0] if self._searches else float("inf")
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Goes on with searches whose agents have not answered.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        actions: list[Action] = []
+        while self._searches and self._searches[0][0] <= now:
+            _, _, record, search = heapq.heappop(self._searches)
+            if record.search is search and search.next_wave_at <= now:
+                actions += self._next_wave(record, search, now=now)
+        return actions
+
+    def find(
+        self,
+        record: FlowRecord,
+        segment: Segment,
+        *,
+        now: float,
+    ) -> list[Action]:
+        """Takes a packet of a flow whose owner is not known.
+
+        Args:
+            record: The flow.
+            segment: The packet.
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        search = record.search
+        if search is None or search.is_over(self._fleet, now=now):
+            return self._begin(record, segment.datagram, now=now)
+        search.add(segment.datagram)
+        if self._budget.wait(now=now):
+            return []
+        known = self._fleet.peers_by_id
+        peers = [known[i] for i in sorted(search.pending & known.keys())]
+        return self._ask(record, search, [segment.datagram], peers, now=now)
+
+    def on_verdict(
+        self, agent: Peer, verdict: FlowVerdict, record: FlowRecord, *, now: float
+    ) -> list[Action]:
+        """Takes an agent's word about who owns a flow.
+
+        Args:
+            agent: The agent.
+            verdict: MINE, NOT_MINE or UNSURE.
+            record: The flow.
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        if verdict.verdict is Verdict.MINE:
+            return self._on_mine(agent, record)
+        if verdict.verdict is Verdict.UNSURE:
+            return self._on_unsure(agent, record)
+        return self._on_not_mine(agent, record, verdict.packet, now=now)
+
+    def _begin(
+        self, record: FlowRecord, packet: bytes, *, now: float, denied_by: str = ""
+    ) -> list[Action]:
+        record.search = None
+        if self._budget.wait(now=now):
+            # The caller's next copy asks again; a full link would lose this one.
+            self._log.decision(
+                "not searched", flow=flow_name(record.flow), reason="link budget"
+            )
+            return []
+        record.search = OwnerSearch(
+            flow=record.flow,
+            service_ids=record.service_ids,
+            packets=[packet],
+            first=tuple(a.agent.member.member_id for a in record.attempts),
+            asked={denied_by} if denied_by else set(),
+            denied={denied_by} if denied_by else set(),
+        )
+        return self._next_wave(record, record.search, now=now)
+
+    def _next_wave(
+        self, record: FlowRecord, search: OwnerSearch, *, now: float
+    ) -> list[Action]:
+        if self._budget.wait(now=now):
+            search.next_wave_at = now + POSTPONED_SECONDS
+            self._schedule(record, search)
+            return []
+        agents = search.next_wave(
+            self._fleet, failure_domain=self._failure_domain, now=now
+        )
+        if agents:
+            self._schedule(record, search)
+            return self._ask(record, search, search.packets, agents, now=now)
+        if search.is_waiting(self._fleet, now=now):
+            return []
+        record.search = None
+        if not self._fleet.is_complete(now=now) or not search.is_conclusive:
+            # The owner may be an agent that has not made itself known yet, or that
+            # this balancer can't hear: the caller's next packet asks again.
+            return []
+        self._records.drop(record.flow)
+        self._log.decision(
+            "reset",
+            flow=flow_name(record.flow),
+            reason="no upstream holds the flow",
+            asked=len(search.asked),
+        )
+        return [ResetCaller(record.flow, record.acknowledged)]
+
+    def _schedule(self, record: FlowRecord, search: OwnerSearch) -> None:
+        number = next(self._search_numbers)
+        heapq.heappush(self._searches, (search.next_wave_at, number, record, search))
+
+    def _ask(
+        self,
+        record: FlowRecord,
+        search: OwnerSearch,
+        packets: list[bytes],
+        agents: list[Peer],
+        *,
+        now: float,
+    ) -> list[Action]:
+        question = encode_question(Question(record.flow, record.acknowledged))
+        actions: list[ToPeer] = []
+        for agent in agents:
+            if agent.member.member_id in search.questioned:
+                actions.append(ToPeer(agent.address, question))
+            else:
+                actions += self._forwarding.all_to_agent(
+                    agent, Purpose.SEARCH, packets, record
+                )
+        size = sum(len(a.datagram) + DATAGRAM_HEADER_BYTES for a in actions)
+        self._budget.take(size, now=now)
+        return list(actions)
+
+    def _on_unsure(self, agent: Peer, record: FlowRecord) -> list[Action]:
+        search = record.search
+        member_id = agent.member.member_id
+        if search is None or member_id not in search.questioned & search.pending:
+            return []
+        search.questioned.discard(member_id)
+        return list(
+            self._forwarding.all_to_agent(agent, Purpose.SEARCH, search.packets, record)
+        )
+
+    def _on_mine(self, agent: Peer, record: FlowRecord) -> list[Action]:
+        search = record.search
+        record.owner = agent
+        record.search = None
+        self._log.decision(
+            "owner found", flow=flow_name(record.flow), agent=agent.member.member_id
+        )
+        if search is None or agent.member.member_id not in search.questioned:
+            return []
+        return list(
+            self._forwarding.all_to_agent(agent, Purpose.OWNED, search.packets, record)
+        )
+
+    def _on_not_mine(
+        self, agent: Peer, record: FlowRecord, packet: bytes, *, now: float
+    ) -> list[Action]:
+        member_id = agent.member.member_id
+        if record.owner is agent:
+            record.owner = None
+            if not packet:
+                return []
+            return self._begin(record, packet, now=now, denied_by=member_id)
+        search = record.search
+        if search is None or member_id not in search.pending:
+            return []
+        search.said_no(member_id)
+        if search.is_waiting(self._fleet, now=now):
+            return []
+        return self._next_wave(record, search, now=now)
--- a/src/siskinshift/connections/routes.py
+++ b/src/siskinshift/connections/routes.py
@@ -46,6 +46,11 @@
     terms: Terms
     is_single: bool
 
+    @property
+    def service_ids(self) -> tuple[str, ...]:
+        """Services that may hold flows of the route."""
+        return tuple(target.service_id for target in self.targets)
+
     def service_for(self, flow: bytes) -> str:
         """Draws the service of a new flow, the same one on every node.
 
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -9,13 +9,13 @@
 
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToPeer
-from siskinshift.connections.balancer_flows import DATAGRAM_HEADER_BYTES
 from siskinshift.connections.balancer_flows import HOLD_SECONDS
 from siskinshift.connections.balancer_flows import RETRY_AFTER_SECONDS
-from siskinshift.connections.balancer_flows import SEARCH_BURST_SECONDS
-from siskinshift.connections.balancer_flows import SEARCH_LINK_PART
 from siskinshift.connections.fleet import ANSWER_SECONDS
 from siskinshift.connections.fleet import SILENT_AFTER_SECONDS
+from siskinshift.connections.owner_finder import DATAGRAM_HEADER_BYTES
+from siskinshift.connections.owner_finder import SEARCH_BURST_SECONDS
+from siskinshift.connections.owner_finder import SEARCH_LINK_PART
 from siskinshift.connections.owner_search import HOME_AGENTS
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import Forward
