--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -30,6 +30,7 @@
 from siskinshift.connections.segment import RESET
 from siskinshift.connections.segment import SEQUENCE_SPACE
 from siskinshift.connections.segment import SYN
+from siskinshift.connections.segment import Segment
 from siskinshift.connections.segment import flow_name
 from siskinshift.connections.segment import is_after
 from siskinshift.connections.segment import is_between
@@ -42,7 +43,6 @@
     from siskinshift.connections.peer_messages import Forward
     from siskinshift.connections.peer_messages import Question
     from siskinshift.connections.request_queue import Terms
-    from siskinshift.connections.segment import Segment
     from siskinshift.connections.upstream_life import UpstreamLife
     from siskinshift.observability.event_log import EventLog
 
@@ -76,6 +76,7 @@
         highest: Number that follows the upstream's newest data.
         is_confirmed: Whether the upstream has held the flow open for certain.
         opener: Balancer that brought the opening packet; None once it was told.
+        bringer: Balancer that brought the newest packet; None if it is not known.
         acknowledged: What the caller acknowledged last.
         bare_packet: A caller's packet without data: it can be sent to the upstream
             again at any time to see whether it still holds the flow.
@@ -90,6 +91,7 @@
     highest: int = 0
     is_confirmed: bool = False
     opener: tuple[str, int] | None = None
+    bringer: tuple[str, int] | None = None
     acknowledged: int = 0
     bare_packet: bytes = b""
     sent_up_to: int | None = None
@@ -140,6 +142,32 @@
         self.highest = (number + UNSEEN_WINDOW) % SEQUENCE_SPACE
 
 
+@frozen
+class LongFlow:
+    """A flow that its caller keeps, as it is listed for the agent's successor.
+
+    Attributes:
+        packet: A packet of the caller that can be sent to the upstream at any time.
+        bringer: Balancer that brought the newest packet; None if it is not known.
+    """
+
+    packet: bytes
+    bringer: tuple[str, int] | None
+
+
+@frozen
+class RestoredFlow:
+    """A flow from the list of the process before this one.
+
+    Attributes:
+        segment: A packet of the caller.
+        bringer: Balancer that brought the newest packet; None if it is not known.
+    """
+
+    segment: Segment
+    bringer: tuple[str, int] | None = None
+
+
 @frozen
 class Offer:
     """A packet of an unknown flow that the upstream was given, to see what it says.
@@ -238,6 +266,7 @@
             if segment.flags & RESET:
                 return []
             return [self._deny(forward, segment, sender)]
+        flow.bringer = sender
         actions: list[Action] = []
         if self._note_caller_packet(flow, segment, forward.terms, now=now):
             actions.append(ToUpstream(segment.datagram))
@@ -329,40 +358,61 @@
             if flow.bare_packet and not flow.ended_at
         ]
 
-    def long_flows(self, *, now: float) -> list[bytes]:
-        """Lists a repeatable packet of each flow that its caller keeps.
+    def long_flows(self, *, now: float) -> list[LongFlow]:
+        """Lists the flows that their callers keep.
 
         Args:
             now: Clock reading, seconds.
 
         Returns:
-            The packets, all without data.
+            The flows, each with a packet without data.
         """
         return [
-            flow.bare_packet
+            LongFlow(flow.bare_packet, flow.bringer)
             for flow in self._flows.values()
             if flow.bare_packet
             and not flow.ended_at
             and now - flow.opened_at > LONG_AFTER_SECONDS
         ]
 
-    def restore(self, segments: Iterable[Segment], *, now: float) -> list[Action]:
+    def owned_by_way_of(self, balancer: tuple[str, int]) -> list[bytes]:
+        """Names open flows whose newest packet a balancer brought.
+
+        Guards against searches by a balancer that has restarted: routers send it the
+        same flows again, hundreds within a second, and on a link of 5 Mbit/s the
+        questions for them alone would take seconds.
+
+        Args:
+            balancer: Where its messages come from.
+
+        Returns:
+            The flows.
+        """
+        return [
+            name
+            for name, flow in self._flows.items()
+            if flow.bringer == balancer and flow.is_confirmed and not flow.ended_at
+        ]
+
+    def restore(self, flows: Iterable[RestoredFlow], *, now: float) -> list[Action]:
         """Takes flows that the process before this one owned.
 
         They are asked about as soon as the upstream is heard; see `verify_all`.
 
         Args:
-            segments: A caller's packet of each.
+            flows: The flows.
             now: Clock reading, seconds.
 
         Returns:
             Resets, if the upstream that held them is known to be gone.
         """
-        new = [segment for segment in segments if segment.flow not in self._flows]
+        new = [known for known in flows if known.segment.flow not in self._flows]
         if self._knows_all:
-            return [ResetCaller(segment.flow, segment.ack) for segment in new]
-        for segment in new:
+            return [ResetCaller(k.segment.flow, k.segment.ack) for k in new]
+        for known in new:
+            segment = known.segment
             flow = self._add(segment.flow, now=now)
+            flow.bringer = known.bringer
             flow.begin_in_the_middle(segment.ack)
             flow.is_confirmed = True
             flow.acknowledged = segment.ack
@@ -452,7 +502,7 @@
             return [self._refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
         if flow is None:
             flow = self._add(segment.flow, now=now)
-        flow.opener = sender
+        flow.opener = flow.bringer = sender
         return [ToUpstream(segment.datagram)]
 
     def _offer(
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -5,7 +5,9 @@
 import socket
 from typing import TYPE_CHECKING
 
+from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.agent_flows import AgentFlows
+from siskinshift.connections.agent_flows import RestoredFlow
 from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
 from siskinshift.connections.flow_ledger import READ_PAUSE_SECONDS
 from siskinshift.connections.flow_ledger import WRITE_SECONDS
@@ -13,6 +15,7 @@
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.peer_messages import Forward
 from siskinshift.connections.peer_messages import Question
+from siskinshift.connections.peer_messages import encode_all_owned
 from siskinshift.connections.upstream_life import EndNotice
 from siskinshift.connections.upstream_life import Heartbeat
 from siskinshift.connections.upstream_life import HeartbeatEffect
@@ -32,11 +35,12 @@
     from collections.abc import Iterable
 
     from siskinshift.connections.actions import Action
+    from siskinshift.connections.agent_flows import LongFlow
+    from siskinshift.connections.fleet import Peer
     from siskinshift.connections.incarnation import Incarnation
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.peer_messages import Load
     from siskinshift.connections.peer_messages import PeerMessage
-    from siskinshift.connections.segment import Segment
     from siskinshift.runtime.http_server import HttpRequest
 
 
@@ -53,6 +57,8 @@
 # How often the agent looks after its upstream.
 LOOK_INTERVAL_SECONDS = 0.1
 PROBE_TIMEOUT_SECONDS = 0.3
+HOST_SIZE = 4
+UNKNOWN_HOST = bytes(HOST_SIZE)
 
 
 class AgentNode(ConnectionNode):
@@ -88,6 +94,7 @@
         self._is_probing = False
         self._is_process_gone = False
         self._verified: Incarnation | None = None
+        self._told_incarnations_by_id: dict[str, int] = {}
         self._left_by = float("inf")
 
     def on_start(self) -> None:
@@ -232,28 +239,50 @@
         return self.life.incarnation.started_ms if self.life.incarnation else None
 
     def _keep_ledger(self) -> None:
-        packets = self._ledger.load()
-        while packets is None and not self.stopping.wait(READ_PAUSE_SECONDS):
-            packets = self._ledger.load()
-        segments = [decode_from_caller(packet) for packet in packets or ()]
-        known = [s for s in segments if s is not None and s.is_bare]
-        if len(known) < len(segments):
-            self.log.fact("flow list unreadable", packets=len(segments) - len(known))
+        rows = self._ledger.load()
+        while rows is None and not self.stopping.wait(READ_PAUSE_SECONDS):
+            rows = self._ledger.load()
+        flows = [self._restored(row) for row in rows or ()]
+        known = [flow for flow in flows if flow is not None]
+        if len(known) < len(flows):
+            self.log.fact("flow list unreadable", rows=len(flows) - len(known))
         self.loop.call(lambda: self._restore(known))
         while not self.stopping.wait(WRITE_SECONDS):
             self._ledger.step(now=self.clock())
 
-    def _restore(self, segments: list[Segment]) -> None:
+    def _restore(self, flows: list[RestoredFlow]) -> None:
         now = self.clock()
-        self.perform(self.flows.restore(segments, now=now))
-        self.log.fact("flows restored", flows=len(segments))
+        self.perform(self.flows.restore(flows, now=now))
+        self.log.fact("flows restored", flows=len(flows))
+        # Balancers that were heard before the list was read are told now.
+        self._told_incarnations_by_id.clear()
         if self.life.can_be_asked(now=now):
             self._verified = self.life.incarnation
             self.perform(self.flows.verify_all())
 
     def _long_flows(self) -> list[bytes]:
         listing = self.loop.call(lambda: self.flows.long_flows(now=self.clock()))
-        return listing.result(CALL_SECONDS)
+        return [_row_of(flow) for flow in listing.result(CALL_SECONDS)]
+
+    def _restored(self, row: bytes) -> RestoredFlow | None:
+        segment = decode_from_caller(row[:-HOST_SIZE])
+        if segment is None or not segment.is_bare:
+            return None
+        host = socket.inet_ntoa(row[-HOST_SIZE:])
+        return RestoredFlow(segment, (host, self.node_settings.peer_port))
+
+    def on_peer_status(self, peer: Peer, now: float) -> Iterable[Action]:
+        """Names a balancer's flows to it, once for each of its lives."""
+        member = peer.member
+        known = self._told_incarnations_by_id.get(member.member_id)
+        if member.role is not Role.BALANCER or known == member.incarnation:
+            return ()
+        self._told_incarnations_by_id[member.member_id] = member.incarnation
+        flows = self.flows.owned_by_way_of(peer.address)
+        if flows:
+            self.log.decision("owner told", peer=member.member_id, flows=len(flows))
+        messages = encode_all_owned(self.member.member_id, flows)
+        return [ToPeer(peer.address, message) for message in messages]
 
     def _update_member(self, now: float) -> None:
         state = self.life.state(now=now)
@@ -328,3 +357,8 @@
             self._is_process_gone = True
             self.log.fact("upstream process gone", upstream=self.life.upstream_id)
         self.perform(self.flows.upstream_ended(now=self.clock()))
+
+
+def _row_of(flow: LongFlow) -> bytes:
+    host = socket.inet_aton(flow.bringer[0]) if flow.bringer else UNKNOWN_HOST
+    return flow.packet + host
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -21,7 +21,7 @@
 from siskinshift.connections.peer_messages import Owned
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import Verdict
-from siskinshift.connections.peer_messages import encode_owned
+from siskinshift.connections.peer_messages import encode_all_owned
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import RESET
@@ -56,12 +56,17 @@
 HELD_MAXIMUM = 2000
 
 
+# How long a packet waits for the first configuration. It is there within 0.1 s on a
+# good link, and within a second when it is long or the store is just back.
+EARLY_SECONDS = 1.0
+# 0.7 MB of the largest packets; the busiest balancer gets half of that in a second.
+EARLY_MAXIMUM = 512
+
+
 # Second attempts after silence that one accepted flow pays for. A failure domain's
 # agents, a third of all, may die at once: each two flows accepted pay for the one that
 # met them. While nobody answers, attempts do not multiply.
 RETRY_PART = 0.5
-# Flows named in one datagram: 1,200 bytes, as much as a caller's packet.
-OWNED_FLOWS_MAXIMUM = 90
 
 
 class BalancerFlows:
@@ -90,6 +95,7 @@
         self._log = log
         self._routes: RouteTable | None = None
         self._dropped_addresses: set[bytes] = set()
+        self._early: deque[tuple[float, Segment]] = deque(maxlen=EARLY_MAXIMUM)
         self._records = FlowRecords()
         self._retries: deque[tuple[float, FlowRecord, Attempt]] = deque()
         self._held: deque[FlowRecord] = deque()
@@ -140,9 +146,12 @@
             What to do.
         """
         flags = segment.flags
-        if self._routes is None or flags & BOUNCED or flags & (SYN | ACK) == SYN | ACK:
+        if flags & BOUNCED or flags & (SYN | ACK) == SYN | ACK:
             # Callers send neither; an upstream would take it for forged.
             return []
+        if self._routes is None:
+            self._early.append((now, segment))
+            return []
         route = self._routes.routes_by_address.get(service_address(segment.flow))
         if route is None:
             return self._without_route(segment)
@@ -165,6 +174,23 @@
             return [self._forwarding.to_owner(record, accepted, segment, now=now)]
         return self._finder.find(record, segment, now=now)
 
+    def take_early(self, *, now: float) -> list[Action]:
+        """Takes the packets that came before the first configuration.
+
+        Guards against callers that wait for their next copy, 0.2 to 1.6 s away, beside
+        a balancer that has just got its configuration. Older ones are left to copies:
+        their callers may have given up.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            What to do.
+        """
+        early = [segment for at, segment in self._early if now - at <= EARLY_SECONDS]
+        self._early.clear()
+        return [x for segment in early for x in self.on_segment(segment, now=now)]
+
     def on_verdict(
         self, agent: Peer, verdict: FlowVerdict, *, now: float
     ) -> list[Action]:
@@ -222,25 +248,34 @@
                 member_id = record.owner.member.member_id
                 flows_by_agent.setdefault(member_id, []).append(record.flow)
         return [
-            encode_owned(Owned(member_id, tuple(flows[i : i + OWNED_FLOWS_MAXIMUM])))
+            message
             for member_id, flows in flows_by_agent.items()
-            for i in range(0, len(flows), OWNED_FLOWS_MAXIMUM)
+            for message in encode_all_owned(member_id, flows)
         ]
 
-    def on_owned(self, owned: Owned) -> None:
-        """Takes over what a balancer that leaves knows of an agent's flows.
+    def on_owned(self, owned: Owned, *, now: float) -> list[Action]:
+        """Learns from another node which flows an agent owns.
 
         An agent that no longer owns one returns its packet, as ever.
 
         Args:
             owned: The agent and its flows.
+            now: Clock reading, seconds.
+
+        Returns:
+            Packets of flows that were searched for, now on their way to the owner.
         """
         agent = self._fleet.peers_by_id.get(owned.member_id)
         if agent is None:
-            return
+            return []
+        actions: list[Action] = []
         for flow in owned.flows:
-            if self._records.find(flow) is None:
+            record = self._records.find(flow)
+            if record is None:
                 self._records.add(FlowRecord(flow, owner=agent))
+            elif record.owner is None and record.search is not None:
+                actions += self._finder.on_owner(agent, record)
+        return actions
 
     def search_of(self, flow: bytes) -> OwnerSearch | None:
         """Gives the search for a flow's owner that is under way.
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -130,10 +130,9 @@
     def on_message(
         self, message: PeerMessage, source: tuple[str, int], now: float
     ) -> Iterable[Action]:
-        """Takes an agent's word about a flow, or what a leaving balancer knows."""
+        """Takes an agent's word about a flow, or what others know of owners."""
         if isinstance(message, Owned):
-            self._flows.on_owned(message)
-            return ()
+            return self._flows.on_owned(message, now=now)
         agent = self.fleet.peers_by_address.get(source)
         if agent is None or not isinstance(message, FlowVerdict):
             return ()
@@ -249,6 +248,7 @@
             routes=len(routes.routes_by_address),
         )
         self.send_status(self.fleet.balancers())
+        self.perform(self._flows.take_early(now=self.clock()))
 
     def _fetch_if_newer(self, peer: Peer, now: float) -> None:
         if peer.configuration_version <= self.configuration_version:
--- a/src/siskinshift/connections/owner_finder.py
+++ b/src/siskinshift/connections/owner_finder.py
@@ -43,6 +43,9 @@
 # A search that finds no room goes on after this; the next of the caller's copies comes
 # after 200 ms and more.
 POSTPONED_SECONDS = 0.1
+# What a caller has sent is looked for this long: then its next copy has come or it has
+# given up. The pause doubles, so that it is four rounds among all agents.
+SEARCH_SECONDS_MAXIMUM = 1.0
 # Headers of the datagrams below what we count.
 DATAGRAM_HEADER_BYTES = 28
 
@@ -148,21 +151,36 @@
             What to do.
         """
         if verdict.verdict is Verdict.MINE:
-            return self._on_mine(agent, record)
+            return self.on_owner(agent, record)
         if verdict.verdict is Verdict.UNSURE:
             return self._on_unsure(agent, record)
         return self._on_not_mine(agent, record, verdict.packet, now=now)
 
+    def on_owner(self, agent: Peer, record: FlowRecord) -> list[Action]:
+        """Learns who owns a flow that is searched for, from its owner or another node.
+
+        Args:
+            agent: The owner.
+            record: The flow.
+
+        Returns:
+            The packets that wait, unless the owner has them already.
+        """
+        search = record.search
+        record.owner = agent
+        record.search = None
+        member_id = agent.member.member_id
+        self._log.decision("owner found", flow=flow_name(record.flow), agent=member_id)
+        if search is None or search.has_packets(member_id):
+            return []
+        packets = search.packets
+        return list(
+            self._forwarding.all_to_agent(agent, Purpose.OWNED, packets, record)
+        )
+
     def _begin(
         self, record: FlowRecord, packet: bytes, *, now: float, denied_by: str = ""
     ) -> list[Action]:
-        record.search = None
-        if self._budget.wait(now=now):
-            # The caller's next copy asks again; a full link would lose this one.
-            self._log.decision(
-                "not searched", flow=flow_name(record.flow), reason="link budget"
-            )
-            return []
         record.search = OwnerSearch(
             flow=record.flow,
             service_ids=record.service_ids,
@@ -170,6 +188,7 @@
             first=tuple(a.agent.member.member_id for a in record.attempts),
             asked={denied_by} if denied_by else set(),
             denied={denied_by} if denied_by else set(),
+            began_at=now,
         )
         return self._next_wave(record, record.search, now=now)
 
@@ -177,9 +196,7 @@
         self, record: FlowRecord, search: OwnerSearch, *, now: float
     ) -> list[Action]:
         if self._budget.wait(now=now):
-            search.next_wave_at = now + POSTPONED_SECONDS
-            self._schedule(record, search)
-            return []
+            return self._wait_for_room(record, search, now=now)
         agents = search.next_wave(
             self._fleet, failure_domain=self._failure_domain, now=now
         )
@@ -188,11 +205,11 @@
             return self._ask(record, search, search.packets, agents, now=now)
         if search.is_waiting(self._fleet, now=now):
             return []
-        record.search = None
         if not self._fleet.is_complete(now=now) or not search.is_conclusive:
             # The owner may be an agent that has not made itself known yet, or that
-            # this balancer can't hear: the caller's next packet asks again.
-            return []
+            # this balancer can't hear.
+            return self._ask_all_again(record, search, now=now)
+        record.search = None
         self._records.drop(record.flow)
         self._log.decision(
             "reset",
@@ -202,6 +219,38 @@
         )
         return [ResetCaller(record.flow, record.acknowledged)]
 
+    def _wait_for_room(
+        self, record: FlowRecord, search: OwnerSearch, *, now: float
+    ) -> list[Action]:
+        """Lets a search go on when the link has room; what it has asked is kept."""
+        if not search.asked and now - search.began_at > SEARCH_SECONDS_MAXIMUM:
+            return self._give_up(record, reason="link budget")
+        search.next_wave_at = now + POSTPONED_SECONDS
+        self._schedule(record, search)
+        return []
+
+    def _ask_all_again(
+        self, record: FlowRecord, search: OwnerSearch, *, now: float
+    ) -> list[Action]:
+        """Begins a search anew, with the packets that it has.
+
+        Guards against a caller that waits for its own next copy, up to 1.6 s away,
+        while the owner has long made itself known.
+        """
+        waited = now - search.began_at
+        if waited > SEARCH_SECONDS_MAXIMUM:
+            return self._give_up(record, reason="agents silent")
+        search.begin_again()
+        search.next_wave_at = now + max(POSTPONED_SECONDS, waited)
+        self._schedule(record, search)
+        return []
+
+    def _give_up(self, record: FlowRecord, *, reason: str) -> list[Action]:
+        # The caller's next packet begins another search.
+        record.search = None
+        self._log.decision("not searched", flow=flow_name(record.flow), reason=reason)
+        return []
+
     def _schedule(self, record: FlowRecord, search: OwnerSearch) -> None:
         number = next(self._search_numbers)
         heapq.heappush(self._searches, (search.next_wave_at, number, record, search))
@@ -238,19 +287,6 @@
             self._forwarding.all_to_agent(agent, Purpose.SEARCH, search.packets, record)
         )
 
-    def _on_mine(self, agent: Peer, record: FlowRecord) -> list[Action]:
-        search = record.search
-        record.owner = agent
-        record.search = None
-        self._log.decision(
-            "owner found", flow=flow_name(record.flow), agent=agent.member.member_id
-        )
-        if search is None or agent.member.member_id not in search.questioned:
-            return []
-        return list(
-            self._forwarding.all_to_agent(agent, Purpose.OWNED, search.packets, record)
-        )
-
     def _on_not_mine(
         self, agent: Peer, record: FlowRecord, packet: bytes, *, now: float
     ) -> list[Action]:
--- a/src/siskinshift/connections/owner_search.py
+++ b/src/siskinshift/connections/owner_search.py
@@ -82,6 +82,7 @@
         denied: Member ids that have said no.
         wave: Number of the next wave.
         next_wave_at: When to ask further ones at the latest, seconds.
+        began_at: When its first packet came, seconds.
     """
 
     flow: bytes
@@ -94,6 +95,7 @@
     denied: set[str] = Factory(set)
     wave: int = 0
     next_wave_at: float = 0.0
+    began_at: float = 0.0
 
     def next_wave(self, fleet: Fleet, *, failure_domain: str, now: float) -> list[Peer]:
         """Goes on to the next agents that were not asked yet.
@@ -121,6 +123,12 @@
                 return new
         return []
 
+    def begin_again(self) -> None:
+        """Asks everybody once more, with the packets that it has."""
+        self.wave = 0
+        for names in (self.pending, self.asked, self.questioned, self.denied):
+            names.clear()
+
     def add(self, packet: bytes) -> None:
         """Keeps a further packet of the flow.
 
@@ -130,6 +138,14 @@
         if packet not in self.packets and len(self.packets) < PACKETS_MAXIMUM:
             self.packets.append(packet)
 
+    def has_packets(self, member_id: str) -> bool:
+        """Says whether an agent was sent the packets, and not only asked.
+
+        Args:
+            member_id: The agent.
+        """
+        return member_id in self.asked - self.questioned
+
     def said_no(self, member_id: str) -> None:
         """Takes note that an agent does not hold the flow.
 
--- a/src/siskinshift/connections/peer_messages.py
+++ b/src/siskinshift/connections/peer_messages.py
@@ -9,6 +9,7 @@
 
 import struct
 from enum import IntEnum
+from typing import TYPE_CHECKING
 from typing import TypeAlias
 
 from attrs import frozen
@@ -26,7 +27,13 @@
 from siskinshift.messages.core import Member
 
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
 NO_TERMS = Terms()
+# Flows named in one datagram: 1,200 bytes, as much as a caller's packet.
+OWNED_FLOWS_MAXIMUM = 90
 
 
 class _Kind(IntEnum):
@@ -102,7 +109,10 @@
 
 @frozen
 class Owned:
-    """A balancer that leaves names an agent's flows to those that follow it.
+    """Somebody names an agent's flows to a balancer that does not know them.
+
+    A balancer that leaves does so for those that follow it, an agent for a balancer
+    that has restarted.
 
     Attributes:
         member_id: The agent.
@@ -262,6 +272,22 @@
     return _OWNED.pack(_Kind.OWNED, len(name)) + name + b"".join(owned.flows)
 
 
+def encode_all_owned(member_id: str, flows: Sequence[bytes]) -> list[bytes]:
+    """Writes whose flows they are in as many messages as it takes.
+
+    Args:
+        member_id: The agent.
+        flows: All of its flows that are to be named.
+
+    Returns:
+        The messages.
+    """
+    return [
+        encode_owned(Owned(member_id, tuple(flows[i : i + OWNED_FLOWS_MAXIMUM])))
+        for i in range(0, len(flows), OWNED_FLOWS_MAXIMUM)
+    ]
+
+
 def encode_verdict(verdict: FlowVerdict) -> bytes:
     """Writes an agent's word about a flow.
 
