--- a/src/siskinshift/connections/fleet.py
+++ b/src/siskinshift/connections/fleet.py
@@ -82,6 +82,11 @@
     def __attrs_post_init__(self) -> None:
         self.key = xxhash.xxh3_64_intdigest(self.member.member_id.encode())
 
+    @property
+    def has_spoken(self) -> bool:
+        """Whether it has said anything since it was told of."""
+        return self.heard_at >= self.known_at
+
     def is_silent(self, *, now: float) -> bool:
         """Says whether the peer should have spoken by now.
 
@@ -91,7 +96,7 @@
         Returns:
             Whether it has not spoken lately, or not at all since it was told of.
         """
-        if self.heard_at >= self.known_at:
+        if self.has_spoken:
             return now - self.heard_at > SILENT_AFTER_SECONDS
         return now - self.known_at > ANSWER_SECONDS
 
@@ -265,7 +270,7 @@
         return [
             peer
             for peer in self.peers_by_id.values()
-            if peer.heard_at < peer.known_at and now - peer.known_at <= ANSWER_SECONDS
+            if not peer.has_spoken and now - peer.known_at <= ANSWER_SECONDS
         ]
 
     def forget_silent(self, *, now: float) -> list[Peer]:
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -105,6 +105,7 @@
             store=self.store,
             own=lambda: self.member,
             on_members=self._take_registered,
+            on_introduced=self._take_introduced,
             random=self.random,
             log=self.log,
         )
@@ -366,6 +367,12 @@
             self.log.fact("peer found", peer=peer.member.member_id, source="others")
         self.send_status(peers, wants_status=True)
 
+    def _take_introduced(self, members: list[Member]) -> None:
+        def take() -> None:
+            self._greet(self.fleet.introduced(members, now=self.clock()))
+
+        self.loop.call(take)
+
     def _take_registered(self, members: list[Member]) -> None:
         def take() -> None:
             self._greet(self.fleet.registered(members, now=self.clock()))
