--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -273,7 +273,7 @@
             record = self._records.find(flow)
             if record is None:
                 self._records.add(FlowRecord(flow, owner=agent))
-            elif record.owner is None and record.search is not None:
+            elif record.owner is None and not record.attempts:
                 actions += self._finder.on_owner(agent, record)
         return actions
 
--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -9,11 +9,17 @@
 slot stands idle, and lets the others wait here. A flow is one request at a time: the
 caller sends data, the upstream answers with data. The next one is, in this order:
 
-1. one that will soon be given up by its caller, so that late work is still done;
+1. one that is late and has used up a part of its caller's patience, so that late work
+   is still done;
 2. one that can still meet its objective, more urgent routes first, in order of arrival;
-3. one that is late already, the newest first.
+3. one that is late already.
 
-What its caller has given up is dropped: running it would take a slot from the others.
+Late requests go in order of arrival. After an outage their callers have waited for
+longer than is known here: seen from the queue a request of two seconds' patience was
+3 ms old and was given up half a second later, while younger ones went first.
+
+What its caller has given up, or will before an answer can be there, is dropped: running
+it would take a slot from the others.
 """
 
 from __future__ import annotations
@@ -183,7 +189,7 @@
                 self._waiting_by_flow.values(), key=lambda r: self._rank(r, now=now)
             )
             del self._waiting_by_flow[request.flow]
-            if request.given_up_at <= now:
+            if request.given_up_at <= now + self.mean_time:
                 continue
             self._started_at_by_flow[request.flow] = now
             yield request
@@ -223,4 +229,4 @@
             return (1, request.terms.urgency, request.arrived_at)
         if waited >= DUE_PART * patience:
             return (0, request.terms.urgency, request.arrived_at)
-        return (2, request.terms.urgency, -request.arrived_at)
+        return (2, request.terms.urgency, request.arrived_at)
--- a/src/siskinshift/observability/explanation.py
+++ b/src/siskinshift/observability/explanation.py
@@ -44,6 +44,9 @@
     ("not searched", "link budget"): (
         "the balancer did not know its owner, and searches had used up their link"
     ),
+    ("not searched", "agents silent"): (
+        "the balancer did not know its owner, and agents that may be it were silent"
+    ),
     ("refused", "full"): "refused under load: the upstream takes no more flows",
     ("refused", "unavailable"): "the upstream leaves, is silent or its agent ends",
     ("refused", "wrong_service"): "the balancer meant another service at this address",
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -546,6 +546,8 @@
 
     asked = {host for host, _ in _sent(flows.on_segment(segment(2, ack=9), now=0.0))}
     owner = min(asked)
+    flows.on_segment(opening(3), now=0.0)
+    assert flows.on_owned(Owned(names_by_host[owner], (flow_of(3),)), now=0.01) == []
     assert flows.on_owned(Owned(names_by_host[owner], (flow_of(2),)), now=0.01) == []
 
 
--- a/tests/connections/test_request_queue.py
+++ b/tests/connections/test_request_queue.py
@@ -84,6 +84,36 @@
     assert _next(queue, now=0.41) == [10]
 
 
+def test_late_requests_go_in_order_of_arrival() -> None:
+    """Power was away; callers come back with requests that have waited for long.
+
+    The queue sees them as new. The youngest first, those that came first were given up
+    by their callers one after the other: 62 of 433 in two seconds.
+    """
+    patient = Terms(objective=0.1, deadline=2.0, urgency=2)
+    queue = _full_queue()
+    for number in range(10, 14):
+        _begin(queue, number, terms=patient, now=0.01 * number)
+
+    queue.finished(_flow(1), now=0.4)
+
+    assert _next(queue, now=0.4) == [10]
+
+
+def test_what_can_not_be_answered_in_time_takes_no_slot() -> None:
+    """An upstream is slow; a request began 76 ms before its caller gave up.
+
+    Its work took longer than that, and a slot that others waited for.
+    """
+    queue = _full_queue()
+    queue.mean_time = 0.1
+    _begin(queue, 10, now=0.0)
+    _begin(queue, 11, now=0.1)
+    queue.finished(_flow(1), now=FEED.deadline - 0.05)
+
+    assert _next(queue, now=FEED.deadline - 0.05) == [11]
+
+
 def test_what_its_caller_gave_up_is_not_run() -> None:
     queue = _full_queue()
     _begin(queue, 10, now=0.0)
