--- a/src/siskinshift/api/client.py
+++ b/src/siskinshift/api/client.py
@@ -54,6 +54,7 @@
         authority: Certificates in PEM that the server's is checked against.
         server_name: Name in the server's certificate; empty for the endpoint's host.
         timeout: Time allowed for a call, seconds.
+        reach_timeout: Time allowed for the look whether the balancer is there, seconds.
     """
 
     endpoint: Endpoint
@@ -61,6 +62,7 @@
     authority: bytes
     server_name: str = ""
     timeout: float = CALL_SECONDS
+    reach_timeout: float = REACH_SECONDS
 
 
 @frozen
@@ -417,7 +419,9 @@
         # Asked before each change, so that a balancer that is not there, or whose
         # certificate is not trusted, is told apart from an answer that was lost.
         request = pb.ListServicesRequest(service_id=NO_SERVICE_ID)
-        self._read(self._stub.ListServices, request, timeout=REACH_SECONDS)
+        self._read(
+            self._stub.ListServices, request, timeout=self._settings.reach_timeout
+        )
 
 
 def _made(make_request: Callable[[], Any]) -> Any:
