--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -41,6 +41,7 @@
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.peer_messages import Load
     from siskinshift.connections.peer_messages import PeerMessage
+    from siskinshift.messages.core import Member
     from siskinshift.runtime.http_server import HttpRequest
 
 
@@ -119,6 +120,14 @@
         """Load of the upstream as its flows show it."""
         return self.flows.load
 
+    def is_wanted(self, member: Member) -> bool:
+        """Agents speak to balancers alone.
+
+        Guards against a flood when all nodes start: most pairs of a fleet are agents,
+        and a greeting with its answer is 0.7 KB.
+        """
+        return member.role is Role.BALANCER
+
     def begin_leaving(self) -> None:
         """Takes no new flow and ends as soon as no request runs."""
         now = self.clock()
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -328,7 +328,7 @@
         elif isinstance(message, Alive):
             self._on_alive(message, source, now)
         elif isinstance(message, Members):
-            self._greet(self.fleet.introduced(message.members, now=now))
+            self._introduce(message.members)
         else:
             self.perform(self.on_message(message, source, now))
 
@@ -367,18 +367,25 @@
             self.log.fact("peer found", peer=peer.member.member_id, source="others")
         self.send_status(peers, wants_status=True)
 
-    def _take_introduced(self, members: list[Member]) -> None:
-        def take() -> None:
-            self._greet(self.fleet.introduced(members, now=self.clock()))
+    def is_wanted(self, member: Member) -> bool:
+        """Whether this node has to know a member that it reads of."""
+        return True
 
-        self.loop.call(take)
+    def _take_introduced(self, members: list[Member]) -> None:
+        self.loop.call(lambda: self._introduce(members))
 
     def _take_registered(self, members: list[Member]) -> None:
+        wanted = [member for member in members if self.is_wanted(member)]
+
         def take() -> None:
-            self._greet(self.fleet.registered(members, now=self.clock()))
+            self._greet(self.fleet.registered(wanted, now=self.clock()))
 
         self.loop.call(take)
 
+    def _introduce(self, members: Iterable[Member]) -> None:
+        wanted = [member for member in members if self.is_wanted(member)]
+        self._greet(self.fleet.introduced(wanted, now=self.clock()))
+
     def _tick(self, now: float) -> float:
         if now - self._seeds_asked_at >= SEED_INTERVAL_SECONDS:
             self._ask_seeds(now)
--- a/tests/connections/test_processes.py
+++ b/tests/connections/test_processes.py
@@ -74,6 +74,19 @@
     assert upstream.record.changed == []
 
 
+def test_agents_greet_balancers_alone(deployment: Deployment) -> None:
+    """All nodes of a fleet start at once; most pairs of nodes are agents.
+
+    Greetings among them, each answered, took the links on which the first packets of
+    callers came.
+    """
+    for name in deployment.sides_by_name:
+        _wait_for_event(deployment, name, "peer found", 2)
+        lines = deployment.log_lines(name)
+        found = {line["peer"] for line in lines if line["event"] == "peer found"}
+        assert found == set(deployment.balancer_hosts)
+
+
 def test_a_flow_reaches_only_its_service(deployment: Deployment) -> None:
     for number in range(6):
         caller = deployment.caller(
