--- a/src/siskinshift/connections/fleet.py
+++ b/src/siskinshift/connections/fleet.py
@@ -82,11 +82,6 @@
     def __attrs_post_init__(self) -> None:
         self.key = xxhash.xxh3_64_intdigest(self.member.member_id.encode())
 
-    @property
-    def has_spoken(self) -> bool:
-        """Whether it has said anything since it was told of."""
-        return self.heard_at >= self.known_at
-
     def is_silent(self, *, now: float) -> bool:
         """Says whether the peer should have spoken by now.
 
@@ -96,7 +91,7 @@
         Returns:
             Whether it has not spoken lately, or not at all since it was told of.
         """
-        if self.has_spoken:
+        if self.heard_at >= self.known_at:
             return now - self.heard_at > SILENT_AFTER_SECONDS
         return now - self.known_at > ANSWER_SECONDS
 
@@ -270,7 +265,7 @@
         return [
             peer
             for peer in self.peers_by_id.values()
-            if not peer.has_spoken and now - peer.known_at <= ANSWER_SECONDS
+            if peer.heard_at < peer.known_at and now - peer.known_at <= ANSWER_SECONDS
         ]
 
     def forget_silent(self, *, now: float) -> list[Peer]:
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -105,7 +105,6 @@
             store=self.store,
             own=lambda: self.member,
             on_members=self._take_registered,
-            on_introduced=self._take_introduced,
             random=self.random,
             log=self.log,
         )
@@ -371,9 +370,6 @@
         """Whether this node has to know a member that it reads of."""
         return True
 
-    def _take_introduced(self, members: list[Member]) -> None:
-        self.loop.call(lambda: self._introduce(members))
-
     def _take_registered(self, members: list[Member]) -> None:
         wanted = [member for member in members if self.is_wanted(member)]
 
--- a/src/siskinshift/connections/placement.py
+++ b/src/siskinshift/connections/placement.py
@@ -75,9 +75,6 @@
         # A full link loses all heartbeats alike. That nobody is heard is hardly the
         # agents' fault; refused callers would go without free upstreams.
         heard = [a for a in ready if not a.is_silent(now=now)] or ready
-        # One that was told of and has not spoken yet may be the entry of a process that
-        # is still starting: each opening packet for it costs a second attempt.
-        heard = [a for a in heard if a.has_spoken] or heard
         open_agents = [a for a in heard if a.member.member_id not in tried]
         if not open_agents:
             return None
--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -79,7 +79,6 @@
         store: MemberStore,
         own: Callable[[], Member],
         on_members: Callable[[list[Member]], object],
-        on_introduced: Callable[[list[Member]], object],
         random: Random,
         log: EventLog,
     ) -> None:
@@ -89,14 +88,12 @@
             store: The store.
             own: Gives the node's record.
             on_members: Takes each whole reading.
-            on_introduced: Takes readings that may be old, before the node's own entry.
             random: Source of the jitter.
             log: Takes a line when the store is lost or regained.
         """
         self._store = store
         self._own = own
         self._on_members = on_members
-        self._on_introduced = on_introduced
         self._random = random
         self._log = log
         self._lease_id = 0
@@ -117,7 +114,6 @@
         """
         try:
             if not self._lease_id:
-                self._look_around()
                 self._register(now=now)
             elif now >= self._renew_at:
                 self._renew(now=now)
@@ -141,17 +137,6 @@
         except StoreUnavailableError as error:
             self._log.fact("entry not taken away", error=str(error))
 
-    def _look_around(self) -> None:
-        """Learns whom there may be before the node writes its entry.
-
-        Guards against a store that does not answer writes while it answers readings:
-        after a loss of power the entries of all nodes are still there, but nodes that
-        could not write their own did not read either, and found each other only when
-        the store was well, 2.5 s later. Half of the upstreams stood idle meanwhile.
-        """
-        snapshot = self._store.list_prefix_cheaply(MEMBERS_PREFIX)
-        self._on_introduced(self._members_of(snapshot))
-
     def _register(self, *, now: float) -> None:
         lease = self._store.grant_lease(LEASE_SECONDS)
         own = self._own()
