--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -10,13 +10,14 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define
-from attrs import frozen
-
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToCaller
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.owned_flow import LongFlow
+from siskinshift.connections.owned_flow import Offer
+from siskinshift.connections.owned_flow import OwnedFlow
+from siskinshift.connections.owned_flow import RestoredFlow
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import Purpose
@@ -33,7 +34,6 @@
 from siskinshift.connections.segment import Segment
 from siskinshift.connections.segment import flow_name
 from siskinshift.connections.segment import is_after
-from siskinshift.connections.segment import is_between
 
 
 if TYPE_CHECKING:
@@ -58,146 +58,6 @@
 # A flow that was silent for this long is forgotten; flows live a minute at most.
 IDLE_SECONDS = 90.0
 FOREIGN_MAXIMUM = 20_000
-# An end has 16 packets of 1,200 bytes in flight at most; this is several times that.
-IN_FLIGHT_MAXIMUM = 1 << 17
-# What an upstream may have sent unseen by this process: seconds at 100 Mbit/s.
-UNSEEN_WINDOW = 1 << 26
-
-
-@define(eq=False)
-class OwnedFlow:
-    """A flow of the agent's upstream.
-
-    Attributes:
-        opened_at: When it began, seconds.
-        used_at: When a packet was last seen, seconds.
-        lowest: Least number that a caller may acknowledge; None before the upstream's
-            answer.
-        highest: Number that follows the upstream's newest data.
-        is_confirmed: Whether the upstream has held the flow open for certain.
-        opener: Balancer that brought the opening packet; None once it was told.
-        bringer: Balancer that brought the newest packet; None if it is not known.
-        acknowledged: What the caller acknowledged last.
-        bare_packet: A caller's packet without data: it can be sent to the upstream
-            again at any time to see whether it still holds the flow.
-        sent_up_to: Sequence number that follows the caller's newest data.
-        ends_seen: FIN of the caller (1) and of the upstream (2).
-        ended_at: When the flow ended; 0 while it is open.
-    """
-
-    opened_at: float
-    used_at: float
-    lowest: int | None = None
-    highest: int = 0
-    is_confirmed: bool = False
-    opener: tuple[str, int] | None = None
-    bringer: tuple[str, int] | None = None
-    acknowledged: int = 0
-    bare_packet: bytes = b""
-    sent_up_to: int | None = None
-    ends_seen: int = 0
-    ended_at: float = 0.0
-
-    def acknowledges_it(self, ack: int) -> bool:
-        """Says whether a caller's packet is of this upstream's flow.
-
-        Two upstreams may answer one opening packet. The numbers they draw may lie
-        near each other, so only what this upstream has sent counts.
-
-        Args:
-            ack: What the caller acknowledges.
-
-        Returns:
-            Whether this upstream sent just that.
-        """
-        return self.lowest is not None and is_between(ack, self.lowest, self.highest)
-
-    def note_upstream(self, segment: Segment) -> None:
-        """Takes note of what the upstream has sent.
-
-        Args:
-            segment: Its packet.
-        """
-        follows = segment.follows
-        if not segment.flags & SYN:
-            self.is_confirmed = True
-        if self.lowest is None:
-            if segment.flags & SYN:
-                self.lowest = self.highest = follows
-            else:
-                self.begin_in_the_middle(follows)
-        elif is_after(follows, self.highest):
-            self.highest = follows
-
-    def begin_in_the_middle(self, number: int) -> None:
-        """Takes note of a flow that opened before this process knew of it.
-
-        Its upstream holds it, so no other one can: the range may be wide. It has to
-        be, since the first packet seen may be a copy of an old one.
-
-        Args:
-            number: A number that the upstream has reached.
-        """
-        self.lowest = (number - IN_FLIGHT_MAXIMUM) % SEQUENCE_SPACE
-        self.highest = (number + UNSEEN_WINDOW) % SEQUENCE_SPACE
-
-
-@frozen
-class LongFlow:
-    """A flow that its caller keeps, as it is listed for the agent's successor.
-
-    Attributes:
-        packet: A packet of the caller that can be sent to the upstream at any time.
-        bringer: Balancer that brought the newest packet; None if it is not known.
-    """
-
-    packet: bytes
-    bringer: tuple[str, int] | None
-
-
-@frozen
-class RestoredFlow:
-    """A flow from the list of the process before this one.
-
-    Attributes:
-        segment: A packet of the caller.
-        bringer: Balancer that brought the newest packet; None if it is not known.
-    """
-
-    segment: Segment
-    bringer: tuple[str, int] | None = None
-
-
-@frozen
-class Offer:
-    """A packet of an unknown flow that the upstream was given, to see what it says.
-
-    Attributes:
-        asker: Balancer that sent the packet.
-        acknowledged: What the caller acknowledges in it.
-        is_search: Whether that balancer searches, so that it has the packet.
-    """
-
-    asker: tuple[str, int]
-    acknowledged: int
-    is_search: bool
-
-    def is_answered_by(self, segment: Segment) -> bool:
-        """Says whether a packet of the upstream shows that it holds the flow.
-
-        Guards against an upstream that was asked to open the flow, lost, and still
-        answers for it: its numbers are its own. Without the guard its agent was taken
-        for the owner, and the copies of a caller's last packet went there alone.
-
-        Args:
-            segment: The packet.
-
-        Returns:
-            Whether its numbers are those that the caller knows.
-        """
-        lowest = (self.acknowledged - IN_FLIGHT_MAXIMUM) % SEQUENCE_SPACE
-        highest = (self.acknowledged + IN_FLIGHT_MAXIMUM) % SEQUENCE_SPACE
-        return is_between(segment.follows, lowest, highest)
 
 
 class AgentFlows:
@@ -266,7 +126,7 @@
             if segment.flags & RESET:
                 return []
             return [self._deny(forward, segment, sender)]
-        flow.bringer = sender
+        flow.via = sender
         actions: list[Action] = []
         if self._note_caller_packet(flow, segment, forward.terms, now=now):
             actions.append(ToUpstream(segment.datagram))
@@ -368,15 +228,15 @@
             The flows, each with a packet without data.
         """
         return [
-            LongFlow(flow.bare_packet, flow.bringer)
+            LongFlow(flow.bare_packet, flow.via)
             for flow in self._flows.values()
             if flow.bare_packet
             and not flow.ended_at
             and now - flow.opened_at > LONG_AFTER_SECONDS
         ]
 
-    def owned_by_way_of(self, balancer: tuple[str, int]) -> list[bytes]:
-        """Names open flows whose newest packet a balancer brought.
+    def flows_via(self, balancer: tuple[str, int]) -> list[bytes]:
+        """Names open flows whose newest packet came from a balancer.
 
         Guards against searches by a balancer that has restarted: routers send it the
         same flows again, hundreds within a second, and on a link of 5 Mbit/s the
@@ -391,7 +251,7 @@
         return [
             name
             for name, flow in self._flows.items()
-            if flow.bringer == balancer and flow.is_confirmed and not flow.ended_at
+            if flow.via == balancer and flow.is_confirmed and not flow.ended_at
         ]
 
     def restore(self, flows: Iterable[RestoredFlow], *, now: float) -> list[Action]:
@@ -412,7 +272,7 @@
         for known in new:
             segment = known.segment
             flow = self._add(segment.flow, now=now)
-            flow.bringer = known.bringer
+            flow.via = known.via
             flow.begin_in_the_middle(segment.ack)
             flow.is_confirmed = True
             flow.acknowledged = segment.ack
@@ -502,7 +362,7 @@
             return [self._refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
         if flow is None:
             flow = self._add(segment.flow, now=now)
-        flow.opener = flow.bringer = sender
+        flow.opener = flow.via = sender
         return [ToUpstream(segment.datagram)]
 
     def _offer(
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -7,12 +7,12 @@
 
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.agent_flows import AgentFlows
-from siskinshift.connections.agent_flows import RestoredFlow
 from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
 from siskinshift.connections.flow_ledger import READ_PAUSE_SECONDS
 from siskinshift.connections.flow_ledger import WRITE_SECONDS
 from siskinshift.connections.flow_ledger import FlowLedger
 from siskinshift.connections.node import ConnectionNode
+from siskinshift.connections.owned_flow import RestoredFlow
 from siskinshift.connections.peer_messages import Forward
 from siskinshift.connections.peer_messages import Question
 from siskinshift.connections.peer_messages import encode_all_owned
@@ -35,10 +35,10 @@
     from collections.abc import Iterable
 
     from siskinshift.connections.actions import Action
-    from siskinshift.connections.agent_flows import LongFlow
     from siskinshift.connections.fleet import Peer
     from siskinshift.connections.incarnation import Incarnation
     from siskinshift.connections.node_settings import NodeSettings
+    from siskinshift.connections.owned_flow import LongFlow
     from siskinshift.connections.peer_messages import Load
     from siskinshift.connections.peer_messages import PeerMessage
     from siskinshift.messages.core import Member
@@ -287,7 +287,7 @@
         if member.role is not Role.BALANCER or known == member.incarnation:
             return ()
         self._told_incarnations_by_id[member.member_id] = member.incarnation
-        flows = self.flows.owned_by_way_of(peer.address)
+        flows = self.flows.flows_via(peer.address)
         if flows:
             self.log.decision("owner told", peer=member.member_id, flows=len(flows))
         messages = encode_all_owned(self.member.member_id, flows)
@@ -369,5 +369,5 @@
 
 
 def _row_of(flow: LongFlow) -> bytes:
-    host = socket.inet_aton(flow.bringer[0]) if flow.bringer else UNKNOWN_HOST
+    host = socket.inet_aton(flow.via[0]) if flow.via else UNKNOWN_HOST
     return flow.packet + host
