--- a/src/siskinshift/console/operators.py
+++ b/src/siskinshift/console/operators.py
@@ -57,6 +57,7 @@
             authority=_read_authority(section.authority_file),
             server_name=section.server_name,
             timeout=section.timeout,
+            reach_timeout=section.reach_timeout,
         )
     )
     try:
--- a/src/siskinshift/settings/generated.py
+++ b/src/siskinshift/settings/generated.py
@@ -261,6 +261,7 @@
         authority_file: Certificates in PEM that the server's certificate is checked against.
         server_name: Name in the server's certificate; empty for the endpoint's IP number.
         timeout: Time allowed for one call. In seconds.
+        reach_timeout: Time allowed for the look, before each change, whether the balancer is there. In seconds.
     """
 
     endpoint: Endpoint
@@ -268,6 +269,7 @@
     authority_file: str
     server_name: str
     timeout: float
+    reach_timeout: float
 
 
 @frozen
@@ -978,6 +980,15 @@
                 default=20.0,
                 doc="Time allowed for one call.",
             ),
+            Option(
+                name="reach_timeout",
+                type="float",
+                unit="seconds",
+                minimum=0.1,
+                maximum=60.0,
+                default=3.0,
+                doc="Time allowed for the look, before each change, whether the balancer is there.",
+            ),
         ),
     ),
 )
--- a/tests/console/test_operators.py
+++ b/tests/console/test_operators.py
@@ -50,6 +50,7 @@
     client_file.write_text(
         f"[client]\nendpoint = {LOOPBACK}:{deployment.balancer.operators_ports[0]}\n"
         f"token = {OPERATOR_TOKEN}\nauthority_file = {authority}\n"
+        "reach_timeout = 20\n"
     )
     monkeypatch.setenv(CLIENT_FILE_VARIABLE, str(client_file))
 
