--- a/src/siskinshift/connections/member_documents.py
+++ b/src/siskinshift/connections/member_documents.py
@@ -20,7 +20,8 @@
 # Incarnation, version and configuration travel in packed messages of this width.
 INCARNATION_MAXIMUM = (1 << 53) - 1
 VERSION_MAXIMUM = (1 << 32) - 1
-# No upstream runs more requests at once; the choice among agents divides by this.
+# No upstream runs more requests at once; the choice among agents divides by this. A
+# heartbeat with more is refused too, or peers would refuse the agent's record.
 SLOTS_MAXIMUM = 10_000
 WEIGHT_MAXIMUM = 1_000_000
 
--- a/src/siskinshift/platform/heartbeats.py
+++ b/src/siskinshift/platform/heartbeats.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from siskinshift.connections.incarnation import Incarnation
+from siskinshift.connections.member_documents import SLOTS_MAXIMUM
 from siskinshift.connections.upstream_life import EndNotice
 from siskinshift.connections.upstream_life import Heartbeat
 from siskinshift.control.documents import number_of
@@ -25,9 +26,7 @@
 # Whether an upstream leaves, by what it says of its state; it may say nothing else.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 MILLISECONDS = 1000.0
-# An upstream runs a few requests at once and is cold for seconds; what is beyond
-# these was not written by one.
-SLOTS_MAXIMUM = 10_000
+# An upstream is cold for seconds; what is beyond this was not written by one.
 COLD_MS_MAXIMUM = 3_600_000
 # Answer to a call that was taken in.
 ACKNOWLEDGEMENT = b"{}"
