--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -6,6 +6,7 @@
 
 from siskinshift.connections.balancer_flows import BalancerFlows
 from siskinshift.connections.configuration_follower import ConfigurationFollower
+from siskinshift.connections.configuration_follower import ConfigurationReading
 from siskinshift.connections.departure import Departure
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.peer_messages import FlowVerdict
@@ -77,7 +78,7 @@
         self._follower = ConfigurationFollower(
             store=self.store,
             key=CONFIGURATION_KEY,
-            on_value=self._take_configuration,
+            on_reading=self._take_configuration,
             random=self.random,
             log=self.log,
         )
@@ -222,31 +223,37 @@
             return
         self.perform(self._flows.on_segment(segment, now=now))
 
-    def _take_configuration(self, value: bytes) -> None:
+    def _take_configuration(self, reading: ConfigurationReading) -> None:
         try:
-            routes = decode_configuration(value)
+            routes = decode_configuration(reading.value)
         except BadMessageError as error:
             # Keeps the version in force: an older one is better than none.
-            self.log.fact("configuration refused", error=str(error))
+            self.log.fact(
+                "configuration refused", source=reading.source, error=str(error)
+            )
             return
 
-        self.loop.call(lambda: self.configure(routes, value))
+        self.loop.call(lambda: self.configure(routes, reading))
 
-    def configure(self, routes: RouteTable, value: bytes = b"") -> None:
+    def configure(self, routes: RouteTable, reading: ConfigurationReading) -> None:
         """Puts a configuration in force unless a newer one is; on the loop's thread.
 
         Args:
             routes: The configuration.
-            value: The same as the store holds it, for peers that can't read there.
+            reading: The same as it was read, for peers that can't read it themselves.
         """
-        if not self._flows.configure(routes):
-            return
-        self._configuration_value = value
+        is_newer = self._flows.configure(routes)
         self.log.fact(
-            "configuration in force",
+            "configuration in force" if is_newer else "configuration held already",
             version=routes.version,
             routes=len(routes.routes_by_address),
+            source=reading.source,
+            bytes=len(reading.value),
+            seconds=round(reading.seconds, 3),
         )
+        if not is_newer:
+            return
+        self._configuration_value = reading.value
         self.send_status(self.fleet.balancers())
         self.perform(self._flows.take_early(now=self.clock()))
 
@@ -262,9 +269,9 @@
         is_first = self.configuration_version == 0
         if (has_waited or is_first) and not self._is_fetching:
             self._is_fetching = True
-            self.spawn(self._fetch, peer.member.control)
+            self.spawn(self._fetch, peer.member.member_id, peer.member.control)
 
-    def _fetch(self, endpoint: Endpoint) -> None:
+    def _fetch(self, peer_id: str, endpoint: Endpoint) -> None:
         client = HttpClient(
             endpoint.host, endpoint.port, connect_timeout=FETCH_TIMEOUT_SECONDS
         )
@@ -273,10 +280,13 @@
                 "GET", CONFIGURATION_PATH, timeout=FETCH_TIMEOUT_SECONDS
             )
             if answer.status == 200:
-                self._take_configuration(answer.body)
+                seconds = client.transfer.seconds
+                self._take_configuration(
+                    ConfigurationReading(answer.body, peer_id, seconds)
+                )
         except OSError as error:
             # The store's own watch goes on; the peer's next status tries again.
-            self.log.fact("configuration fetch failed", error=str(error))
+            self.log.fact("configuration fetch failed", peer=peer_id, error=str(error))
         finally:
             client.close()
             self._is_fetching = False
--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -43,6 +43,7 @@
     from siskinshift.core.http import HttpAnswer
     from siskinshift.kv.port import Compare
     from siskinshift.kv.port import Operation
+    from siskinshift.runtime.http_client import Transfer
 
 
 # The store answers in 4 ms; sixty times that is its slowest seen disturbance, and a
@@ -91,6 +92,11 @@
         self._lock = threading.Lock()
         self._client = self._new_client()
 
+    @property
+    def transfer(self) -> Transfer:
+        """How far the newest answer to a reading has come."""
+        return self._client.transfer
+
     def get(self, key: str) -> Entry | None:
         """Reads one entry; see KeyValueStore."""
         answer = self._call("GET", "/kv-key?" + urlencode({"key": key}))
@@ -307,6 +313,11 @@
             )
             yield self._wait("/kv-watch?" + query)
 
+    @property
+    def transfer(self) -> Transfer:
+        """How far the newest answer has come."""
+        return self._client.transfer
+
     def close(self) -> None:
         """Ends the watch, also one that waits in another thread."""
         self._client.wake()
--- a/src/siskinshift/runtime/http_client.py
+++ b/src/siskinshift/runtime/http_client.py
@@ -8,6 +8,8 @@
 import httptools
 from attrs import Factory
 from attrs import define
+from attrs import evolve
+from attrs import frozen
 
 from siskinshift.core.http import HttpAnswer
 
@@ -36,6 +38,26 @@
     """The call was sent and no whole answer came: it may have taken effect."""
 
 
+@frozen
+class Transfer:
+    """How far the newest answer of a client has come; other threads may read it.
+
+    Attributes:
+        began_at: When its first part came, monotonic clock, seconds; 0 for none yet.
+        moved_at: When its newest part came.
+        is_over: Whether it came to its end or was given up.
+    """
+
+    began_at: float = 0.0
+    moved_at: float = 0.0
+    is_over: bool = True
+
+    @property
+    def seconds(self) -> float:
+        """Time from the first part to the newest one."""
+        return self.moved_at - self.began_at
+
+
 @define
 class _AnswerReader:
     """Collects one answer; the parser calls its hooks."""
@@ -59,6 +81,9 @@
 
     A kept connection may go silent for good while new ones work. So each failure
     closes it, and the next call makes a new one.
+
+    Attributes:
+        transfer: How far the newest answer has come.
     """
 
     def __init__(self, host: str, port: int, *, connect_timeout: float) -> None:
@@ -72,6 +97,7 @@
         self._address = (host, port)
         self._connect_timeout = connect_timeout
         self._socket: socket.socket | None = None
+        self.transfer = Transfer()
 
     def call(
         self, method: str, target: str, body: bytes = b"", *, timeout: float
@@ -108,6 +134,8 @@
         except (OSError, ValueError, httptools.HttpParserError) as error:
             self.close()
             raise AnswerLostError(str(error)) from error
+        finally:
+            self.transfer = evolve(self.transfer, is_over=True)
 
     def close(self) -> None:
         """Closes the connection."""
@@ -144,6 +172,9 @@
             data = connection.recv(READ_BYTES)
             if not data:
                 raise ConnectionResetError("closed before the answer's end")
+            now = time.monotonic()
+            began_at = now if self.transfer.is_over else self.transfer.began_at
+            self.transfer = Transfer(began_at, now, is_over=False)
             parser.feed_data(data)
             connection.settimeout(min(timeout, PART_SECONDS_MAXIMUM))
         if not parser.should_keep_alive():
