--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -153,6 +153,10 @@
         """Logs the end; threads see `stopping`."""
         self.log.fact("stopped", dropped_lines_total=self.log.dropped)
 
+    def on_task_failed(self, error: BaseException) -> None:
+        """Logs the error; without the line a node that lost a task looks well."""
+        self.log.fact("task failed", error=repr(error))
+
     def end_registration(self) -> None:
         """Takes the node's entry out of the store, so that nobody waits for it."""
         self._registration.end()
--- a/src/siskinshift/runtime/http_client.py
+++ b/src/siskinshift/runtime/http_client.py
@@ -5,10 +5,10 @@
 import socket
 import time
 
+import attrs
 import httptools
 from attrs import Factory
 from attrs import define
-from attrs import evolve
 from attrs import frozen
 
 from siskinshift.core.http import HttpAnswer
@@ -135,7 +135,7 @@
             self.close()
             raise AnswerLostError(str(error)) from error
         finally:
-            self.transfer = evolve(self.transfer, is_over=True)
+            self.transfer = attrs.evolve(self.transfer, is_over=True)
 
     def close(self) -> None:
         """Closes the connection."""
--- a/src/siskinshift/runtime/life_cycle.py
+++ b/src/siskinshift/runtime/life_cycle.py
@@ -111,7 +111,15 @@
 
     def _report(self, future: Future[Any]) -> None:
         if not future.cancelled() and (error := future.exception()) is not None:
-            self._log.repeated("task", "A task failed.", error=repr(error))
+            self.on_task_failed(error)
+
+    def on_task_failed(self, error: BaseException) -> None:
+        """Hook: tells that a task ended with an error, where the process logs.
+
+        Args:
+            error: The error.
+        """
+        self._log.repeated("task", "A task failed.", error=repr(error))
 
     def on_start(self) -> None:
         """Hook: opens sockets and starts tasks."""
--- a/tests/test_compile_records.py
+++ b/tests/test_compile_records.py
@@ -117,6 +117,9 @@
         "@frozen\nclass A:\n    _x: int",
         "@frozen\nclass A:\n    x: ClassVar[int] = 1",
         "@frozen\nclass A:\n    x: int\n\nattrs.asdict(A(1))",
+        # Dropped without a word, this import once ended a task of every node.
+        "from attrs import evolve\n\n\ndef f(a: A) -> A:\n    return evolve(a, x=1)",
+        "from attrs import frozen as record\n\n\n@record\nclass A:\n    x: int",
     ],
 )
 def test_what_is_not_known_ends_the_build(text: str) -> None:
--- a/tools/compile_records.py
+++ b/tools/compile_records.py
@@ -34,6 +34,7 @@
 print("\\n".join(name for name in sys.modules if name.startswith("siskinshift")))
 """
 DECORATORS = ("define", "frozen")
+IMPORTED_NAMES = (*DECORATORS, "Factory")
 POST_INIT = "__attrs_post_init__"
 NOTHING = "_NOTHING"
 EVOLVE = """
@@ -165,7 +166,14 @@
         return node
 
     def visit_ImportFrom(self, node: ast.ImportFrom) -> ast.ImportFrom | None:
-        return None if node.module == "attrs" else node
+        if node.module != "attrs":
+            return node
+        for alias in node.names:
+            # Guards against a name that is gone at run time: a task of each node ends
+            # with the first use of it.
+            if alias.name not in IMPORTED_NAMES or alias.asname:
+                raise UnknownFormError(f"import of {ast.unparse(alias)} from attrs")
+        return None
 
     def visit_Import(self, node: ast.Import) -> ast.Import | None:
         node.names = [alias for alias in node.names if alias.name != "attrs"]
