--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -19,6 +19,7 @@
 from siskinshift.platform.configuration import CONFIGURATION_KEY
 from siskinshift.platform.configuration import decode_configuration
 from siskinshift.platform.packets import decode_from_caller
+from siskinshift.platform.store import PlatformStore
 from siskinshift.runtime.event_loop import open_datagram_socket
 from siskinshift.runtime.http_client import HttpClient
 from siskinshift.runtime.http_server import HttpReply
@@ -75,8 +76,12 @@
             caller_packets.host, caller_packets.port
         )
         self.owns(self._caller_socket.close)
+        # Connections and a circuit breaker of their own: a configuration that can't be
+        # read must not hold up the node's lease, nor the reading of the members.
+        configuration_store = PlatformStore(settings.store, stopping=self.stopping)
+        self.owns(configuration_store.close)
         self._follower = ConfigurationFollower(
-            store=self.store,
+            store=configuration_store,
             key=CONFIGURATION_KEY,
             on_reading=self._take_configuration,
             random=self.random,
--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -11,6 +11,9 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from attrs import Factory
+from attrs import define
+
 from siskinshift.control.documents import encode_json
 from siskinshift.control.documents import parse_table
 from siskinshift.control.documents import rows_of
@@ -64,8 +67,27 @@
 MALFORMED = (BadMessageError, KeyError, TypeError, ValueError, binascii.Error)
 
 
+@define(eq=False)
+class _Lane:
+    """A connection for calls that may wait for each other.
+
+    Attributes:
+        client: Carries them, one at a time.
+        lock: Held by the call that is on its way.
+    """
+
+    client: HttpClient
+    lock: threading.Lock = Factory(threading.Lock)
+
+
 class PlatformStore:
-    """KeyValueStore over the platform's calls, behind a call guard."""
+    """KeyValueStore over the platform's calls, behind a call guard.
+
+    Readings have a connection of their own. Guards against a lease that ends while a
+    long answer flows: a configuration of 300 KB at 30 KB/s held up the renewal of a
+    lease of 6 s for 10 s. Renewals and writes are short, and wait for nothing but each
+    other.
+    """
 
     def __init__(
         self,
@@ -89,17 +111,18 @@
         self._guard = CallGuard(
             settings, random=random or Random(), open_maximum=BREAKER_SECONDS_MAXIMUM
         )
-        self._lock = threading.Lock()
-        self._client = self._new_client()
+        self._admission_lock = threading.Lock()
+        self._calls = _Lane(self._new_client())
+        self._readings = _Lane(self._new_client())
 
     @property
     def transfer(self) -> Transfer:
         """How far the newest answer to a reading has come."""
-        return self._client.transfer
+        return self._readings.client.transfer
 
     def get(self, key: str) -> Entry | None:
         """Reads one entry; see KeyValueStore."""
-        answer = self._call("GET", "/kv-key?" + urlencode({"key": key}))
+        answer = self._read("/kv-key?" + urlencode({"key": key}))
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
         return _entry_of(_document_of(answer))
@@ -183,8 +206,9 @@
         return PlatformWatch(self, prefix, start_revision - 1)
 
     def close(self) -> None:
-        """Closes the connection."""
-        self._client.close()
+        """Closes the connections."""
+        self._calls.client.close()
+        self._readings.client.close()
 
     def _new_client(self) -> HttpClient:
         endpoint = self._settings.endpoint
@@ -197,7 +221,7 @@
         revision = 0
         query = {"prefix": prefix, **options}
         while True:
-            answer = self._call("GET", "/kv-range?" + urlencode(query))
+            answer = self._read("/kv-range?" + urlencode(query))
             document = _document_of(answer)
             try:
                 entries += [_entry_of(item) for item in rows_of(document, "items")]
@@ -209,19 +233,30 @@
                 return Snapshot(tuple(entries), revision)
             query["after"] = entries[-1].key
 
+    def _read(self, target: str) -> HttpAnswer:
+        return self._idempotent(self._readings, "GET", target, b"")
+
     def _call(self, method: str, target: str, body: object = None) -> HttpAnswer:
-        # A call that changes nothing has no unknown outcome.
+        data = b"" if body is None else encode_json(body)
+        return self._idempotent(self._calls, method, target, data)
+
+    def _write(self, method: str, target: str, body: object) -> HttpAnswer:
+        return self._carry(self._calls, method, target, encode_json(body))
+
+    def _idempotent(
+        self, lane: _Lane, method: str, target: str, body: bytes
+    ) -> HttpAnswer:
+        # A call that may be repeated has no unknown outcome.
         try:
-            return self._write(method, target, body)
+            return self._carry(lane, method, target, body)
         except StoreOutcomeUnknownError as error:
             raise StoreUnavailableError(str(error)) from error
 
-    def _write(self, method: str, target: str, body: object = None) -> HttpAnswer:
-        data = b"" if body is None else encode_json(body)
-        with self._lock:
+    def _carry(self, lane: _Lane, method: str, target: str, body: bytes) -> HttpAnswer:
+        with lane.lock:
             self._admit()
             return self.exchange(
-                self._client, method, target, data, timeout=CALL_TIMEOUT_SECONDS
+                lane.client, method, target, body, timeout=CALL_TIMEOUT_SECONDS
             )
 
     def exchange(
@@ -267,7 +302,8 @@
         return answer
 
     def _admit(self) -> None:
-        admission = self._guard.admit(CallClass.BACKGROUND, now=self._clock())
+        with self._admission_lock:
+            admission = self._guard.admit(CallClass.BACKGROUND, now=self._clock())
         if admission is not Admission.ADMITTED:
             raise StoreUnavailableError(admission.value)
 
