--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from siskinshift.kv.port import Entry
     from siskinshift.kv.port import Snapshot
     from siskinshift.observability.event_log import EventLog
     from siskinshift.runtime.http_client import Transfer
@@ -94,6 +95,8 @@
         self._random = random
         self._log = log
         self._failures = 0
+        self._is_behind = False
+        self._read_revision = 0
         self._watch: TransferringWatch | None = None
 
     def stop(self) -> None:
@@ -126,28 +129,52 @@
                 stopping.wait(RETRY.pause(self._failures, self._random))
 
     def _follow(self, stopping: threading.Event) -> None:
-        # Read by prefix, since that gives a revision to wait from also while there is
-        # no configuration yet: operators may write it long after the nodes start.
-        snapshot = self._store.list_prefix(self._key)
-        self._regained()
-        for entry in snapshot.entries:
-            if entry.key == self._key:
-                self._take(entry.value, self._store.transfer)
-        self._watch = watch = self._store.watch(self._key, snapshot.revision + 1)
+        revision = self._read_newest(stopping)
+        self._watch = watch = self._store.watch(self._key, revision + 1)
         try:
             for batch in watch:
                 if stopping.is_set():
                     return
                 self._regained()
-                for changed in batch.entries:
-                    if changed.key == self._key:
-                        self._take(changed.value, watch.transfer)
+                changes = [e for e in batch.entries if e.key == self._key]
+                if changes:
+                    self._take(changes[-1], watch.transfer)
+                if len(changes) > 1:
+                    self._is_behind = True
+                    return
         finally:
             self._watch = None
             watch.close()
 
-    def _take(self, value: bytes, transfer: Transfer) -> None:
-        self._on_reading(ConfigurationReading(value, seconds=transfer.seconds))
+    def _read_newest(self, stopping: threading.Event) -> int:
+        """Reads until nothing newer came meanwhile, if changes come fast.
+
+        Guards against changes that come faster than they can be read. A wait hands over
+        all that was missed, whole: of 18 changes of 530 KB in 6 s a link of 7 Mbit/s
+        carries a half, and each wait held more than the one before. A reading holds the
+        newest alone, so the balancer is never further behind than two readings.
+
+        Returns:
+            Revision to wait from.
+        """
+        while True:
+            # By prefix, since that gives a revision to wait from also while there is no
+            # configuration yet: operators may write it long after the nodes start.
+            snapshot = self._store.list_prefix(self._key)
+            self._regained()
+            known = self._read_revision
+            for entry in snapshot.entries:
+                if entry.key == self._key:
+                    self._take(entry, self._store.transfer)
+            is_newer = self._read_revision > known
+            self._is_behind = self._is_behind and is_newer
+            if not self._is_behind or stopping.is_set():
+                return snapshot.revision
+
+    def _take(self, entry: Entry, transfer: Transfer) -> None:
+        self._read_revision = entry.revision
+        reading = ConfigurationReading(entry.value, seconds=transfer.seconds)
+        self._on_reading(reading)
 
     def _regained(self) -> None:
         if self._failures:
