--- a/src/siskinshift/runtime/http_client.py
+++ b/src/siskinshift/runtime/http_client.py
@@ -16,9 +16,12 @@
 
 READ_BYTES = 262144
 ANSWER_MAXIMUM_BYTES = 64 << 20
-# A part of an answer that comes now and then must not hold a task for good. The largest
-# value of the store, a megabyte, takes 2.2 s at 5 Mbit/s; several times that.
+# A part of an answer that comes now and then must not hold a task for good: after this
+# time, seconds, an answer is given up that came more slowly than the rate, bytes a
+# second. The rate is a fortieth of the thinnest link, 5 Mbit/s: what still comes faster
+# is not asked for again, since that would begin at its start.
 FLOWING_SECONDS_MAXIMUM = 10.0
+FLOWING_RATE_MINIMUM = 16_000.0
 # Silence within an answer: a lost segment is sent again within this. A call that waits
 # for a change may be silent for far longer before its answer begins.
 PART_SECONDS_MAXIMUM = 1.0
@@ -167,7 +170,8 @@
         parser = httptools.HttpResponseParser(reader)
         give_up_at = time.monotonic() + timeout + FLOWING_SECONDS_MAXIMUM
         while not reader.is_complete:
-            if time.monotonic() > give_up_at:
+            earned = reader.size / FLOWING_RATE_MINIMUM
+            if time.monotonic() > give_up_at + earned:
                 raise TimeoutError("answer too slow")
             data = connection.recv(READ_BYTES)
             if not data:
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import socket
 import threading
@@ -11,6 +12,7 @@
 import pytest
 
 from siskinshift.observability.event_log import EventLog
+from siskinshift.runtime import http_client
 from siskinshift.runtime.http_client import AnswerLostError
 from siskinshift.runtime.http_client import CallNotSentError
 from siskinshift.runtime.http_client import HttpClient
@@ -149,6 +151,63 @@
     assert answer.body == body
 
 
+def test_an_answer_is_not_given_up_for_its_length_while_it_flows(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A balancer reads a long configuration while callers take most of its thin link.
+
+    A megabyte and a half at a tenth of 5 Mbit/s takes 22 s. Given up after ten and
+    asked for again it would never come whole: the balancer would stay on an older one.
+    """
+    monkeypatch.setattr(http_client, "FLOWING_SECONDS_MAXIMUM", 0.1)
+    pieces, size = 10, 40_000
+
+    def answer_at_length(listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(1000)
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {pieces * size}\r\n\r\n"
+            connection.sendall(head.encode())
+            for _ in range(pieces):
+                time.sleep(0.1)
+                connection.sendall(b"x" * size)
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        server = threading.Thread(
+            target=answer_at_length, args=(listener,), daemon=True
+        )
+        server.start()
+        client = HttpClient(*listener.getsockname(), connect_timeout=1.0)
+        answer = client.call("GET", "/", timeout=0.5)
+        client.close()
+        server.join()
+
+    assert len(answer.body) == pieces * size
+
+
+def test_an_answer_that_trickles_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A part that comes now and then must not hold a task for good."""
+    monkeypatch.setattr(http_client, "FLOWING_SECONDS_MAXIMUM", 0.2)
+    enough = threading.Event()
+
+    def trickle(listener: socket.socket) -> None:
+        connection, _ = listener.accept()
+        with connection, contextlib.suppress(OSError):
+            connection.recv(1000)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n")
+            while not enough.wait(0.05):
+                connection.sendall(b"x")
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        server = threading.Thread(target=trickle, args=(listener,), daemon=True)
+        server.start()
+        client = HttpClient(*listener.getsockname(), connect_timeout=1.0)
+        with pytest.raises(AnswerLostError, match="too slow"):
+            client.call("GET", "/", timeout=0.5)
+        enough.set()
+        server.join()
+
+
 def test_an_answer_that_stops_half_way_is_lost() -> None:
     def answer_in_part(listener: socket.socket, hold: threading.Event) -> None:
         connection, _ = listener.accept()
