--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -36,6 +36,7 @@
 from siskinshift.runtime.http_client import AnswerLostError
 from siskinshift.runtime.http_client import CallNotSentError
 from siskinshift.runtime.http_client import HttpClient
+from siskinshift.runtime.http_client import lengthened
 
 
 if TYPE_CHECKING:
@@ -50,7 +51,8 @@
 
 
 # The store answers in 4 ms; sixty times that is its slowest seen disturbance, and a
-# longer wait delays the next try on a connection that may have gone silent.
+# longer wait delays the next try on a connection that may have gone silent. After calls
+# that were not answered more is allowed: before a full link packets wait for as long.
 CALL_TIMEOUT_SECONDS = 0.6
 CONNECT_TIMEOUT_SECONDS = 0.3
 # A waiting watch is a call that is answered at the latest after this; the protocol
@@ -74,10 +76,12 @@
     Attributes:
         client: Carries them, one at a time.
         lock: Held by the call that is on its way.
+        failures: Calls in a row that were sent and not answered.
     """
 
     client: HttpClient
     lock: threading.Lock = Factory(threading.Lock)
+    failures: int = 0
 
 
 class PlatformStore:
@@ -255,9 +259,16 @@
     def _carry(self, lane: _Lane, method: str, target: str, body: bytes) -> HttpAnswer:
         with lane.lock:
             self._admit()
-            return self.exchange(
-                lane.client, method, target, body, timeout=CALL_TIMEOUT_SECONDS
-            )
+            timeout = lengthened(CALL_TIMEOUT_SECONDS, failures=lane.failures)
+            try:
+                answer = self.exchange(
+                    lane.client, method, target, body, timeout=timeout
+                )
+            except StoreOutcomeUnknownError:
+                lane.failures += 1
+                raise
+            lane.failures = 0
+            return answer
 
     def exchange(
         self,
--- a/src/siskinshift/runtime/http_client.py
+++ b/src/siskinshift/runtime/http_client.py
@@ -31,6 +31,10 @@
 PROBE_INTERVAL_SECONDS = 1
 PROBES = 2
 UNACKNOWLEDGED_MILLISECONDS = 3000
+# After each failure in a row twice the time is allowed, so often at most: four times
+# 0.3 s is more than a full link holds packets up, and more than the second after which
+# a lost opening packet is sent again.
+DOUBLINGS_MAXIMUM = 2
 
 
 class CallNotSentError(OSError):
@@ -41,6 +45,22 @@
     """The call was sent and no whole answer came: it may have taken effect."""
 
 
+def lengthened(seconds: float, *, failures: int) -> float:
+    """Lengthens a time that was too short.
+
+    Guards against a time that a link can't keep: a try that is given up too early, and
+    made again with the same time, fails for as long as the link is full.
+
+    Args:
+        seconds: Time on a calm day.
+        failures: Failures in a row so far.
+
+    Returns:
+        Time for the next try, seconds.
+    """
+    return seconds * 2.0 ** min(failures, DOUBLINGS_MAXIMUM)
+
+
 @frozen
 class Transfer:
     """How far the newest answer of a client has come; other threads may read it.
@@ -95,10 +115,12 @@
         Args:
             host: IP number of the endpoint.
             port: Its port.
-            connect_timeout: Time allowed for a connection, seconds.
+            connect_timeout: Time allowed for a connection, seconds; more after each
+                that could not be made.
         """
         self._address = (host, port)
         self._connect_timeout = connect_timeout
+        self._failures = 0
         self._socket: socket.socket | None = None
         self.transfer = Transfer()
 
@@ -156,12 +178,15 @@
 
     def _connect(self, timeout: float) -> socket.socket:
         if self._socket is None:
+            allowed = min(timeout, self._connect_timeout)
             try:
                 self._socket = socket.create_connection(
-                    self._address, min(timeout, self._connect_timeout)
+                    self._address, lengthened(allowed, failures=self._failures)
                 )
             except OSError as error:
+                self._failures += 1
                 raise CallNotSentError(str(error)) from error
+            self._failures = 0
             _notice_silence(self._socket)
         return self._socket
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -17,6 +18,7 @@
 from siskinshift.kv.port import Delete
 from siskinshift.kv.port import Put
 from siskinshift.messages.core import Endpoint
+from siskinshift.platform.store import CALL_TIMEOUT_SECONDS
 from siskinshift.platform.store import PlatformStore
 from siskinshift.standins.platform_store import PAGE_ITEMS
 from tests.connections.deployment import WAIT_SECONDS
@@ -166,3 +168,27 @@
 
         proxy.stop()
     thin.close()
+
+
+def test_a_call_gets_more_time_after_each_that_was_not_answered(
+    server: PlatformStoreServer,
+) -> None:
+    """Answers wait before a full link for as long as a call had until its answer began.
+
+    Each call was given up just before its answer came, and its connection with it: the
+    node stayed without the store although the store answered everything.
+    """
+    server.state.faults.latency = CALL_TIMEOUT_SECONDS * 1.5
+    server.put("a", b"1")
+    store = PlatformStore(
+        evolve(SETTINGS, endpoint=Endpoint(LOOPBACK, server.port)),
+        stopping=threading.Event(),
+    )
+    until = time.monotonic() + WAIT_SECONDS
+    entry = None
+    while entry is None and time.monotonic() < until:
+        with contextlib.suppress(StoreUnavailableError):
+            entry = store.get("a")
+
+    assert entry is not None
+    store.close()
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -226,3 +226,34 @@
             client.call("GET", "/", timeout=0.2)
         hold.set()
         server.join()
+
+
+def test_a_connection_gets_more_time_after_each_that_could_not_be_made(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Packets wait 0.6 s before a full link; a connection had 0.3 s, each time anew.
+
+    The node could not reach the store for as long as the link was full, and its lease
+    of 6 s went on running.
+    """
+    allowed: list[float] = []
+
+    def never(address: tuple[str, int], timeout: float) -> socket.socket:
+        allowed.append(timeout)
+        raise TimeoutError
+
+    connect = socket.create_connection
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = HttpClient(*listener.getsockname(), connect_timeout=0.3)
+        monkeypatch.setattr(socket, "create_connection", never)
+        for _ in range(4):
+            with pytest.raises(CallNotSentError):
+                client.call("GET", "/", timeout=0.6)
+        monkeypatch.setattr(socket, "create_connection", connect)
+        with pytest.raises(AnswerLostError):
+            client.call("GET", "/", timeout=0.05)
+        monkeypatch.setattr(socket, "create_connection", never)
+        with pytest.raises(CallNotSentError):
+            client.call("GET", "/", timeout=0.6)
+
+    assert allowed == pytest.approx([0.3, 0.6, 1.2, 1.2, 0.3])
