--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -266,6 +266,7 @@
             told=peer.configuration_version,
             held=self.configuration_version,
             moved_at=self._follower.transfer.moved_at,
+            is_failing=self._follower.is_failing,
             now=now,
         )
         if is_due and not self._is_fetching:
--- a/src/siskinshift/connections/configuration_catch_up.py
+++ b/src/siskinshift/connections/configuration_catch_up.py
@@ -7,6 +7,9 @@
 # them; one that has not even begun to read by then is turned away. Far below the three
 # seconds within which a change has to be in force.
 FETCH_AFTER_SECONDS = 0.4
+# A balancer that starts has no configuration to go on with. The store answers in 4 ms;
+# sixty times that is its slowest seen disturbance.
+START_SECONDS = 0.25
 
 
 class CatchUp:
@@ -24,13 +27,22 @@
         self._newest_told = 0
         self._behind_since = 0.0
 
-    def is_due(self, *, told: int, held: int, moved_at: float, now: float) -> bool:
+    def is_due(
+        self,
+        *,
+        told: int,
+        held: int,
+        moved_at: float,
+        is_failing: bool = False,
+        now: float,
+    ) -> bool:
         """Takes a peer's word and decides whether its copy is needed now.
 
         Args:
             told: Version that the peer holds.
             held: Version in force here; 0 for none.
             moved_at: When the newest part of the own reading came, seconds.
+            is_failing: Whether the last own reading failed.
             now: Clock reading, seconds.
 
         Returns:
@@ -42,6 +54,8 @@
             self._behind_since = now
         self._newest_told = max(self._newest_told, told)
         is_flowing = now - moved_at < FETCH_AFTER_SECONDS
-        # Without any configuration nobody is served, so nothing is waited for.
-        has_waited = held == 0 or now - self._behind_since >= FETCH_AFTER_SECONDS
-        return has_waited and not is_flowing
+        patience = FETCH_AFTER_SECONDS
+        if held == 0:
+            # Nobody is served without a configuration.
+            patience = 0.0 if is_failing else START_SECONDS
+        return now - self._behind_since >= patience and not is_flowing
--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -111,6 +111,11 @@
         watch = self._watch
         return self._store.transfer if watch is None else watch.transfer
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._failures > 0
+
     def follow_until(self, stopping: threading.Event) -> None:
         """Follows until told to stop.
 
--- a/tests/connections/test_balancer_node.py
+++ b/tests/connections/test_balancer_node.py
@@ -78,6 +78,7 @@
 class _Follower:
     def __init__(self, transfer: Transfer) -> None:
         self.transfer = transfer
+        self.is_failing = False
 
 
 @pytest.fixture
