--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from siskinshift.connections.store_contact import StoreContact
 from siskinshift.kv.exceptions import StoreCompactedError
 from siskinshift.kv.exceptions import StoreUnavailableError
 from siskinshift.kv.guard import Backoff
@@ -92,9 +93,10 @@
         self._store = store
         self._key = key
         self._on_reading = on_reading
-        self._random = random
         self._log = log
-        self._failures = 0
+        self._contact = StoreContact(
+            "configuration", retry=RETRY, random=random, log=log
+        )
         self._is_behind = False
         self._read_revision = 0
         self._watch: TransferringWatch | None = None
@@ -114,7 +116,7 @@
     @property
     def is_failing(self) -> bool:
         """Whether the last call failed."""
-        return self._failures > 0
+        return self._contact.is_lost
 
     def follow_until(self, stopping: threading.Event) -> None:
         """Follows until told to stop.
@@ -128,10 +130,7 @@
             except StoreCompactedError:
                 self._log.fact("configuration history lost")
             except StoreUnavailableError as error:
-                if not self._failures:
-                    self._log.fact("configuration lost", error=str(error))
-                self._failures += 1
-                stopping.wait(RETRY.pause(self._failures, self._random))
+                stopping.wait(self._contact.failed(error))
 
     def _follow(self, stopping: threading.Event) -> None:
         revision = self._read_newest(stopping)
@@ -140,7 +139,7 @@
             for batch in watch:
                 if stopping.is_set():
                     return
-                self._regained()
+                self._contact.succeeded()
                 changes = [e for e in batch.entries if e.key == self._key]
                 if changes:
                     self._take(changes[-1], watch.transfer)
@@ -166,7 +165,7 @@
             # By prefix, since that gives a revision to wait from also while there is no
             # configuration yet: operators may write it long after the nodes start.
             snapshot = self._store.list_prefix(self._key)
-            self._regained()
+            self._contact.succeeded()
             known = self._read_revision
             for entry in snapshot.entries:
                 if entry.key == self._key:
@@ -180,8 +179,3 @@
         self._read_revision = entry.revision
         reading = ConfigurationReading(entry.value, seconds=transfer.seconds)
         self._on_reading(reading)
-
-    def _regained(self) -> None:
-        if self._failures:
-            self._log.fact("configuration regained", failures=self._failures)
-            self._failures = 0
--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -13,6 +13,7 @@
 
 from siskinshift.connections.member_documents import member_document
 from siskinshift.connections.member_documents import member_from_document
+from siskinshift.connections.store_contact import StoreContact
 from siskinshift.control.documents import encode_json
 from siskinshift.control.documents import parse_table
 from siskinshift.control.exceptions import BadMessageError
@@ -96,8 +97,8 @@
         self._on_members = on_members
         self._random = random
         self._log = log
+        self._contact = StoreContact("store", retry=RETRY, random=random, log=log)
         self._lease_id = 0
-        self._failures = 0
         self._renew_at = 0.0
         self._read_at = 0.0
         self._has_fresh_reading = False
@@ -120,10 +121,9 @@
             if now >= self._read_at or not self._has_fresh_reading:
                 self._read(now=now)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
-            return self._on_failure(error)
-        if self._failures:
-            self._log.fact("store regained", failures=self._failures)
-            self._failures = 0
+            self._has_fresh_reading = False
+            return self._contact.failed(error)
+        self._contact.succeeded()
         if not self._lease_id:
             return 0.0
         return max(0.0, min(self._renew_at, self._read_at) - now)
@@ -197,10 +197,3 @@
                 continue
             members.append(member)
         return members
-
-    def _on_failure(self, error: Exception) -> float:
-        if not self._failures:
-            self._log.fact("store lost", error=str(error))
-        self._failures += 1
-        self._has_fresh_reading = False
-        return RETRY.pause(self._failures, self._random)
--- /dev/null
+++ b/tests/connections/test_store_contact.py
@@ -0,0 +1,27 @@
+"""Tests of what a task tells of its contact with the store."""
+
+from __future__ import annotations
+
+from random import Random
+
+from siskinshift.connections.store_contact import StoreContact
+from siskinshift.kv.guard import Backoff
+from tests.connections.builders import quiet_log
+
+
+def test_an_outage_is_two_lines_and_longer_pauses() -> None:
+    log = quiet_log()
+    retry = Backoff(0.2, 0.8)
+    contact = StoreContact("store", retry=retry, random=Random(1), log=log)
+
+    pauses = [contact.failed(OSError("refused")) for _ in range(5)]
+    assert contact.is_lost
+    contact.succeeded()
+    contact.succeeded()
+
+    assert not contact.is_lost
+    bounds = (0.2, 0.4, 0.8, 0.8, 0.8)
+    assert all(b / 2 <= p <= b for p, b in zip(pauses, bounds, strict=True))
+    text = log.metrics.render()
+    assert 'event="store lost",reason=""} 1' in text
+    assert 'event="store regained",reason=""} 1' in text
