--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -27,8 +27,7 @@
 
 # A change must be in force within three seconds of the store's return.
 RETRY = Backoff(0.1, 0.6)
-
-
+# Source of a configuration that no peer gave.
 STORE = "store"
 
 
@@ -52,7 +51,7 @@
 
     @property
     def transfer(self) -> Transfer:
-        """How far."""
+        """How far it has come."""
 
 
 class ConfigurationStore(Protocol):
--- a/src/siskinshift/connections/node_settings.py
+++ b/src/siskinshift/connections/node_settings.py
@@ -13,8 +13,9 @@
 
     Attributes:
         endpoint: Where it listens.
-        call_rate: Calls this process may make a second on average.
-        call_burst: Calls this process may make at once.
+        call_rate: Calls a client may make a second on average; a balancer has two
+            clients, one of them for the configuration.
+        call_burst: Calls a client may make at once.
         lease_minimum: Shortest life of a lease, seconds.
     """
 
