--- a/src/siskinshift/observability/explanation.py
+++ b/src/siskinshift/observability/explanation.py
@@ -24,6 +24,14 @@
 WAIT_SECONDS = 0.05
 _STAMP_FIELDS = frozenset({"t", "at", "process", "event", "flow", "dropped_lines"})
 
+# A balancer this far behind another one is worth a word: all read a change within it,
+# but on the thinnest links.
+BEHIND_SECONDS = 3.0
+_IN_FORCE = "configuration in force"
+_CONFIGURATION_TROUBLES = frozenset(
+    {"configuration lost", "configuration fetch failed"}
+)
+
 # What a decision means for the caller; the last one that decided is the likely cause.
 _CAUSES = {
     ("reset", "no route"): (
@@ -146,7 +154,50 @@
     ]
     shown = sorted([*own, *around], key=lambda line: (line.at, line.steady))
     dropped = sum(_dropped(line) for line in shown)
-    return Explanation(tuple(shown), _cause_of(own), _gaps(dropped))
+    cause = _behind(lines, own) or _cause_of(own)
+    return Explanation(tuple(shown), cause, _gaps(dropped))
+
+
+def _behind(lines: Sequence[LogLine], own: Sequence[LogLine]) -> str:
+    """Tells whether the balancer that took the flow held an older configuration.
+
+    Args:
+        lines: Lines of all processes.
+        own: Lines of the flow.
+
+    Returns:
+        The cause, or nothing if it held what the others did.
+    """
+    first = min(own, key=lambda line: line.at)
+    before = [line for line in lines if line.at <= first.at]
+    held = [line for line in before if line.event == _IN_FORCE]
+    here = [line for line in held if line.process == first.process]
+    if not here:
+        return ""
+    version = max(_number(line.fields.get("version")) for line in here)
+    newer = [
+        line
+        for line in held
+        if _number(line.fields.get("version")) > version
+        and first.at - line.at >= BEHIND_SECONDS
+    ]
+    if not newer:
+        return ""
+    newest = max(newer, key=lambda line: _number(line.fields.get("version")))
+    cause = (
+        f"handled by version {version:g} of the configuration, while "
+        f"{newest.fields.get('version')} was in force elsewhere "
+        f"{first.at - newest.at:.1f} s before ({first.process})"
+    )
+    troubles = [
+        line
+        for line in before
+        if line.process == first.process and line.event in _CONFIGURATION_TROUBLES
+    ]
+    if not troubles:
+        return cause
+    last = max(troubles, key=lambda line: line.at)
+    return f"{cause}; {last.event}: {last.fields.get('error')}"
 
 
 def _cause_of(own: Sequence[LogLine]) -> str:
--- a/tests/observability/test_explanation.py
+++ b/tests/observability/test_explanation.py
@@ -98,3 +98,39 @@
 
     assert "waited 0.175 s" in explanation.cause
     assert len(explanation.lines) == 2
+
+
+def test_a_balancer_that_was_behind_the_others_is_named_with_what_it_lost() -> None:
+    """A flow went by a configuration that operators had replaced seconds before.
+
+    All its own lines look well. What tells is that another balancer had a newer version
+    in force, and that this one had lost the store and could not fetch it.
+    """
+    texts = [
+        _line(10.0, "balancer-1", "configuration in force", version=16),
+        _line(10.1, "balancer-2", "configuration in force", version=16),
+        _line(60.0, "balancer-1", "configuration lost", error="timed out"),
+        _line(66.0, "balancer-2", "configuration in force", version=20),
+        _line(72.0, "balancer-1", "configuration fetch failed", error="timed out"),
+        _line(73.9, "balancer-1", "open", flow=FLOW, agent="agent-1"),
+        _line(73.95, "balancer-1", "opening answered", flow=FLOW, verdict="accepted"),
+    ]
+
+    cause = explain(parse_lines(texts), FLOW).cause
+
+    assert "handled by version 16" in cause
+    assert "20 was in force elsewhere 7.9 s before" in cause
+    assert "configuration fetch failed: timed out" in cause
+    assert "balancer-1" in cause
+
+
+def test_a_balancer_that_holds_what_the_others_hold_is_not_blamed() -> None:
+    texts = [
+        _line(66.0, "balancer-2", "configuration in force", version=20),
+        _line(66.9, "balancer-1", "configuration in force", version=20),
+        _line(73.9, "balancer-1", "open", flow=FLOW, agent="agent-1"),
+        _line(73.95, "balancer-1", "opening answered", flow=FLOW, verdict="accepted"),
+        _line(75.0, "balancer-2", "configuration in force", version=22),
+    ]
+
+    assert "version" not in explain(parse_lines(texts), FLOW).cause
