--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,8 @@
 # An upstream's notice before the platform kills its node, and a bit.
 NOTICE_SECONDS = 6.5
 STORE_TROUBLES = tuple(t.name for t in Trouble if t is not Trouble.NONE)
+# As the store writes them some 45 KB: three seconds of a thin link.
+UNUSED_ROUTES = 200
 # What writers of other products leave where members are listed.
 FOREIGN_ENTRIES = {
     "empty": b"",
@@ -152,6 +154,12 @@
     soak.deployment.configure(PORTS_BY_SERVICE)
 
 
+@fault(variants=("0", "40", str(UNUSED_ROUTES)))
+def grow(soak: Soak, step: Step) -> None:
+    """The configuration becomes longer or shorter by routes that nobody uses."""
+    soak.deployment.configure(PORTS_BY_SERVICE, unused=int(step.variant))
+
+
 @fault(variants=("1", "2", "3"))
 def lose_answers(soak: Soak, step: Step) -> None:
     """The store does writes and does not answer."""
