--- a/src/siskinshift/connections/owner_search.py
+++ b/src/siskinshift/connections/owner_search.py
@@ -108,11 +108,16 @@
         Returns:
             Agents to ask; none when all were asked.
         """
-        while self.wave < len(_WAVES):
+        while True:
             agents = _WAVES[self.wave](self, fleet, failure_domain)
             new = [a for a in agents if a.member.member_id not in self.asked]
             is_likely = self.wave < _LIKELY_WAVES
-            self.wave += 1
+            is_last = self.wave == len(_WAVES) - 1
+            # The last wave is everybody and is looked at again. Guards against agents
+            # that become known after it, while a balancer that has just started reads
+            # who is there: unasked, one of them may hold the flow that would be reset.
+            if not is_last:
+                self.wave += 1
             if new:
                 names = {agent.member.member_id for agent in new}
                 self.asked |= names
@@ -121,7 +126,8 @@
                 self.pending |= names
                 self.next_wave_at = now + WAVE_SECONDS
                 return new
-        return []
+            if is_last:
+                return []
 
     def begin_again(self) -> None:
         """Asks everybody once more, with the packets that it has."""
