--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -34,6 +34,7 @@
 from siskinshift.connections.segment import Segment
 from siskinshift.connections.segment import flow_name
 from siskinshift.connections.segment import is_after
+from siskinshift.connections.warm_up import WarmUpLimit
 
 
 if TYPE_CHECKING:
@@ -59,6 +60,9 @@
 
     Attributes:
         is_pausing: Whether new flows are refused because the agent ends soon.
+        is_evacuated: Whether they are refused because operators have evacuated the
+            failure domain.
+        warm_up: Bounds new flows while the upstream is cold.
         upstream_heard_at: When the upstream last sent a packet, seconds.
     """
 
@@ -77,6 +81,8 @@
         self._offers = Offers()
         self._swept_at = 0.0
         self.is_pausing = False
+        self.is_evacuated = False
+        self.warm_up = WarmUpLimit()
         self.upstream_heard_at = float("-inf")
 
     def __len__(self) -> int:
@@ -325,9 +331,15 @@
         if forward.service_tag != service_tag(self._life.service_id):
             return [self._refuse(Verdict.WRONG_SERVICE, segment.flow, sender)]
         flow = self._flows.get(segment.flow)
+        if self.is_evacuated and (flow is None or not flow.is_confirmed):
+            # Copies too: the upstream may not have got the packets before them.
+            return [self._refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
         if flow is None and (self.is_pausing or not self._life.accepts(now=now)):
             return [self._refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
         if flow is None:
+            is_cold = self._life.may_be_cold(now=now)
+            if not self.warm_up.admits(is_cold=is_cold, now=now):
+                return [self._refuse(Verdict.FULL, segment.flow, sender)]
             flow = self._flows.add(segment.flow, now=now)
         flow.opener = flow.via = sender
         return [ToUpstream(segment.datagram)]
@@ -438,6 +450,7 @@
             "refused",
             flow=flow_name(flow),
             reason=verdict.name.lower(),
+            evacuated=self.is_evacuated,
             upstream=self._life.upstream_id,
         )
         return self._say(verdict, flow, sender)
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -9,6 +9,8 @@
 
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.agent_flows import AgentFlows
+from siskinshift.connections.evacuations import EvacuationRegister
+from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
 from siskinshift.connections.flow_ledger import HAND_OVER_SECONDS
 from siskinshift.connections.flow_ledger import READ_PAUSE_SECONDS
@@ -18,8 +20,11 @@
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.owned_flow import RestoredFlow
 from siskinshift.connections.peer_codec import encode_all_owned
+from siskinshift.connections.peer_codec import encode_evacuations_message
 from siskinshift.connections.peer_messages import Forward
+from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import Question
+from siskinshift.connections.peer_messages import WarmUpRate
 from siskinshift.connections.registration import role_prefix
 from siskinshift.connections.upstream_life import EndNotice
 from siskinshift.connections.upstream_life import Heartbeat
@@ -85,6 +90,7 @@
             heartbeat_interval=settings.heartbeat_interval,
         )
         self.flows = AgentFlows(life=self.life, log=self.log)
+        self.evacuations = EvacuationRegister()
         outlet = settings.upstream_outlet
         self._upstream_socket = open_datagram_socket(outlet.host, outlet.port)
         self.owns(self._upstream_socket.close)
@@ -158,7 +164,12 @@
     def on_message(
         self, message: PeerMessage, source: tuple[str, int], now: float
     ) -> Iterable[Action]:
-        """Takes a caller's packet, or a question about its flow, from a balancer."""
+        """Takes a caller's packet, a question about its flow, or operators' orders."""
+        if isinstance(message, Evacuations):
+            return self._take_evacuations(message, source, now=now)
+        if isinstance(message, WarmUpRate):
+            self.flows.warm_up.rate = message.rate
+            return ()
         if isinstance(message, Question):
             return self.flows.on_question(message, source, now=now)
         if not isinstance(message, Forward):
@@ -166,7 +177,34 @@
         segment = decode_from_caller(message.datagram)
         if segment is None:
             return ()
-        return self.flows.on_forward(message, segment, source, now=now)
+        actions = self.flows.on_forward(message, segment, source, now=now)
+        if self.flows.is_evacuated and message.purpose is Purpose.OPEN:
+            # A balancer that is behind learns why; one that is ahead corrects it.
+            current = encode_evacuations_message(self.evacuations.current)
+            actions.append(ToPeer(source, current))
+        return actions
+
+    def _take_evacuations(
+        self, evacuations: Evacuations, source: tuple[str, int], *, now: float
+    ) -> Iterable[Action]:
+        if self.evacuations.supersedes(evacuations):
+            current = encode_evacuations_message(self.evacuations.current)
+            return [ToPeer(source, current)]
+        self.evacuations.update(evacuations)
+        is_evacuated = self.evacuations.covers(self.member.failure_domain)
+        if is_evacuated == self.flows.is_evacuated:
+            return ()
+        self.flows.is_evacuated = is_evacuated
+        if not is_evacuated:
+            # It may have become cold since its last heartbeat.
+            self.life.presume_cold(now=now)
+        self.log.fact(
+            "evacuated" if is_evacuated else "evacuation ended",
+            revision=evacuations.revision,
+            source=source[0],
+            flows=len(self.flows),
+        )
+        return ()
 
     def on_due(self, now: float) -> float:
         """Tells balancers of this agent, looks after the upstream."""
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from siskinshift.connections.actions import ResetCaller
+from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.early_packets import EarlyPackets
 from siskinshift.connections.flow_records import Attempt
 from siskinshift.connections.flow_records import FlowRecord
@@ -20,15 +21,18 @@
 from siskinshift.connections.forwarding import Forwarding
 from siskinshift.connections.owner_finder import OwnerFinder
 from siskinshift.connections.peer_codec import encode_all_owned
+from siskinshift.connections.peer_codec import encode_warm_up_rate
 from siskinshift.connections.peer_messages import Owned
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import WarmUpRate
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import RESET
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import flow_name
 from siskinshift.connections.segment import service_address
+from siskinshift.core.members import FULL_WEIGHT
 from siskinshift.load.retry_budget import RetryBudget
 
 
@@ -356,7 +360,12 @@
             record.opening = segment.datagram
             record.opened_at = now
             return self._try_next(record, now=now)
-        taken = [a for a in record.attempts if a.verdict is Verdict.ACCEPTED]
+        taken = [
+            attempt
+            for attempt in record.attempts
+            if attempt.verdict is Verdict.ACCEPTED
+            and not self._placement.is_evacuated(attempt.agent)
+        ]
         if taken:
             # Its answer to the caller was lost; the upstream answers a copy again.
             return [
@@ -387,7 +396,19 @@
             running=agent.load.running,
             load_age=round(now - agent.heard_at, 3),
         )
-        return [self._forwarding.to_agent(agent, Purpose.OPEN, record.opening, record)]
+        return [
+            *self._warm_up(agent, record.service_id),
+            self._forwarding.to_agent(agent, Purpose.OPEN, record.opening, record),
+        ]
+
+    def _warm_up(self, agent: Peer, service_id: str) -> list[Action]:
+        """Tells a cold agent what its upstream bears; agents read no configuration."""
+        if agent.member.weight >= FULL_WEIGHT or self._routes is None:
+            return []
+        rate = self._routes.warm_up_rates_by_service.get(service_id)
+        if rate is None:
+            return []
+        return [ToPeer(agent.address, encode_warm_up_rate(WarmUpRate(rate)))]
 
     def _try_again(self, record: FlowRecord, *, now: float) -> list[Action]:
         """Tries another agent after silence, as far as accepted flows pay for it."""
@@ -403,6 +424,9 @@
     def _hold(self, record: FlowRecord, *, now: float) -> list[Action]:
         if any(attempt.verdict is None for attempt in record.attempts):
             return []
+        agents = self._fleet.agents_of(record.service_id)
+        if agents and all(self._placement.is_evacuated(agent) for agent in agents):
+            return self._give_up(record)
         if len(self._held) >= HELD_MAXIMUM or now - record.opened_at > HOLD_SECONDS:
             return self._give_up(record)
         # All agents were asked and refused; each may be asked once more.
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from siskinshift.connections.balancer_flows import BalancerFlows
@@ -9,6 +10,12 @@
 from siskinshift.connections.configuration_follower import ConfigurationFollower
 from siskinshift.connections.configuration_follower import ConfigurationReading
 from siskinshift.connections.departure import Departure
+from siskinshift.connections.evacuation_dissemination import EvacuationDissemination
+from siskinshift.connections.evacuation_reader import EvacuationReader
+from siskinshift.connections.evacuations import EvacuationRegister
+from siskinshift.connections.evacuations import Evacuations
+from siskinshift.connections.evacuations import encode_evacuations
+from siskinshift.connections.evacuations import evacuations_from_document
 from siskinshift.connections.list_keeper import AGAIN_QUERY
 from siskinshift.connections.list_keeper import FLOW_LIST_PATH
 from siskinshift.connections.list_keeper import WRITTEN_SECONDS
@@ -17,11 +24,15 @@
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import Owned
 from siskinshift.connections.placement import AgentPlacement
+from siskinshift.control.documents import parse_table
 from siskinshift.control.exceptions import BadMessageError
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.platform.configuration import CONFIGURATION_KEY
+from siskinshift.platform.configuration import OPERATORS_PREFIX
 from siskinshift.platform.configuration import decode_configuration
+from siskinshift.platform.evacuations import EVACUATIONS_PREFIX
+from siskinshift.platform.evacuations import decode_evacuated_domain
 from siskinshift.platform.packets import decode_from_caller
 from siskinshift.platform.store import PlatformStore
 from siskinshift.runtime.event_loop import open_datagram_socket
@@ -42,6 +53,9 @@
 
 
 CONFIGURATION_PATH = "/configuration"
+EVACUATIONS_PATH = "/evacuations"
+# Source of evacuations that no peer sent.
+STORE = "store"
 # Longest name of an agent, so that the key of its list is one that the store takes.
 MEMBER_ID_MAXIMUM = 100
 # Agents only need to know that the balancer is there, and hear it with each flow.
@@ -67,8 +81,14 @@
             settings: Settings of the node.
         """
         super().__init__(settings, role=Role.BALANCER)
+        self.evacuations = EvacuationRegister()
+        self._dissemination = EvacuationDissemination(
+            self.evacuations, member_id=settings.node_id
+        )
         placement = AgentPlacement(
-            failure_domain=settings.failure_domain, random=self.random
+            failure_domain=settings.failure_domain,
+            evacuations=self.evacuations,
+            random=self.random,
         )
         self._flows = BalancerFlows(
             fleet=self.fleet,
@@ -88,7 +108,16 @@
         self.owns(configuration_store.close)
         self._follower = ConfigurationFollower(
             store=configuration_store,
+            prefix=OPERATORS_PREFIX,
             key=CONFIGURATION_KEY,
+            evacuations=EvacuationReader(
+                prefix=EVACUATIONS_PREFIX,
+                decode_domain=decode_evacuated_domain,
+                on_evacuations=lambda read: self.loop.call(
+                    lambda: self.evacuate(read, source=STORE)
+                ),
+                log=self.log,
+            ),
             on_reading=self._take_configuration,
             random=self.random,
             log=self.log,
@@ -148,6 +177,9 @@
         """Takes an agent's word about a flow, or what others know of owners."""
         if isinstance(message, Owned):
             return self._flows.on_owned(message, now=now)
+        if isinstance(message, Evacuations):
+            self.evacuate(message, source=source[0])
+            return self._dissemination.answer(message, source)
         agent = self.fleet.peers_by_address.get(source)
         if agent is None or not isinstance(message, FlowVerdict):
             return ()
@@ -158,9 +190,10 @@
         if peer.member.role is Role.BALANCER:
             self._fetch_if_newer(peer, now)
             return ()
+        actions: list[Action] = [*self._dissemination.on_agent_heard(peer)]
         if peer.member.state is MemberState.READY:
-            return self._flows.retry_held(now=now)
-        return ()
+            actions += self._flows.retry_held(now=now)
+        return actions
 
     def on_peer_restarted(
         self, peer: Peer, silent_since: float, now: float
@@ -168,7 +201,10 @@
         """Sends an agent again what it missed."""
         if peer.member.role is not Role.AGENT:
             return ()
-        return self._flows.on_agent_restarted(peer, silent_since=silent_since, now=now)
+        return [
+            *self._dissemination.on_agent_heard(peer),
+            *self._flows.on_agent_restarted(peer, silent_since=silent_since, now=now),
+        ]
 
     def on_due(self, now: float) -> float:
         """Tells peers of this balancer and lets flows time out."""
@@ -176,6 +212,7 @@
         if now >= self._balancer_schedule.next_due:
             for words in self._balancer_schedule.due(self.fleet.balancers(), now=now):
                 self.send_alive(words)
+                self.perform(self._dissemination.to_balancers(words.peers))
         if now >= self._agent_schedule.next_due:
             for words in self._agent_schedule.due(self.fleet.agents(), now=now):
                 self.send_alive(words)
@@ -272,6 +309,27 @@
         self._balancer_schedule.hurry()
         self.perform(self._flows.take_early(now=self.clock()))
 
+    def evacuate(self, evacuations: Evacuations, *, source: str) -> None:
+        """Puts evacuations in force unless newer ones are; on the loop's thread.
+
+        Args:
+            evacuations: The evacuated failure domains.
+            source: Who gave them: the store or a peer's host.
+        """
+        if not self.evacuations.update(evacuations):
+            return
+        self.log.fact(
+            "evacuations in force",
+            domains=",".join(sorted(evacuations.domains)),
+            revision=evacuations.revision,
+            source=source,
+        )
+        now = self.clock()
+        agents, balancers = self.fleet.agents(), self.fleet.balancers()
+        self.perform(self._dissemination.on_change(agents, balancers, now=now))
+        self._balancer_schedule.hurry()
+        self.perform(self._flows.retry_held(now=now))
+
     def _fetch_if_newer(self, peer: Peer, now: float) -> None:
         is_due = self._catch_up.is_due(
             told=peer.configuration_version,
@@ -289,6 +347,8 @@
             endpoint.host, endpoint.port, connect_timeout=FETCH_TIMEOUT_SECONDS
         )
         try:
+            # Before the configuration: with that the balancer begins to place flows.
+            self._fetch_evacuations(client, source=peer_id)
             answer = client.call(
                 "GET", CONFIGURATION_PATH, timeout=FETCH_TIMEOUT_SECONDS
             )
@@ -304,15 +364,33 @@
             client.close()
             self._is_fetching = False
 
+    def _fetch_evacuations(self, client: HttpClient, *, source: str) -> None:
+        answer = client.call("GET", EVACUATIONS_PATH, timeout=FETCH_TIMEOUT_SECONDS)
+        if answer.status != HTTPStatus.OK:
+            # A peer of an older version; the store's own watch goes on.
+            self.log.fact("no evacuations", peer=source, status=answer.status)
+            return
+        try:
+            fetched = evacuations_from_document(parse_table(answer.body))
+        except BadMessageError as error:
+            self.log.fact("evacuations refused", peer=source, error=str(error))
+            return
+        self.loop.call(lambda: self.evacuate(fetched, source=source))
+
     def _end_fetch(self) -> None:
         if self._peer_client is not None:
             self._peer_client.close()
 
     def answer_peer(self, request: HttpRequest) -> HttpReply:
-        """Gives peers the configuration as it was read, keeps agents' lists."""
+        """Gives peers what operators wrote, keeps agents' lists."""
         if request.path == CONFIGURATION_PATH:
             value = self._configuration_value
             return HttpReply(200, value) if value else HttpReply(503)
+        current = self.evacuations.current
+        self.log.metrics.set_gauge("evacuated_domains", len(current.domains))
+        self.log.metrics.set_gauge("evacuations_revision", current.revision)
+        if request.path == EVACUATIONS_PATH:
+            return HttpReply(200, encode_evacuations(current))
         if request.path.startswith(FLOW_LIST_PATH):
             return self._keep_list(request)
         return super().answer_peer(request)
--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -1,4 +1,4 @@
-"""Follows the operators' configuration in the store."""
+"""Follows what operators write to the store: the configuration and evacuations."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from siskinshift.connections.evacuation_reader import EvacuationReader
     from siskinshift.kv.port import Entry
     from siskinshift.kv.port import Snapshot
     from siskinshift.observability.event_log import EventLog
@@ -69,13 +70,15 @@
 
 
 class ConfigurationFollower:
-    """Reads the configuration once and waits for each change."""
+    """Reads once and waits for each change, both kinds in one call of the store."""
 
     def __init__(
         self,
         *,
         store: ConfigurationStore,
+        prefix: str,
         key: str,
+        evacuations: EvacuationReader,
         on_reading: Callable[[ConfigurationReading], object],
         random: Random,
         log: EventLog,
@@ -84,13 +87,17 @@
 
         Args:
             store: The store; its answers are not older than the call.
+            prefix: Prefix of all that operators write.
             key: Key of the configuration.
-            on_reading: Takes each reading, newest last.
+            evacuations: Takes each reading and each change before the configuration.
+            on_reading: Takes each reading of the configuration, newest last.
             random: Source of the jitter.
             log: Takes a line when the store is lost or regained.
         """
         self._store = store
+        self._prefix = prefix
         self._key = key
+        self._evacuations = evacuations
         self._on_reading = on_reading
         self._log = log
         self._contact = StoreContact(
@@ -133,12 +140,14 @@
 
     def _follow(self, stopping: threading.Event) -> None:
         revision = self._read_newest(stopping)
-        self._watch = watch = self._store.watch(self._key, revision + 1)
+        self._watch = watch = self._store.watch(self._prefix, revision + 1)
         try:
             for batch in watch:
                 if stopping.is_set():
                     return
                 self._contact.succeeded()
+                if not self._evacuations.apply(batch):
+                    return
                 changes = [e for e in batch.entries if e.key == self._key]
                 if changes:
                     self._take(changes[-1], watch.transfer)
@@ -163,8 +172,9 @@
         while True:
             # By prefix, since that gives a revision to wait from also while there is no
             # configuration yet: operators may write it long after the nodes start.
-            snapshot = self._store.list_prefix(self._key)
+            snapshot = self._store.list_prefix(self._prefix)
             self._contact.succeeded()
+            self._evacuations.read(snapshot)
             known = self._read_revision
             for entry in snapshot.entries:
                 if entry.key == self._key:
--- /dev/null
+++ b/src/siskinshift/connections/evacuation_reader.py
@@ -0,0 +1,99 @@
+"""Reads operators' evacuations out of what a watch of the store delivers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from siskinshift.connections.evacuations import DOMAINS_MAXIMUM
+from siskinshift.connections.evacuations import Evacuations
+from siskinshift.control.exceptions import BadMessageError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinshift.kv.port import Entry
+    from siskinshift.kv.port import Snapshot
+    from siskinshift.kv.port import WatchBatch
+    from siskinshift.observability.event_log import EventLog
+
+
+class EvacuationReader:
+    """Keeps the evacuated domains by the key of their entry."""
+
+    def __init__(
+        self,
+        *,
+        prefix: str,
+        decode_domain: Callable[[Entry], str],
+        on_evacuations: Callable[[Evacuations], object],
+        log: EventLog,
+    ) -> None:
+        """Starts without any entry.
+
+        Args:
+            prefix: Prefix of the entries' keys.
+            decode_domain: Reads an entry; raises BadMessageError for one that names
+                no failure domain.
+            on_evacuations: Takes the evacuations after each change.
+            log: Takes a line for each entry that can't be read.
+        """
+        self._prefix = prefix
+        self._decode_domain = decode_domain
+        self._on_evacuations = on_evacuations
+        self._log = log
+        self._domains_by_key: dict[str, str] = {}
+
+    def read(self, snapshot: Snapshot) -> None:
+        """Takes a reading of all entries.
+
+        Args:
+            snapshot: The entries; those of other kinds are ignored.
+        """
+        self._domains_by_key.clear()
+        for entry in snapshot.entries:
+            self._put(entry)
+        self._publish(snapshot.revision)
+
+    def apply(self, batch: WatchBatch) -> bool:
+        """Takes changes.
+
+        Args:
+            batch: The changes.
+
+        Returns:
+            Whether they could be applied. An entry that was both written and removed
+            can't: a batch does not tell which came last, and has to be read again.
+        """
+        written = [e for e in batch.entries if e.key.startswith(self._prefix)]
+        removed = [k for k in batch.deleted_keys if k.startswith(self._prefix)]
+        if {entry.key for entry in written} & set(removed):
+            return False
+        if not written and not removed:
+            return True
+        for entry in written:
+            self._put(entry)
+        for key in removed:
+            self._domains_by_key.pop(key, None)
+        self._publish(batch.revision)
+        return True
+
+    def _put(self, entry: Entry) -> None:
+        if not entry.key.startswith(self._prefix):
+            return
+        self._domains_by_key.pop(entry.key, None)
+        try:
+            domain = self._decode_domain(entry)
+        except BadMessageError as error:
+            self._log.fact("evacuation refused", key=entry.key, error=str(error))
+            return
+        self._domains_by_key[entry.key] = domain
+
+    def _publish(self, revision: int) -> None:
+        domains = sorted(set(self._domains_by_key.values()))
+        if len(domains) > DOMAINS_MAXIMUM:
+            self._log.fact(
+                "evacuations cut", domains=len(domains), kept=DOMAINS_MAXIMUM
+            )
+        kept = frozenset(domains[:DOMAINS_MAXIMUM])
+        self._on_evacuations(Evacuations(revision, kept))
--- a/src/siskinshift/connections/peer_codec.py
+++ b/src/siskinshift/connections/peer_codec.py
@@ -12,6 +12,9 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
+from siskinshift.connections.evacuations import Evacuations
+from siskinshift.connections.evacuations import encode_evacuations
+from siskinshift.connections.evacuations import evacuations_from_document
 from siskinshift.connections.member_documents import member_document
 from siskinshift.connections.member_documents import member_from_document
 from siskinshift.connections.peer_messages import NO_TERMS
@@ -25,6 +28,7 @@
 from siskinshift.connections.peer_messages import Question
 from siskinshift.connections.peer_messages import Status
 from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import WarmUpRate
 from siskinshift.connections.request_queue import Terms
 from siskinshift.connections.segment import FLOW_SIZE
 from siskinshift.control.documents import encode_json
@@ -54,6 +58,8 @@
     ALIVE = 5
     QUESTION = 6
     OWNED = 7
+    EVACUATIONS = 8
+    WARM_UP_RATE = 9
 
 
 # kind, purpose, service tag, urgency, objective and deadline in milliseconds
@@ -72,6 +78,10 @@
 _OWNED = struct.Struct("!BB")
 # kind, whether the sender knows all, how many it knows; the hosts follow
 _KNOWN_HOSTS = struct.Struct("!B?H")
+# kind, new flows a second
+_WARM_UP_RATE = struct.Struct("!Bd")
+# No upstream takes more new flows a second.
+WARM_UP_RATE_MAXIMUM = 1e6
 _HOST_SIZE = 4
 _COUNT_MAXIMUM = 0xFFFF
 _PURPOSES = tuple(Purpose)
@@ -216,6 +226,30 @@
     return header + b"".join(socket.inet_aton(host) for host in known.hosts)
 
 
+def encode_evacuations_message(evacuations: Evacuations) -> bytes:
+    """Writes the evacuated failure domains.
+
+    Args:
+        evacuations: The domains and their revision.
+
+    Returns:
+        The message.
+    """
+    return bytes((_Kind.EVACUATIONS,)) + encode_evacuations(evacuations)
+
+
+def encode_warm_up_rate(warm_up: WarmUpRate) -> bytes:
+    """Writes how much a cold upstream bears.
+
+    Args:
+        warm_up: The rate.
+
+    Returns:
+        The message.
+    """
+    return _WARM_UP_RATE.pack(_Kind.WARM_UP_RATE, warm_up.rate)
+
+
 def decode_peer_message(datagram: bytes) -> PeerMessage | None:
     """Takes a message apart.
 
@@ -243,6 +277,10 @@
             return _decode_alive(datagram)
         if datagram[0] == _Kind.KNOWN_HOSTS:
             return _decode_known_hosts(datagram)
+        if datagram[0] == _Kind.EVACUATIONS:
+            return evacuations_from_document(parse_table(datagram[1:]))
+        if datagram[0] == _Kind.WARM_UP_RATE:
+            return _decode_warm_up_rate(datagram)
     except (BadMessageError, IndexError, ValueError, struct.error):
         return None
     return None
@@ -286,6 +324,13 @@
     return Alive(incarnation, version, load, configuration, next_ms / _MILLISECONDS)
 
 
+def _decode_warm_up_rate(datagram: bytes) -> WarmUpRate:
+    _, rate = _WARM_UP_RATE.unpack(datagram)
+    if not 0.0 < rate <= WARM_UP_RATE_MAXIMUM:
+        raise ValueError(rate)
+    return WarmUpRate(rate)
+
+
 def _decode_status(datagram: bytes) -> Status:
     body = parse_table(datagram[1:])
     return Status(
--- a/src/siskinshift/connections/peer_messages.py
+++ b/src/siskinshift/connections/peer_messages.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.request_queue import Terms
 from siskinshift.messages.core import Member
 
@@ -180,6 +181,25 @@
     is_whole: bool
 
 
+@frozen
+class WarmUpRate:
+    """A balancer tells an agent how much its upstream bears while it is cold.
+
+    Attributes:
+        rate: New flows a second, as operators declare it for the service.
+    """
+
+    rate: float
+
+
 PeerMessage: TypeAlias = (
-    Forward | FlowVerdict | Status | Alive | KnownHosts | Question | Owned
+    Forward
+    | FlowVerdict
+    | Status
+    | Alive
+    | KnownHosts
+    | Question
+    | Owned
+    | Evacuations
+    | WarmUpRate
 )
--- a/src/siskinshift/connections/placement.py
+++ b/src/siskinshift/connections/placement.py
@@ -25,6 +25,7 @@
     from collections.abc import Collection
     from random import Random
 
+    from siskinshift.connections.evacuations import EvacuationRegister
     from siskinshift.connections.fleet import Peer
 
 
@@ -42,14 +43,18 @@
 class AgentPlacement:
     """Chooses agents by load as it is known now."""
 
-    def __init__(self, *, failure_domain: str, random: Random) -> None:
+    def __init__(
+        self, *, failure_domain: str, evacuations: EvacuationRegister, random: Random
+    ) -> None:
         """Prepares.
 
         Args:
             failure_domain: Failure domain of this node.
+            evacuations: Failure domains that get no new flows.
             random: Source of the draws.
         """
         self._failure_domain = failure_domain
+        self._evacuations = evacuations
         self._random = random
 
     def choose(
@@ -71,7 +76,8 @@
         Returns:
             The agent, or None when none may be asked.
         """
-        ready = [a for a in agents if a.member.state is MemberState.READY]
+        allowed = [agent for agent in agents if not self.is_evacuated(agent)]
+        ready = [a for a in allowed if a.member.state is MemberState.READY]
         # A full link loses all heartbeats alike. That nobody is heard is hardly the
         # agents' fault; refused callers would go without free upstreams.
         heard = [a for a in ready if not a.is_silent(now=now)] or ready
@@ -92,6 +98,14 @@
             return best_far
         return best_near
 
+    def is_evacuated(self, agent: Peer) -> bool:
+        """Says whether an agent may get no new flow because of its failure domain.
+
+        Args:
+            agent: The agent.
+        """
+        return self._evacuations.covers(agent.member.failure_domain)
+
     def _is_near(self, agent: Peer) -> bool:
         return agent.member.failure_domain == self._failure_domain
 
--- a/src/siskinshift/connections/routes.py
+++ b/src/siskinshift/connections/routes.py
@@ -80,6 +80,8 @@
         routes_by_address: Routes by packed address and port.
         idle_timeout: Seconds of silence after which a flow may be forgotten.
         health_paths_by_service: Path of each service's health check.
+        warm_up_rates_by_service: New flows a second that a cold upstream of the
+            service bears; services that declare none are not listed.
     """
 
     version: int = 0
@@ -88,6 +90,9 @@
     )
     idle_timeout: float = 60.0
     health_paths_by_service: Mapping[str, str] = Factory(lambda: MappingProxyType({}))
+    warm_up_rates_by_service: Mapping[str, float] = Factory(
+        lambda: MappingProxyType({})
+    )
 
 
 def service_tag(service_id: str) -> int:
--- a/src/siskinshift/connections/upstream_life.py
+++ b/src/siskinshift/connections/upstream_life.py
@@ -104,6 +104,7 @@
         self._heard_at = float("-inf")
         self._signed_at = float("-inf")
         self._cold_until = float("-inf")
+        self._presumed_cold_until = float("-inf")
         self._ended: OrderedDict[Incarnation, None] = OrderedDict()
 
     @property
@@ -140,6 +141,7 @@
         self._sequence = heartbeat.sequence
         self._heard_at = now
         self._cold_until = now + heartbeat.cold_seconds
+        self._presumed_cold_until = float("-inf")
         self.slots = heartbeat.slots
         self.is_leaving = self.is_leaving or heartbeat.is_leaving
         after = (self.slots, self.is_leaving, self.accepts(now=now))
@@ -235,6 +237,26 @@
         is_cold = self.incarnation is None or now < self._cold_until
         return COLD_WEIGHT if is_cold else FULL_WEIGHT
 
+    def may_be_cold(self, *, now: float) -> bool:
+        """Says whether the upstream may still be slow after its start.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            Whether it reported so, has not reported yet, or is presumed to be.
+        """
+        is_warm = self.weight(now=now) == FULL_WEIGHT
+        return not is_warm or now < self._presumed_cold_until
+
+    def presume_cold(self, *, now: float) -> None:
+        """Takes the upstream for cold until its next heartbeat.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        self._presumed_cold_until = now + self._silence
+
     def _may_begin(self, speaking: Incarnation, *, now: float) -> bool:
         """Says whether another start than the present one may take its place.
 
--- a/src/siskinshift/platform/configuration.py
+++ b/src/siskinshift/platform/configuration.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from types import MappingProxyType
+from typing import TYPE_CHECKING
 from typing import Any
 
+from siskinshift.connections.peer_codec import WARM_UP_RATE_MAXIMUM
 from siskinshift.connections.request_queue import Terms
 from siskinshift.connections.routes import ConnectionRoute
 from siskinshift.connections.routes import RouteTable
@@ -19,7 +21,13 @@
 from siskinshift.control.exceptions import BadMessageError
 
 
-CONFIGURATION_KEY = "op/config"
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+# Prefix of all that operators write.
+OPERATORS_PREFIX = "op/"
+CONFIGURATION_KEY = OPERATORS_PREFIX + "config"
 MILLISECONDS = 1000.0
 DOWNLOAD = "download"
 # A day; a request that may take longer is none.
@@ -51,9 +59,22 @@
         health_paths_by_service=MappingProxyType(
             {text_of(s, "name"): text_of(s, "health-path") for s in services}
         ),
+        warm_up_rates_by_service=_decode_warm_up_rates(services),
     )
 
 
+def _decode_warm_up_rates(services: list[dict[str, Any]]) -> Mapping[str, float]:
+    """Reads the rates; a rate of 0, or none, declares no bound."""
+    rates_by_service = {
+        text_of(service, "name"): number_of(
+            service, "warmup-per-s", maximum=WARM_UP_RATE_MAXIMUM
+        )
+        for service in services
+        if "warmup-per-s" in service
+    }
+    return MappingProxyType({s: r for s, r in rates_by_service.items() if r})
+
+
 def _decode_route(route: dict[str, Any]) -> ConnectionRoute:
     return ConnectionRoute(
         name=text_of(route, "name"),
--- a/src/siskinshift/standins/platform_store.py
+++ b/src/siskinshift/standins/platform_store.py
@@ -143,7 +143,7 @@
         return sorted(self._items)
 
     def revoke(self, key: str) -> None:
-        """Takes a key away without a word to its owner."""
+        """Removes a key, as the operator does or without a word to its owner."""
         self._delete(key)
 
     def compact(self) -> None:
@@ -290,6 +290,12 @@
             self.state.put(key, value)
             self._changed.notify_all()
 
+    def revoke(self, key: str) -> None:
+        """Removes a key as the operator does and wakes watches."""
+        with self._changed:
+            self.state.revoke(key)
+            self._changed.notify_all()
+
     def _answer(self, request: HttpRequest) -> HttpReply:
         wait_ms = float(parse_qs(request.query).get("wait-ms", ["0"])[0])
         until = time.monotonic() + wait_ms / MILLISECONDS
--- a/tests/connections/test_agent_flows.py
+++ b/tests/connections/test_agent_flows.py
@@ -553,3 +553,67 @@
     assert [flow.via for flow in listed] == [BALANCER, other, BALANCER]
     after.restore([RestoredFlow(bare, listed[1].via)], now=0.0)
     assert after.flows_via(other) == [flow_of(2)]
+
+
+def test_an_evacuated_upstream_gets_no_opening_packet() -> None:
+    """Guards against a balancer that does not hold the evacuation yet."""
+    flows = agent_flows()
+    flows.is_evacuated = True
+
+    actions = _forward(flows, opening(1), Purpose.OPEN)
+
+    assert _verdicts(actions) == [(Verdict.UNAVAILABLE, BALANCER)]
+    assert len(actions) == 1
+
+
+def test_a_copy_of_an_opening_packet_stays_outside_of_an_evacuated_domain() -> None:
+    """Guards against a flow that opens by its caller's copies after the evacuation."""
+    flows = agent_flows()
+    _opened(flows, 1)
+    flows.is_evacuated = True
+
+    actions = _forward(flows, opening(1, copy=1), Purpose.OPEN, now=0.2)
+
+    assert _verdicts(actions) == [(Verdict.UNAVAILABLE, BALANCER)]
+
+
+def test_open_flows_of_an_evacuated_upstream_live_on() -> None:
+    """Guards against resets of flows by an order that is about new ones alone."""
+    flows = agent_flows()
+    _opened(flows, 1)
+    flows.is_evacuated = True
+    packet = segment(1, ack=UPSTREAM_SEQ + 1, seq=2, length=100)
+
+    assert ToUpstream(packet.datagram) in _forward(flows, packet, Purpose.OWNED)
+    assert flows.load == Load(flows=1, running=1)
+
+
+def test_all_balancers_together_keep_to_the_rate_of_a_cold_upstream() -> None:
+    """Guards against several balancers that each find a cold upstream idle."""
+    life = ready_life()
+    life.on_heartbeat(heartbeat(sequence=2, cold_seconds=2.0), now=0.0)
+    flows = agent_flows(life)
+    flows.warm_up.rate = 6.0
+    admitted = 0
+    for number in range(40):
+        sender = (BALANCER, OTHER_BALANCER)[number % 2]
+        packet = opening(number + 1)
+        now = 0.02 * number
+        actions = _forward(flows, packet, Purpose.OPEN, now=now, sender=sender)
+        if ToUpstream(packet.datagram) in actions:
+            admitted += 1
+        else:
+            assert _verdicts(actions) == [(Verdict.FULL, sender)]
+
+    assert admitted == 6
+
+
+def test_an_upstream_back_from_an_evacuation_is_cold_until_it_says_otherwise() -> None:
+    """Guards against one that turned cold after its last heartbeat before it."""
+    life = ready_life()
+    life.on_heartbeat(heartbeat(sequence=2), now=0.0)
+    life.presume_cold(now=0.1)
+
+    assert life.may_be_cold(now=0.2)
+    life.on_heartbeat(heartbeat(sequence=3), now=0.3)
+    assert not life.may_be_cold(now=0.3)
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -13,6 +13,8 @@
 from siskinshift.connections.balancer_flows import HOLD_SECONDS
 from siskinshift.connections.balancer_flows import RETRY_AFTER_SECONDS
 from siskinshift.connections.early_packets import EARLY_SECONDS
+from siskinshift.connections.evacuations import EvacuationRegister
+from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.fleet import ANSWER_SECONDS
 from siskinshift.connections.owner_finder import DATAGRAM_HEADER_BYTES
 from siskinshift.connections.owner_finder import SEARCH_BURST_SECONDS
@@ -30,6 +32,7 @@
 from siskinshift.connections.peer_messages import Question
 from siskinshift.connections.peer_messages import Status
 from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import WarmUpRate
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import SYN
@@ -841,3 +844,58 @@
 
     assert sent == [("10.0.1.1", Purpose.OPEN)]
     assert flows.take_early(now=EARLY_SECONDS + 0.1) == []
+
+
+def test_a_copy_goes_elsewhere_once_the_domain_is_evacuated() -> None:
+    """Guards against copies of an opening packet to an agent of an evacuated domain."""
+    evacuations = EvacuationRegister()
+    fleet = fleet_of(
+        member("near", host="10.0.1.1", domain="a"),
+        member("far", host="10.0.1.2", domain="b"),
+    )
+    flows = balancer_flows(fleet, evacuations=evacuations)
+    assert _open(flows) == "10.0.1.1"
+    _verdict(flows, fleet, "10.0.1.1", Verdict.ACCEPTED)
+    evacuations.update(Evacuations(1, frozenset({"a"})))
+
+    sent = _sent(flows.on_segment(opening(1, copy=1), now=0.2))
+
+    assert sent == [("10.0.1.2", Purpose.OPEN)]
+
+
+def test_flows_of_an_evacuated_domain_are_passed_on() -> None:
+    evacuations = EvacuationRegister()
+    fleet = fleet_of(*agents(1))
+    flows = balancer_flows(fleet, evacuations=evacuations)
+    host = _open(flows)
+    _verdict(flows, fleet, host, Verdict.ACCEPTED)
+    evacuations.update(Evacuations(1, frozenset({"a"})))
+
+    sent = _sent(flows.on_segment(segment(1, ack=9), now=0.01))
+    assert sent == [(host, Purpose.OWNED)]
+
+
+def test_a_service_whose_domains_are_all_evacuated_refuses_at_once() -> None:
+    """Guards against callers that wait for agents which may take nothing."""
+    evacuations = EvacuationRegister()
+    flows = balancer_flows(fleet_of(*agents(3)), evacuations=evacuations)
+    evacuations.update(Evacuations(1, frozenset({"a"})))
+
+    assert flows.on_segment(opening(1), now=0.0) == [ResetCaller(flow_of(1), 0)]
+
+
+def test_a_cold_agent_is_told_the_declared_rate_with_each_new_flow() -> None:
+    """Guards against an agent that does not know what its cold upstream bears."""
+    rates = {"editor": 7.5}
+    table = attrs.evolve(routes(), warm_up_rates_by_service=rates)
+    cold = member("cold", host="10.0.1.1", weight=625)
+    flows = balancer_flows(fleet_of(cold), table=table)
+
+    first, second = flows.on_segment(opening(1), now=0.0)
+
+    assert isinstance(first, ToPeer)
+    assert isinstance(second, ToPeer)
+    assert decode_peer_message(first.datagram) == WarmUpRate(7.5)
+    assert isinstance(decode_peer_message(second.datagram), Forward)
+    warm = balancer_flows(fleet_of(*agents(1)), table=table)
+    assert len(warm.on_segment(opening(1), now=0.0)) == 1
--- a/tests/connections/test_configuration_follower.py
+++ b/tests/connections/test_configuration_follower.py
@@ -4,12 +4,19 @@
 
 import threading
 from random import Random
+from typing import TYPE_CHECKING
 
 from siskinshift.connections.configuration_follower import ConfigurationFollower
+from siskinshift.connections.evacuation_reader import EvacuationReader
+from siskinshift.platform.evacuations import decode_evacuated_domain
 from tests.connections.builders import quiet_log
 from tests.connections.direct_store import DirectStore
 
 
+if TYPE_CHECKING:
+    from siskinshift.connections.evacuations import Evacuations
+
+
 class _Balancer:
     """A follower with a store; it stops once it has seen a value."""
 
@@ -19,13 +26,22 @@
         self.values: list[bytes] = []
         self.last = b""
         self.take = self._on_value
+        self.evacuations: list[Evacuations] = []
+        self.on_evacuations = self.evacuations.append
 
     def follow_until(self, last: bytes) -> list[bytes]:
         """Follows until a value came."""
         self.last = last
         follower = ConfigurationFollower(
             store=self.store,
+            prefix="op/",
             key="op/config",
+            evacuations=EvacuationReader(
+                prefix="op/evacuate/",
+                decode_domain=decode_evacuated_domain,
+                on_evacuations=lambda read: self.on_evacuations(read),
+                log=quiet_log(),
+            ),
             on_reading=lambda reading: self.take(reading.value),
             random=Random(1),
             log=quiet_log(),
@@ -104,3 +120,50 @@
     balancer.take = write_as_it_reads
 
     assert balancer.follow_until(b"7") == [b"1", b"4", b"7"]
+
+
+def test_evacuations_come_with_the_wait_for_the_configuration() -> None:
+    """Guards against a second call that waits at the store on each balancer."""
+    balancer = _Balancer()
+    state = balancer.store.state
+    state.put("op/config", b"1")
+    state.put("op/evacuate/a", b"{}")
+    domains = []
+
+    def take(read: Evacuations) -> None:
+        domains.append(set(read.domains))
+        if len(domains) == 1:
+            state.put("op/evacuate/b", b"{}")
+        elif len(domains) == 2:
+            state.revoke("op/evacuate/a")
+        else:
+            balancer.stopping.set()
+
+    balancer.on_evacuations = take
+    balancer.take = lambda value: None
+    balancer.follow_until(b"never")
+
+    assert domains == [{"a"}, {"a", "b"}, {"b"}]
+    assert state.calls["kv-range"] == 1
+
+
+def test_a_domain_evacuated_anew_within_one_wait_is_read_again() -> None:
+    """Guards against a removal and a writing whose order a wait does not tell."""
+    balancer = _Balancer()
+    state = balancer.store.state
+    state.put("op/evacuate/a", b"{}")
+    domains = []
+
+    def take(read: Evacuations) -> None:
+        domains.append(set(read.domains))
+        if len(domains) == 1:
+            state.revoke("op/evacuate/a")
+            state.put("op/evacuate/a", b"{}")
+            state.revoke("op/evacuate/a")
+        else:
+            balancer.stopping.set()
+
+    balancer.on_evacuations = take
+    balancer.follow_until(b"never")
+
+    assert domains == [{"a"}, set()]
--- a/tests/connections/test_peer_codec.py
+++ b/tests/connections/test_peer_codec.py
@@ -5,14 +5,17 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.peer_codec import decode_peer_message
 from siskinshift.connections.peer_codec import encode_alive
+from siskinshift.connections.peer_codec import encode_evacuations_message
 from siskinshift.connections.peer_codec import encode_forward
 from siskinshift.connections.peer_codec import encode_known_hosts
 from siskinshift.connections.peer_codec import encode_owned
 from siskinshift.connections.peer_codec import encode_question
 from siskinshift.connections.peer_codec import encode_status
 from siskinshift.connections.peer_codec import encode_verdict
+from siskinshift.connections.peer_codec import encode_warm_up_rate
 from siskinshift.connections.peer_messages import Alive
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import Forward
@@ -23,6 +26,7 @@
 from siskinshift.connections.peer_messages import Question
 from siskinshift.connections.peer_messages import Status
 from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.peer_messages import WarmUpRate
 from tests.connections.builders import flow_of
 from tests.connections.builders import member
 
@@ -44,6 +48,10 @@
     assert decode_peer_message(encode_owned(owned)) == owned
     question = Question(flow_of(9), 0xFFFF_FFFF)
     assert decode_peer_message(encode_question(question)) == question
+    evacuations = Evacuations(1 << 40, frozenset({"a", "b"}))
+    assert decode_peer_message(encode_evacuations_message(evacuations)) == evacuations
+    warm_up = WarmUpRate(12.5)
+    assert decode_peer_message(encode_warm_up_rate(warm_up)) == warm_up
 
 
 def test_counts_above_the_field_are_capped() -> None:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -140,3 +140,26 @@
 
     with pytest.raises(BadMessageError):
         decode_configuration(orjson.dumps(document))
+
+
+def test_a_rate_for_cold_upstreams_counts_where_one_is_declared() -> None:
+    """Guards against a rate of 0, which declares none, taken for a ban."""
+    document = _document()
+    document["services"] = [
+        {"name": "editor", "health-path": "/health", "warmup-per-s": 12.5},
+        {"name": "dossiers", "health-path": "/health", "warmup-per-s": 0.0},
+        {"name": "plans", "health-path": "/health"},
+    ]
+
+    table = decode_configuration(orjson.dumps(document))
+
+    assert dict(table.warm_up_rates_by_service) == {"editor": 12.5}
+
+
+@pytest.mark.parametrize("rate", ["1", True, -1.0, 1e9, None])
+def test_a_rate_that_is_none_refuses_the_configuration(rate: object) -> None:
+    document = _document()
+    document["services"][0]["warmup-per-s"] = rate
+
+    with pytest.raises(BadMessageError):
+        decode_configuration(orjson.dumps(document))
