--- a/src/siskinshift/standins/connection_ends.py
+++ b/src/siskinshift/standins/connection_ends.py
@@ -112,11 +112,13 @@
         foreign: Packets of flows that it does not hold.
         changed: Packets that are not as their sender wrote them.
         ran: Requests in the order in which they ran.
+        opened_at: When it took an opening packet, seconds by the steady clock.
     """
 
     foreign: list[bytes] = Factory(list)
     changed: list[bytes] = Factory(list)
     ran: list[bytes] = Factory(list)
+    opened_at: list[float] = Factory(list)
 
 
 class ConnectionUpstream:
@@ -193,6 +195,7 @@
                 first = self._random.getrandbits(32)
                 flow = _HeldFlow(first, (segment.seq + 1) & _SEQUENCE_MASK)
                 self._flows[segment.flow] = flow
+            self.record.opened_at.append(time.monotonic())
             self._send(segment.flow, SYN | ACK, flow.next_seq, flow.expected)
             return
         if flow is None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 from siskinshift.connections.registration import MEMBERS_PREFIX
 from siskinshift.connections.registration import member_key
 from siskinshift.messages.core import Role
+from siskinshift.platform.evacuations import EVACUATIONS_PREFIX
 from tests.connections.deployment import PORTS_BY_SERVICE
 from tests.soak.plan import FaultKind
 from tests.soak.proxy import Trouble
@@ -31,6 +32,9 @@
     "dossiers-1": ("127.0.2.4", "dossiers"),
 }
 NODES = (*BALANCERS, *SIDES)
+# The others stand in the balancers' domain.
+FAR_DOMAIN = "b"
+FAR_SIDES = ("editor-3", "dossiers-1")
 # An upstream's notice before the platform kills its node, and a bit.
 NOTICE_SECONDS = 6.5
 STORE_TROUBLES = tuple(t.name for t in Trouble if t is not Trouble.NONE)
@@ -178,6 +182,21 @@
     soak.trouble_store(step.targets, Trouble.NONE)
 
 
+@fault(seconds_maximum=0.5, variants=("order", "order", "back", "order back order"))
+def evacuate(soak: Soak, step: Step) -> None:
+    """A domain is evacuated, taken back, or both in a row; later faults overlap."""
+    for change in step.variant.split():
+        soak.evacuate(is_evacuated=change == "order")
+        time.sleep(step.seconds)
+
+
+@fault(variants=tuple(FOREIGN_ENTRIES))
+def foreign_evacuation(soak: Soak, step: Step) -> None:
+    """Somebody else writes where evacuations are listed."""
+    key = f"{EVACUATIONS_PREFIX}a/{step.variant}"
+    soak.deployment.store.put(key, FOREIGN_ENTRIES[step.variant])
+
+
 @fault(variants=tuple(FOREIGN_ENTRIES))
 def foreign_entry(soak: Soak, step: Step) -> None:
     """Somebody else writes where members are listed."""
