--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -15,6 +15,7 @@
 from siskinshift.core.clocks import monotonic_clock
 from siskinshift.core.errors import ErrorKind
 from siskinshift.core.packets import Packet
+from siskinshift.core.views import is_drained
 from siskinshift.flows.actions import DeliverToFlow
 from siskinshift.flows.actions import DropEnvelope
 from siskinshift.flows.actions import ForwardToAgent
@@ -179,7 +180,7 @@
     def _is_drained_by_operators(self) -> bool:
         settings = self.settings
         return any(
-            settings.node.node_id in service.drained
+            is_drained(service, self.membership.own)
             for service in self.membership.views.current.services_by_id.values()
             if service.upstream_class == settings.agent.upstream_class
         )
--- a/src/siskinshift/api/client.py
+++ b/src/siskinshift/api/client.py
@@ -153,7 +153,8 @@
         """Creates a service.
 
         Args:
-            service: The service; revision, change id and drained are passed over.
+            service: The service; revision, change id, drained and evacuated are
+                passed over.
             change_id: Id of the change; empty for a new one.
 
         Returns:
@@ -322,6 +323,38 @@
             ),
         )
 
+    def set_evacuation(
+        self,
+        service_id: str,
+        failure_domain: str,
+        *,
+        evacuated: bool,
+        revision: int = 0,
+        change_id: str = "",
+    ) -> AcceptedChange:
+        """Evacuates a failure domain for a service, or takes it back.
+
+        Args:
+            service_id: The service.
+            failure_domain: The failure domain.
+            evacuated: Whether its agents are to get no new flows.
+            revision: Revision the operator has seen; 0 for whatever is current.
+            change_id: Id of the change; empty for a new one.
+
+        Returns:
+            The accepted change.
+        """
+        return self._change(
+            self._stub.SetEvacuation,
+            lambda: pb.SetEvacuationRequest(
+                change_id=change_id or new_change_id(),
+                service_id=service_id,
+                failure_domain=failure_domain,
+                evacuated=evacuated,
+                revision=revision,
+            ),
+        )
+
     def find_change(self, change_id: str) -> FoundChange | None:
         """Looks for a change among the latest that took effect.
 
--- a/src/siskinshift/api/conversion.py
+++ b/src/siskinshift/api/conversion.py
@@ -90,6 +90,7 @@
         importance=message.importance,
         placement=tuple(message.placement),
         drained=tuple(message.drained),
+        evacuated=tuple(message.evacuated),
         revision=message.revision,
         change_id=message.change_id,
     )
@@ -119,6 +120,7 @@
         importance=service.importance,
         placement=service.placement,
         drained=service.drained,
+        evacuated=service.evacuated,
         revision=service.revision,
         change_id=service.change_id,
     )
--- a/src/siskinshift/api/requests.py
+++ b/src/siskinshift/api/requests.py
@@ -16,6 +16,7 @@
 from siskinshift.configuration.changes import PutGroup
 from siskinshift.configuration.changes import ReplaceService
 from siskinshift.configuration.changes import SetDrain
+from siskinshift.configuration.changes import SetEvacuation
 from siskinshift.configuration.changes import SetShare
 
 
@@ -89,3 +90,10 @@
     return SetDrain(
         request.service_id, request.member_id, request.drained, request.revision
     )
+
+
+@_reads(pb.SetEvacuationRequest)
+def _set_evacuation(request: Any) -> Change:
+    return SetEvacuation(
+        request.service_id, request.failure_domain, request.evacuated, request.revision
+    )
--- a/src/siskinshift/api/service.py
+++ b/src/siskinshift/api/service.py
@@ -144,6 +144,11 @@
         """Drains an agent or takes that back."""
         return self._change(request)
 
+    @_call(Permission.CHANGE)
+    def SetEvacuation(self, request: Any, _context: Any) -> Any:
+        """Drains an agent or takes that back."""
+        return self._change(request)
+
     @_call(Permission.READ)
     def FindChange(self, request: Any, _context: Any) -> Any:
         """Looks for a change."""
--- a/src/siskinshift/configuration/changes.py
+++ b/src/siskinshift/configuration/changes.py
@@ -38,7 +38,7 @@
 
 @frozen
 class ReplaceService:
-    """Replaces the whole of a service but its drained agents.
+    """Replaces the whole of a service but what is drained or evacuated.
 
     Attributes:
         service: The new content.
@@ -131,6 +131,23 @@
     revision: int = 0
 
 
+@frozen
+class SetEvacuation:
+    """Evacuates a failure domain for a service, or takes it back.
+
+    Attributes:
+        service_id: The service.
+        failure_domain: The failure domain; it need not be known yet.
+        evacuated: Whether its agents are to get no new flows.
+        revision: Revision the operator has seen; 0 for whatever is current.
+    """
+
+    service_id: str
+    failure_domain: str
+    evacuated: bool
+    revision: int = 0
+
+
 Change: TypeAlias = (
     CreateService
     | ReplaceService
@@ -139,6 +156,7 @@
     | DeleteGroup
     | SetShare
     | SetDrain
+    | SetEvacuation
 )
 ChangeT = TypeVar("ChangeT")
 Edit: TypeAlias = Callable[[ChangeT, Service | None], Service]
@@ -181,8 +199,10 @@
 def _replace(change: ReplaceService, current: Service | None) -> Service:
     live = _live(change.service_id, current)
     _check_seen(live, change.revision, required=True)
-    # Draining has a change of its own; a whole replacement must not end it.
-    return attrs.evolve(change.service, drained=live.drained, deleted=False)
+    # Both have changes of their own; a whole replacement must not end them.
+    return attrs.evolve(
+        change.service, drained=live.drained, evacuated=live.evacuated, deleted=False
+    )
 
 
 @_edits(DeleteService)
@@ -190,7 +210,13 @@
     live = _live(change.service_id, current)
     _check_seen(live, change.revision, required=True)
     return attrs.evolve(
-        live, addresses=(), groups=(), placement=(), drained=(), deleted=True
+        live,
+        addresses=(),
+        groups=(),
+        placement=(),
+        drained=(),
+        evacuated=(),
+        deleted=True,
     )
 
 
@@ -232,6 +258,16 @@
     return attrs.evolve(live, drained=drained)
 
 
+@_edits(SetEvacuation)
+def _set_evacuation(change: SetEvacuation, current: Service | None) -> Service:
+    live = _live(change.service_id, current)
+    _check_seen(live, change.revision)
+    check_name("failure domain", change.failure_domain)
+    others = tuple(d for d in live.evacuated if d != change.failure_domain)
+    evacuated = (*others, change.failure_domain) if change.evacuated else others
+    return attrs.evolve(live, evacuated=evacuated)
+
+
 def _live(service_id: str, current: Service | None) -> Service:
     if current is None or current.deleted:
         raise UnknownNameError(f"service {service_id!r} does not exist")
--- a/src/siskinshift/configuration/validation.py
+++ b/src/siskinshift/configuration/validation.py
@@ -113,6 +113,9 @@
     for member_id in service.drained:
         check_name("member", member_id)
     _check_unique("member", service.drained)
+    for domain in service.evacuated:
+        check_name("failure domain", domain)
+    _check_unique("failure domain", service.evacuated)
     return attrs.evolve(service, addresses=addresses)
 
 
--- a/src/siskinshift/console/commands/service.py
+++ b/src/siskinshift/console/commands/service.py
@@ -174,7 +174,15 @@
         services = operators.list_services(str(service_id))
     if as_json:
         return write_json(services)
-    titles = ("service", "revision", "mode", "class", "importance", "addresses")
+    titles = (
+        "service",
+        "revision",
+        "mode",
+        "class",
+        "importance",
+        "addresses",
+        "evacuated",
+    )
     rows = [
         (
             one.service_id,
@@ -183,6 +191,7 @@
             one.upstream_class,
             one.importance,
             ",".join(format_endpoint(address) for address in one.addresses),
+            ",".join(one.evacuated) or "-",
         )
         for one in services
     ]
--- a/src/siskinshift/console/operators.py
+++ b/src/siskinshift/console/operators.py
@@ -122,6 +122,22 @@
     return f"accepted at revision {change.revision}"
 
 
+def write_all_accepted(changes: Sequence[AcceptedChange], *, as_json: bool) -> str:
+    """Writes accepted changes of several services.
+
+    Args:
+        changes: The changes.
+        as_json: Whether a machine reads it.
+
+    Returns:
+        The text.
+    """
+    if as_json:
+        return write_json(changes)
+    lines = [f"{c.service_id}: accepted at revision {c.revision}" for c in changes]
+    return "\n".join(lines) or "no service is in force here"
+
+
 def is_json(output: str) -> bool:
     """Reads the argument `output`.
 
--- a/src/siskinshift/core/views.py
+++ b/src/siskinshift/core/views.py
@@ -71,18 +71,33 @@
             service: The service.
 
         Returns:
-            Agents that are ready, not drained by operators, and allowed by placement.
+            Agents that are ready, not drained or evacuated by operators, and allowed
+            by placement.
         """
         return tuple(
             agent
             for agent in self.agents_of(service)
             if agent.state in PLACEABLE_STATES
             and agent.weight > 0
-            and agent.member_id not in service.drained
+            and not is_drained(service, agent)
             and (not service.placement or agent.failure_domain in service.placement)
         )
 
 
+def is_drained(service: Service, agent: Member) -> bool:
+    """Says whether operators let an agent have no new work of a service.
+
+    Args:
+        service: The service.
+        agent: The agent.
+
+    Returns:
+        Whether it is drained by itself, or its failure domain is evacuated.
+    """
+    is_evacuated = agent.failure_domain in service.evacuated
+    return is_evacuated or agent.member_id in service.drained
+
+
 def make_view(
     *, version: int, services: Iterable[Service], members: Iterable[Member]
 ) -> View:
--- a/src/siskinshift/load/gate.py
+++ b/src/siskinshift/load/gate.py
@@ -21,6 +21,7 @@
 from siskinshift.core.requests import CancelAtUpstream
 from siskinshift.core.requests import Request
 from siskinshift.core.requests import RunResult
+from siskinshift.core.views import is_drained
 from siskinshift.load.admission import refusal_of
 from siskinshift.load.dispatcher import Dispatcher
 from siskinshift.load.gate_state import GateState
@@ -125,11 +126,17 @@
             }
         )
         # Operators drain an agent by the configuration; it stays ready all the while.
-        drained = {member_id for s in services for member_id in s.drained}
+        agents = view.agents_by_class.get(upstream_class, ())
+        drained = {
+            agent.member_id
+            for service in services
+            for agent in agents
+            if is_drained(service, agent)
+        }
         self._guests.is_drained = self._member_id in drained
         self._search.peers.configure(
             agent.member_id
-            for agent in view.agents_by_class.get(upstream_class, ())
+            for agent in agents
             if agent.state is MemberState.READY
             and agent.member_id not in drained
             and agent.member_id != self._member_id
--- a/src/siskinshift/messages/core.py
+++ b/src/siskinshift/messages/core.py
@@ -80,6 +80,7 @@
         importance: Higher goes first where services meet.
         placement: Failure domains allowed; empty for all.
         drained: Member ids of agents that operators drain.
+        evacuated: Failure domains that operators have evacuated.
         revision: Revision of the record in the key-value service.
         change_id: Id of the change that wrote the record.
         deleted: Tombstone: keeps an older record from coming back.
@@ -93,6 +94,7 @@
     importance: int = 100
     placement: tuple[str, ...] = ()
     drained: tuple[str, ...] = ()
+    evacuated: tuple[str, ...] = ()
     revision: int = 0
     change_id: str = ""
     deleted: bool = False
--- a/tests/api/test_requests.py
+++ b/tests/api/test_requests.py
@@ -111,6 +111,8 @@
     "group_id": _names,
     "member_id": _names,
     "drained": st.booleans(),
+    "failure_domain": _names,
+    "evacuated": st.booleans(),
     "share": _numbers,
     "revision": _numbers,
 }
--- a/tests/configuration/test_fuzz.py
+++ b/tests/configuration/test_fuzz.py
@@ -27,6 +27,7 @@
 from siskinshift.configuration.changes import PutGroup
 from siskinshift.configuration.changes import ReplaceService
 from siskinshift.configuration.changes import SetDrain
+from siskinshift.configuration.changes import SetEvacuation
 from siskinshift.configuration.changes import SetShare
 from siskinshift.core.views import make_view
 from siskinshift.kv.guard import OPEN_SECONDS_MAXIMUM
@@ -125,6 +126,14 @@
         _services,
         st.booleans(),
     ),
+    st.builds(
+        lambda name, domain, evacuated: (
+            lambda _: SetEvacuation(name, domain, evacuated)
+        ),
+        _services,
+        st.sampled_from(["a", "b"]),
+        st.booleans(),
+    ),
 )
 
 
--- a/tests/console/test_operators.py
+++ b/tests/console/test_operators.py
@@ -78,6 +78,14 @@
 
     (service,) = json.loads(run("service list --output json"))
     assert service["drained"] == ["editor-3"]
+    run("evacuation start domain-a")
+    run("evacuation start domain-b --service-id editor")
+    assert run("evacuation start domain-b --service-id none").startswith("no service")
+    stopped = run("evacuation stop domain-b")
+    assert stopped.startswith("editor: accepted at revision")
+    _wait_for(run, int(stopped.rpartition(" ")[2]))
+    (service,) = json.loads(run("service list --output json"))
+    assert service["evacuated"] == ["domain-a"]
     shares = {group["group_id"]: group["share"] for group in service["groups"]}
     assert shares == {"treasurers": 3, "volunteers": 2}
     assert "treasurers" in run("group list editor")
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the types that every part shares."""
--- a/tests/load/test_hand_over.py
+++ b/tests/load/test_hand_over.py
@@ -17,6 +17,7 @@
 from siskinshift.core.requests import RunResult
 from siskinshift.core.requests import StartRequest
 from siskinshift.messages.load import ReserveSlot
+from tests.load.builders import FAILURE_DOMAIN
 from tests.load.builders import SERVICE
 from tests.load.builders import a_gate
 from tests.load.builders import a_request
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from siskinshift.core.requests import GateAction
     from siskinshift.load.gate import LoadGate
+    from siskinshift.messages.core import Service
 
 
 def a_wish(
@@ -282,6 +284,16 @@
     peer with a full slot asks it.
     """
     service = attrs.evolve(a_service(), drained=("b",))
+    _assert_no_requests_of_peers(service)
+
+
+def test_an_agent_of_an_evacuated_domain_gets_no_requests_of_peers() -> None:
+    """Guards against work that reaches an evacuated domain by way of its peers."""
+    service = attrs.evolve(a_service(), evacuated=(FAILURE_DOMAIN,))
+    _assert_no_requests_of_peers(service)
+
+
+def _assert_no_requests_of_peers(service: Service) -> None:
     drained = a_gate("b", peers=("a",), services=(service,))
     peer = a_gate("a", peers=("b",), services=(service,))
     peer.submit(a_request(1), now=0.0)
