--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -424,8 +424,7 @@
     def _hold(self, record: FlowRecord, *, now: float) -> list[Action]:
         if any(attempt.verdict is None for attempt in record.attempts):
             return []
-        agents = self._fleet.agents_of(record.service_id)
-        if agents and all(self._placement.is_evacuated(agent) for agent in agents):
+        if self._is_evacuated(record.service_id, now=now):
             return self._give_up(record)
         if len(self._held) >= HELD_MAXIMUM or now - record.opened_at > HOLD_SECONDS:
             return self._give_up(record)
@@ -434,6 +433,12 @@
         self._held.append(record)
         return []
 
+    def _is_evacuated(self, service_id: str, *, now: float) -> bool:
+        """Says whether a service may get no new flow, so that no wait would help."""
+        agents = self._fleet.agents_of(service_id)
+        is_known = bool(agents) and self._fleet.is_complete(now=now)
+        return is_known and all(self._placement.is_evacuated(a) for a in agents)
+
     def _give_up(self, record: FlowRecord) -> list[Action]:
         if self._records.find(record.flow) is not record or record.owner is not None:
             return []
