--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -265,6 +265,10 @@
             flow.bare_packet = segment.datagram
         return []
 
+    def know_all(self) -> None:
+        """Takes note that each flow of the upstream has passed through this process."""
+        self._foreign.has_all_others = True
+
     def upstream_ended(self, *, now: float) -> list[Action]:
         """Resets all flows of an upstream whose process is gone for certain.
 
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -11,10 +12,12 @@
 from siskinshift.connections.agent_flows import AgentFlows
 from siskinshift.connections.evacuations import EvacuationRegister
 from siskinshift.connections.evacuations import Evacuations
+from siskinshift.connections.first_start import FirstStart
 from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
 from siskinshift.connections.flow_ledger import HAND_OVER_SECONDS
 from siskinshift.connections.flow_ledger import READ_PAUSE_SECONDS
 from siskinshift.connections.flow_ledger import FlowLedger
+from siskinshift.connections.flow_ledger import FlowList
 from siskinshift.connections.list_hand_over import ListHandOver
 from siskinshift.connections.list_keeper import keeper_of
 from siskinshift.connections.node import ConnectionNode
@@ -102,7 +105,7 @@
         self._ledger = FlowLedger(
             store=self.store,
             member_id=settings.node_id,
-            packets=self._long_flows,
+            flows=self._long_flows,
             hand_over=self._list_hand_over.hand_over,
             log=self.log,
         )
@@ -112,6 +115,8 @@
         self._is_probing = False
         self._is_process_gone = False
         self._verified: Incarnation | None = None
+        self._first_start = FirstStart()
+        self._is_list_urgent = threading.Event()
         self._told_incarnations_by_id: dict[str, int] = {}
         self._left_by = float("inf")
 
@@ -291,31 +296,52 @@
             effect=effect.name.lower(),
         )
         self._update_member(now)
+        self._take_first_start(self._first_start.on_heartbeat(call))
+        if effect is HeartbeatEffect.REPLACED:
+            # All of its flows have passed through this process; one that follows must
+            # not take the list for that of a start before.
+            self.flows.know_all()
+            self._is_list_urgent.set()
         if self.life.incarnation != self._verified:
             # Asks about all flows at once: those of the start before are reset as
             # the new one returns them, those that it has taken since live on.
             self._verified = self.life.incarnation
             self.perform(self.flows.verify_all())
 
+    def _take_first_start(self, is_new: bool) -> None:
+        if is_new:
+            self.log.fact("upstream is new", upstream=self.life.upstream_id)
+            self.flows.know_all()
+
     @property
     def _present_started_ms(self) -> int | None:
         return self.life.incarnation.started_ms if self.life.incarnation else None
 
     def _keep_ledger(self) -> None:
-        rows = self._ledger.load()
-        while rows is None and not self.stopping.wait(READ_PAUSE_SECONDS):
-            rows = self._ledger.load()
-        flows = [self._restored(row) for row in rows or ()]
+        listed = self._ledger.load()
+        while listed is None and not self.stopping.wait(READ_PAUSE_SECONDS):
+            listed = self._ledger.load()
+        if listed is not None:
+            self._take_listed(listed)
+        while not self.stopping.is_set():
+            is_urgent = self._is_list_urgent.wait(HAND_OVER_SECONDS)
+            self._is_list_urgent.clear()
+            if not self.stopping.is_set():
+                self._ledger.step(now=self.clock(), is_urgent=is_urgent)
+
+    def _take_listed(self, listed: FlowList) -> None:
+        flows = [self._restored(row) for row in listed.packets]
         known = [flow for flow in flows if flow is not None]
         if len(known) < len(flows):
             self.log.fact("flow list unreadable", rows=len(flows) - len(known))
-        self.loop.call(lambda: self._restore(known))
-        while not self.stopping.wait(HAND_OVER_SECONDS):
-            self._ledger.step(now=self.clock())
+        self.loop.call(lambda: self._restore(known, listed.incarnation))
 
-    def _restore(self, flows: list[RestoredFlow]) -> None:
+    def _restore(
+        self, flows: list[RestoredFlow], incarnation: Incarnation | None
+    ) -> None:
         now = self.clock()
         self.perform(self.flows.restore(flows, now=now))
+        self._take_first_start(self._first_start.on_list_read(incarnation))
         self.log.fact("flows restored", flows=len(flows))
         # Balancers that were heard before the list was read are told now.
         self._told_incarnations_by_id.clear()
@@ -343,9 +369,13 @@
             return None
         return keeper.member.control if keeper is not None else None
 
-    def _long_flows(self) -> list[bytes]:
-        listing = self.loop.call(lambda: self.flows.long_flows(now=self.clock()))
-        return [_row_of(flow) for flow in listing.result(CALL_SECONDS)]
+    def _long_flows(self) -> FlowList:
+        def collect() -> FlowList:
+            flows = self.flows.long_flows(now=self.clock())
+            rows = tuple(_row_of(flow) for flow in flows)
+            return FlowList(rows, self.life.incarnation)
+
+        return self.loop.call(collect).result(CALL_SECONDS)
 
     def _restored(self, row: bytes) -> RestoredFlow | None:
         segment = decode_from_caller(row[:-HOST_SIZE])
@@ -424,6 +454,7 @@
     def on_stop(self) -> None:
         """Takes the entry of an agent away that does not come back."""
         super().on_stop()
+        self._is_list_urgent.set()
         if self.life.is_gone:
             self.end_registration()
 
--- a/src/siskinshift/connections/flow_ledger.py
+++ b/src/siskinshift/connections/flow_ledger.py
@@ -11,6 +11,9 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import frozen
+
+from siskinshift.connections.incarnation import Incarnation
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
 from siskinshift.kv.port import Put
@@ -18,7 +21,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Sequence
 
     from siskinshift.kv.port import KeyValueStore
     from siskinshift.observability.event_log import EventLog
@@ -37,6 +39,25 @@
 # A list that could not be read is tried again at this pace.
 READ_PAUSE_SECONDS = 0.4
 _SIZE_BYTES = 2
+# A list that names its upstream's start begins with a size that no packet has, then the
+# length of the id, the start in Unix milliseconds (0 if untold) and the id.
+_NAMED = bytes(_SIZE_BYTES)
+_START_BYTES = 8
+_NAME_HEADER_BYTES = len(_NAMED) + 1 + _START_BYTES
+_ID_BYTES_MAXIMUM = 255
+
+
+@frozen
+class FlowList:
+    """An agent's long flows.
+
+    Attributes:
+        packets: One repeatable packet of each, all of one size.
+        incarnation: The start of the upstream that held them; None if it is not known.
+    """
+
+    packets: tuple[bytes, ...] = ()
+    incarnation: Incarnation | None = None
 
 
 class FlowLedger:
@@ -47,7 +68,7 @@
         *,
         store: KeyValueStore,
         member_id: str,
-        packets: Callable[[], Sequence[bytes]],
+        flows: Callable[[], FlowList],
         hand_over: Callable[[bytes, bool], bool],
         log: EventLog,
     ) -> None:
@@ -56,14 +77,14 @@
         Args:
             store: The store.
             member_id: The agent.
-            packets: Gives one repeatable packet of each long flow, all of one size.
+            flows: Gives the long flows.
             hand_over: Hands the list to a keeper, and whether a keeper wrote the same
                 list last; says whether it is written.
             log: Takes a line when a write fails.
         """
         self._store = store
         self._key = ledger_key(member_id)
-        self._packets = packets
+        self._flows = flows
         self._hand_over = hand_over
         self._log = log
         self._lease_id = 0
@@ -73,12 +94,12 @@
         self._written: bytes | None = None
         self._has_entry = False
 
-    def load(self) -> list[bytes] | None:
+    def load(self) -> FlowList | None:
         """Reads the list of the process before this one.
 
         Returns:
-            Its packets; None when the store does not answer: read again, and write
-            nothing before, since that would replace the list.
+            The list, empty if there is none; None when the store does not answer: read
+            again, and write nothing before, since that would replace the list.
         """
         try:
             entry = self._store.get(self._key)
@@ -86,16 +107,18 @@
             self._log.decision("flow list not read", error=str(error))
             return None
         self._has_entry = entry is not None
-        return decode_packets(entry.value) if entry else []
+        return decode_flow_list(entry.value) if entry else FlowList()
 
-    def step(self, *, now: float) -> None:
+    def step(self, *, now: float, is_urgent: bool = False) -> None:
         """Has the list written if it has changed, or its keeper may have forgotten it.
 
         Args:
             now: Clock reading, seconds.
+            is_urgent: Whether the agent writes it itself at once, without the time in
+                which a keeper gathers lists.
         """
         try:
-            value = encode_packets(self._packets()[:FLOWS_MAXIMUM])
+            value = encode_flow_list(self._flows())
         except TimeoutError:
             # The instance stood still; the next step collects again.
             self._log.fact("flow list not collected")
@@ -104,6 +127,9 @@
             # No caller keeps a flow, and no list says otherwise: a lease would be made
             # and kept for nothing.
             return
+        if is_urgent:
+            self._write(value, now=now)
+            return
         is_again = value == self._written and not self._lease_id
         if is_again and now < self._hand_again_at:
             return
@@ -154,31 +180,56 @@
     return LEDGER_PREFIX + member_id
 
 
-def encode_packets(packets: Sequence[bytes]) -> bytes:
-    """Packs packets of one size.
+def encode_flow_list(flows: FlowList) -> bytes:
+    """Packs a list.
 
     Args:
-        packets: The packets.
+        flows: The list; flows beyond the maximum are left out.
 
     Returns:
-        Their size and the packets; nothing for none.
+        The start of the upstream, the packets' size and the packets; nothing for a list
+        without flows.
     """
-    if not packets:
+    if not flows.packets:
         return b""
-    return len(packets[0]).to_bytes(_SIZE_BYTES, "big") + b"".join(packets)
+    packets = flows.packets[:FLOWS_MAXIMUM]
+    size = len(packets[0]).to_bytes(_SIZE_BYTES, "big")
+    return _encode_incarnation(flows.incarnation) + size + b"".join(packets)
 
 
-def decode_packets(value: bytes) -> list[bytes]:
-    """Unpacks what `encode_packets` wrote.
+def decode_flow_list(value: bytes) -> FlowList:
+    """Unpacks what `encode_flow_list` wrote, also by an older version.
 
     Args:
         value: The bytes.
 
     Returns:
-        The packets; none when they can't be read.
+        The list; an empty one when it can't be read.
     """
-    size = int.from_bytes(value[:_SIZE_BYTES], "big")
-    body = value[_SIZE_BYTES:]
-    if not size or len(body) % size:
-        return []
-    return [body[start : start + size] for start in range(0, len(body), size)]
+    try:
+        incarnation, body = _decode_incarnation(value)
+    except (IndexError, ValueError):
+        return FlowList()
+    size = int.from_bytes(body[:_SIZE_BYTES], "big")
+    rows = body[_SIZE_BYTES:]
+    if not size or len(rows) % size:
+        return FlowList()
+    packets = (rows[start : start + size] for start in range(0, len(rows), size))
+    return FlowList(tuple(packets), incarnation)
+
+
+def _encode_incarnation(incarnation: Incarnation | None) -> bytes:
+    name = incarnation.upstream_id.encode() if incarnation else b""
+    if incarnation is None or not 0 < len(name) <= _ID_BYTES_MAXIMUM:
+        return b""
+    started = (incarnation.started_ms or 0).to_bytes(_START_BYTES, "big")
+    return _NAMED + bytes((len(name),)) + started + name
+
+
+def _decode_incarnation(value: bytes) -> tuple[Incarnation | None, bytes]:
+    if not value.startswith(_NAMED):
+        return None, value
+    end = _NAME_HEADER_BYTES + value[len(_NAMED)]
+    started = int.from_bytes(value[len(_NAMED) + 1 : _NAME_HEADER_BYTES], "big")
+    name = value[_NAME_HEADER_BYTES:end].decode()
+    return Incarnation(name, started or None), value[end:]
--- a/src/siskinshift/connections/foreign_flows.py
+++ b/src/siskinshift/connections/foreign_flows.py
@@ -14,7 +14,7 @@
 
     Attributes:
         has_all_others: Whether the agent knows all flows of its upstream, so that each
-            other one is foreign; it has seen that no process was there before.
+            other one is foreign.
     """
 
     def __init__(self) -> None:
--- a/tests/connections/test_agent_flows.py
+++ b/tests/connections/test_agent_flows.py
@@ -617,3 +617,14 @@
     assert life.may_be_cold(now=0.2)
     life.on_heartbeat(heartbeat(sequence=3), now=0.3)
     assert not life.may_be_cold(now=0.3)
+
+
+def test_an_agent_that_knows_all_flows_denies_others_without_a_packet() -> None:
+    """Guards against a packet to each agent for each flow lost with the power."""
+    flows = agent_flows()
+    flows.know_all()
+
+    actions = flows.on_question(Question(flow_of(9), 77), BALANCER, now=0.0)
+
+    assert _verdicts(list(actions)) == [(Verdict.NOT_MINE, BALANCER)]
+    assert flows.load.is_certain
