--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -14,12 +14,10 @@
 from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.first_start import FirstStart
 from siskinshift.connections.fleet import STATUS_INTERVAL_SECONDS
-from siskinshift.connections.flow_ledger import HAND_OVER_SECONDS
-from siskinshift.connections.flow_ledger import READ_PAUSE_SECONDS
-from siskinshift.connections.flow_ledger import FlowLedger
-from siskinshift.connections.flow_ledger import FlowList
-from siskinshift.connections.list_hand_over import ListHandOver
-from siskinshift.connections.list_keeper import keeper_of
+from siskinshift.connections.flow_snapshot import HAND_OVER_SECONDS
+from siskinshift.connections.flow_snapshot import READ_PAUSE_SECONDS
+from siskinshift.connections.flow_snapshot import FlowSnapshot
+from siskinshift.connections.flow_snapshot import FlowSnapshotStore
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.owned_flow import RestoredFlow
 from siskinshift.connections.peer_codec import encode_all_owned
@@ -29,6 +27,8 @@
 from siskinshift.connections.peer_messages import Question
 from siskinshift.connections.peer_messages import WarmUpRate
 from siskinshift.connections.registration import role_prefix
+from siskinshift.connections.snapshot_upload import SnapshotUpload
+from siskinshift.connections.snapshot_writer import writer_of
 from siskinshift.connections.upstream_life import EndNotice
 from siskinshift.connections.upstream_life import Heartbeat
 from siskinshift.connections.upstream_life import HeartbeatEffect
@@ -98,15 +98,15 @@
         self._upstream_socket = open_datagram_socket(outlet.host, outlet.port)
         self.owns(self._upstream_socket.close)
         self._upstream_address = (settings.upstream.host, settings.upstream.port)
-        self._list_hand_over = ListHandOver(
-            member_id=settings.node_id, keeper=self._keeper, log=self.log
+        self._snapshot_upload = SnapshotUpload(
+            member_id=settings.node_id, writer=self._writer, log=self.log
         )
-        self.owns(self._list_hand_over.close)
-        self._ledger = FlowLedger(
+        self.owns(self._snapshot_upload.close)
+        self._snapshots = FlowSnapshotStore(
             store=self.store,
             member_id=settings.node_id,
             flows=self._long_flows,
-            hand_over=self._list_hand_over.hand_over,
+            hand_over=self._snapshot_upload.hand_over,
             log=self.log,
         )
         self._schedule = self.new_schedule(interval=STATUS_INTERVAL_SECONDS)
@@ -125,7 +125,7 @@
         super().on_start()
         if self.node_settings.heartbeats is not None:
             self.serve(self.node_settings.heartbeats, self._answer_upstream)
-        self.spawn(self._keep_ledger)
+        self.spawn(self._keep_snapshot)
 
     def add_sockets(self) -> None:
         """Adds the socket of the upstream's packets."""
@@ -216,8 +216,8 @@
         self.perform(self.flows.tick(now=now))
         self._update_member(now)
         if now >= self._schedule.next_due:
-            for words in self._schedule.due(self.fleet.balancers(), now=now):
-                self.send_alive(words)
+            for each in self._schedule.due(self.fleet.balancers(), now=now):
+                self.send_heartbeats(each)
         due = self._schedule.next_due
         if not self.is_leaving:
             self._probe_if_late(now)
@@ -317,19 +317,19 @@
     def _present_started_ms(self) -> int | None:
         return self.life.incarnation.started_ms if self.life.incarnation else None
 
-    def _keep_ledger(self) -> None:
-        listed = self._ledger.load()
+    def _keep_snapshot(self) -> None:
+        listed = self._snapshots.load()
         while listed is None and not self.stopping.wait(READ_PAUSE_SECONDS):
-            listed = self._ledger.load()
+            listed = self._snapshots.load()
         if listed is not None:
             self._take_listed(listed)
         while not self.stopping.is_set():
             is_urgent = self._is_list_urgent.wait(HAND_OVER_SECONDS)
             self._is_list_urgent.clear()
             if not self.stopping.is_set():
-                self._ledger.step(now=self.clock(), is_urgent=is_urgent)
+                self._snapshots.step(now=self.clock(), is_urgent=is_urgent)
 
-    def _take_listed(self, listed: FlowList) -> None:
+    def _take_listed(self, listed: FlowSnapshot) -> None:
         flows = [self._restored(row) for row in listed.packets]
         known = [flow for flow in flows if flow is not None]
         if len(known) < len(flows):
@@ -349,7 +349,7 @@
             self._verified = self.life.incarnation
             self.perform(self.flows.verify_all())
 
-    def _keeper(self) -> Endpoint | None:
+    def _writer(self) -> Endpoint | None:
         """Names the balancer of the failure domain that keeps this agent's list."""
 
         def choose() -> Peer | None:
@@ -360,20 +360,20 @@
                 if peer.member.failure_domain == domain
             ]
             key = xxhash.xxh3_64_intdigest(self.member.member_id.encode())
-            return keeper_of(key, near, now=self.clock())
+            return writer_of(key, near, now=self.clock())
 
         try:
-            keeper = self.loop.call(choose).result(CALL_SECONDS)
+            writer = self.loop.call(choose).result(CALL_SECONDS)
         except TimeoutError:
             # The instance stands still; the agent writes the list itself.
             return None
-        return keeper.member.control if keeper is not None else None
+        return writer.member.control if writer is not None else None
 
-    def _long_flows(self) -> FlowList:
-        def collect() -> FlowList:
+    def _long_flows(self) -> FlowSnapshot:
+        def collect() -> FlowSnapshot:
             flows = self.flows.long_flows(now=self.clock())
             rows = tuple(_row_of(flow) for flow in flows)
-            return FlowList(rows, self.life.incarnation)
+            return FlowSnapshot(rows, self.life.incarnation)
 
         return self.loop.call(collect).result(CALL_SECONDS)
 
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -16,14 +16,14 @@
 from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.evacuations import encode_evacuations
 from siskinshift.connections.evacuations import evacuations_from_document
-from siskinshift.connections.list_keeper import AGAIN_QUERY
-from siskinshift.connections.list_keeper import FLOW_LIST_PATH
-from siskinshift.connections.list_keeper import WRITTEN_SECONDS
-from siskinshift.connections.list_keeper import ListKeeper
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import Owned
 from siskinshift.connections.placement import AgentPlacement
+from siskinshift.connections.snapshot_writer import AGAIN_QUERY
+from siskinshift.connections.snapshot_writer import FLOW_LIST_PATH
+from siskinshift.connections.snapshot_writer import WRITTEN_SECONDS
+from siskinshift.connections.snapshot_writer import SnapshotWriter
 from siskinshift.control.documents import parse_table
 from siskinshift.control.exceptions import BadMessageError
 from siskinshift.messages.core import MemberState
@@ -122,7 +122,9 @@
             random=self.random,
             log=self.log,
         )
-        self._list_keeper = ListKeeper(store=self.store, clock=self.clock, log=self.log)
+        self._snapshot_writer = SnapshotWriter(
+            store=self.store, clock=self.clock, log=self.log
+        )
         self._configuration_value = b""
         self._peer_client: HttpClient | None = None
         self._is_fetching = False
@@ -138,7 +140,7 @@
         self.owns(self._follower.stop)
         self.owns(self._end_fetch)
         self.spawn(self._follower.follow_until, self.stopping)
-        self.spawn(self._list_keeper.keep_until, self.stopping)
+        self.spawn(self._snapshot_writer.write_until, self.stopping)
 
     def add_sockets(self) -> None:
         """Adds the socket of callers' packets."""
@@ -210,12 +212,12 @@
         """Tells peers of this balancer and lets flows time out."""
         self.perform(self._flows.tick(now=now))
         if now >= self._balancer_schedule.next_due:
-            for words in self._balancer_schedule.due(self.fleet.balancers(), now=now):
-                self.send_alive(words)
-                self.perform(self._dissemination.to_balancers(words.peers))
+            for each in self._balancer_schedule.due(self.fleet.balancers(), now=now):
+                self.send_heartbeats(each)
+                self.perform(self._dissemination.to_balancers(each.peers))
         if now >= self._agent_schedule.next_due:
-            for words in self._agent_schedule.due(self.fleet.agents(), now=now):
-                self.send_alive(words)
+            for each in self._agent_schedule.due(self.fleet.agents(), now=now):
+                self.send_heartbeats(each)
         self._update_state()
         return min(
             self._flows.next_due(),
@@ -306,7 +308,7 @@
         if not is_newer:
             return
         self._configuration_value = reading.value
-        self._balancer_schedule.hurry()
+        self._balancer_schedule.expedite()
         self.perform(self._flows.take_early(now=self.clock()))
 
     def evacuate(self, evacuations: Evacuations, *, source: str) -> None:
@@ -327,7 +329,7 @@
         now = self.clock()
         agents, balancers = self.fleet.agents(), self.fleet.balancers()
         self.perform(self._dissemination.on_change(agents, balancers, now=now))
-        self._balancer_schedule.hurry()
+        self._balancer_schedule.expedite()
         self.perform(self._flows.retry_held(now=now))
 
     def _fetch_if_newer(self, peer: Peer, now: float) -> None:
@@ -401,7 +403,7 @@
             self.log.decision("flow list refused", reason="name", path=request.path)
             return HttpReply(400)
         is_again = request.query == AGAIN_QUERY
-        written = self._list_keeper.hand_over(
+        written = self._snapshot_writer.hand_over(
             member_id, request.body, is_again=is_again
         )
         try:
--- a/src/siskinshift/connections/flow_ledger.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -26,10 +26,10 @@
     from siskinshift.observability.event_log import EventLog
 
 
-LEDGER_PREFIX = "siskinshift/flows/"
+SNAPSHOT_PREFIX = "siskinshift/flows/"
 # A flow opened after the last write is not in the list.
 HAND_OVER_SECONDS = 2.0
-# Pause between two writes of an agent that finds no keeper: a call for each agent.
+# Pause between two writes of an agent that finds no writer: a call for each agent.
 WRITE_SECONDS = 4.0
 # Longer than an instance is away without power in an ordinary failure.
 LEASE_SECONDS = 30.0
@@ -48,7 +48,7 @@
 
 
 @frozen
-class FlowList:
+class FlowSnapshot:
     """An agent's long flows.
 
     Attributes:
@@ -60,7 +60,7 @@
     incarnation: Incarnation | None = None
 
 
-class FlowLedger:
+class FlowSnapshotStore:
     """Writes and reads the list of one agent."""
 
     def __init__(
@@ -68,7 +68,7 @@
         *,
         store: KeyValueStore,
         member_id: str,
-        flows: Callable[[], FlowList],
+        flows: Callable[[], FlowSnapshot],
         hand_over: Callable[[bytes, bool], bool],
         log: EventLog,
     ) -> None:
@@ -78,12 +78,12 @@
             store: The store.
             member_id: The agent.
             flows: Gives the long flows.
-            hand_over: Hands the list to a keeper, and whether a keeper wrote the same
+            hand_over: Hands the list to a writer, and whether a writer wrote the same
                 list last; says whether it is written.
             log: Takes a line when a write fails.
         """
         self._store = store
-        self._key = ledger_key(member_id)
+        self._key = snapshot_key(member_id)
         self._flows = flows
         self._hand_over = hand_over
         self._log = log
@@ -94,7 +94,7 @@
         self._written: bytes | None = None
         self._has_entry = False
 
-    def load(self) -> FlowList | None:
+    def load(self) -> FlowSnapshot | None:
         """Reads the list of the process before this one.
 
         Returns:
@@ -107,18 +107,18 @@
             self._log.decision("flow list not read", error=str(error))
             return None
         self._has_entry = entry is not None
-        return decode_flow_list(entry.value) if entry else FlowList()
+        return decode_snapshot(entry.value) if entry else FlowSnapshot()
 
     def step(self, *, now: float, is_urgent: bool = False) -> None:
-        """Has the list written if it has changed, or its keeper may have forgotten it.
+        """Has the list written if it has changed, or its writer may have forgotten it.
 
         Args:
             now: Clock reading, seconds.
             is_urgent: Whether the agent writes it itself at once, without the time in
-                which a keeper gathers lists.
+                which a writer gathers lists.
         """
         try:
-            value = encode_flow_list(self._flows())
+            value = encode_snapshot(self._flows())
         except TimeoutError:
             # The instance stood still; the next step collects again.
             self._log.fact("flow list not collected")
@@ -134,7 +134,7 @@
         if is_again and now < self._hand_again_at:
             return
         if self._hand_over(value, is_again):
-            # The entry goes with the keeper's lease from now on.
+            # The entry goes with the writer's lease from now on.
             self._lease_id = 0
             self._written = value
             self._has_entry = True
@@ -168,7 +168,7 @@
             self._written = None
 
 
-def ledger_key(member_id: str) -> str:
+def snapshot_key(member_id: str) -> str:
     """Names the key of an agent's list.
 
     Args:
@@ -177,10 +177,10 @@
     Returns:
         The key.
     """
-    return LEDGER_PREFIX + member_id
+    return SNAPSHOT_PREFIX + member_id
 
 
-def encode_flow_list(flows: FlowList) -> bytes:
+def encode_snapshot(flows: FlowSnapshot) -> bytes:
     """Packs a list.
 
     Args:
@@ -197,8 +197,8 @@
     return _encode_incarnation(flows.incarnation) + size + b"".join(packets)
 
 
-def decode_flow_list(value: bytes) -> FlowList:
-    """Unpacks what `encode_flow_list` wrote, also by an older version.
+def decode_snapshot(value: bytes) -> FlowSnapshot:
+    """Unpacks what `encode_snapshot` wrote, also by an older version.
 
     Args:
         value: The bytes.
@@ -209,13 +209,13 @@
     try:
         incarnation, body = _decode_incarnation(value)
     except (IndexError, ValueError):
-        return FlowList()
+        return FlowSnapshot()
     size = int.from_bytes(body[:_SIZE_BYTES], "big")
     rows = body[_SIZE_BYTES:]
     if not size or len(rows) % size:
-        return FlowList()
+        return FlowSnapshot()
     packets = (rows[start : start + size] for start in range(0, len(rows), size))
-    return FlowList(tuple(packets), incarnation)
+    return FlowSnapshot(tuple(packets), incarnation)
 
 
 def _encode_incarnation(incarnation: Incarnation | None) -> bytes:
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -14,11 +14,12 @@
 from siskinshift.connections.actions import ToUpstream
 from siskinshift.connections.fleet import GREET_AGAIN_SECONDS
 from siskinshift.connections.fleet import Fleet
-from siskinshift.connections.introductions import Introductions
+from siskinshift.connections.heartbeat_schedule import HeartbeatSchedule
 from siskinshift.connections.peer_codec import decode_peer_message
 from siskinshift.connections.peer_codec import encode_alive
 from siskinshift.connections.peer_codec import encode_known_hosts
 from siskinshift.connections.peer_codec import encode_status
+from siskinshift.connections.peer_discovery import PeerDiscovery
 from siskinshift.connections.peer_messages import Alive
 from siskinshift.connections.peer_messages import KnownHosts
 from siskinshift.connections.peer_messages import Load
@@ -26,7 +27,6 @@
 from siskinshift.connections.registration import MEMBERS_PREFIX
 from siskinshift.connections.registration import Registration
 from siskinshift.connections.segment import caller_host
-from siskinshift.connections.word_schedule import WordSchedule
 from siskinshift.core.clocks import monotonic_clock
 from siskinshift.core.clocks import unix_milliseconds
 from siskinshift.messages.core import Endpoint
@@ -51,9 +51,9 @@
 
     from siskinshift.connections.actions import Action
     from siskinshift.connections.fleet import Peer
+    from siskinshift.connections.heartbeat_schedule import HeartbeatRound
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.peer_messages import PeerMessage
-    from siskinshift.connections.word_schedule import Words
     from siskinshift.messages.core import Role
     from siskinshift.runtime.http_server import Handler
     from siskinshift.runtime.http_server import HttpRequest
@@ -103,7 +103,7 @@
             upstream_class=settings.service_id,
         )
         self.fleet = Fleet(self.member, now=self.clock())
-        self._introductions = Introductions(self.fleet, own=self.member)
+        self._discovery = PeerDiscovery(self.fleet, own=self.member)
         self.peer_socket = open_datagram_socket(settings.host, settings.peer_port)
         self.owns(self.peer_socket.close)
         self.store = PlatformStore(settings.store, stopping=self.stopping)
@@ -260,11 +260,11 @@
         for peer in peers:
             self.send_datagram(datagram, peer.address)
 
-    def send_alive(self, words: Words) -> None:
+    def send_heartbeats(self, due: HeartbeatRound) -> None:
         """Tells peers that this node is as they know it.
 
         Args:
-            words: Who is told, and when they are told again.
+            due: Who is told, and when they are told again.
         """
         datagram = encode_alive(
             Alive(
@@ -272,20 +272,20 @@
                 self.member.version,
                 self.load,
                 self.configuration_version,
-                words.next_within,
+                due.next_within,
             )
         )
-        for peer in words.peers:
+        for peer in due.peers:
             self.send_datagram(datagram, peer.address)
 
-    def new_schedule(self, *, interval: float) -> WordSchedule:
-        """Makes a schedule of words to one kind of peers.
+    def new_schedule(self, *, interval: float) -> HeartbeatSchedule:
+        """Makes a schedule of heartbeats to one kind of peers.
 
         Args:
-            interval: Pause between two words to one peer while peers are few, seconds.
+            interval: Seconds between two heartbeats to one peer while peers are few.
         """
         domain = self.member.failure_domain
-        return WordSchedule(failure_domain=domain, interval=interval)
+        return HeartbeatSchedule(failure_domain=domain, interval=interval)
 
     def send_datagram(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Sends a message to a node; one that can't be sent counts as lost.
@@ -369,7 +369,7 @@
         if status.wants_status:
             self.send_datagram(self._own_status(), source)
         if status.wants_members:
-            for known in self._introductions.for_peer(status.member, now=now):
+            for known in self._discovery.for_peer(status.member, now=now):
                 self.send_datagram(encode_known_hosts(known), source)
         if before is not None and incarnation != status.member.incarnation:
             self.log.fact("peer restarted", peer=status.member.member_id)
@@ -413,14 +413,14 @@
         if now > self._hosts_taken_until and self.fleet.is_complete(now=now):
             # Nobody was asked any more.
             return
-        if not self._introductions.told(known, teller, now=now):
+        if not self._discovery.told(known, teller, now=now):
             self.log.decision("hosts refused", source=teller, hosts=len(known.hosts))
             return
         self._greet_hosts(now)
 
     def _greet_hosts(self, now: float) -> None:
         datagram = self._own_status(wants_status=True)
-        for host in self._introductions.strangers(now=now):
+        for host in self._discovery.strangers(now=now):
             self.send_datagram(datagram, (host, self.node_settings.peer_port))
 
     def _tick(self, now: float) -> float:
@@ -447,7 +447,7 @@
         for none. And against a start while the store has lost the entry of a node that
         lives: its peers know it.
         """
-        if self._introductions.are_complete(now=now):
+        if self._discovery.are_complete(now=now):
             self.fleet.complete()
         if self._has_asked and self.fleet.is_complete(now=now):
             self._ask_seeds_at = float("inf")
--- a/src/siskinshift/connections/introductions.py
+++ b/src/siskinshift/connections/peer_discovery.py
@@ -25,7 +25,7 @@
 HOSTS_MAXIMUM = 27_000
 
 
-class Introductions:
+class PeerDiscovery:
     """The hosts that a node was told of, and those that it names to others."""
 
     def __init__(self, fleet: Fleet, *, own: Member) -> None:
--- a/src/siskinshift/connections/list_hand_over.py
+++ b/src/siskinshift/connections/snapshot_upload.py
@@ -5,9 +5,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from siskinshift.connections.list_keeper import AGAIN_QUERY
-from siskinshift.connections.list_keeper import FLOW_LIST_PATH
-from siskinshift.connections.list_keeper import WRITTEN_SECONDS
+from siskinshift.connections.snapshot_writer import AGAIN_QUERY
+from siskinshift.connections.snapshot_writer import FLOW_LIST_PATH
+from siskinshift.connections.snapshot_writer import WRITTEN_SECONDS
 from siskinshift.runtime.http_client import HttpClient
 
 
@@ -19,29 +19,29 @@
 
 
 CONNECT_SECONDS = 0.3
-# A keeper answers within its own time and the way there and back.
+# A writer answers within its own time and the way there and back.
 ANSWER_SECONDS = WRITTEN_SECONDS + 0.5
 
 
-class ListHandOver:
-    """The connection of one agent to its keeper, one call at a time."""
+class SnapshotUpload:
+    """The connection of one agent to its writer, one call at a time."""
 
     def __init__(
         self,
         *,
         member_id: str,
-        keeper: Callable[[], Endpoint | None],
+        writer: Callable[[], Endpoint | None],
         log: EventLog,
     ) -> None:
         """Connects with the first call.
 
         Args:
             member_id: The agent.
-            keeper: Names the keeper, None for none; called on the caller's thread.
-            log: Takes a line when a keeper did not answer.
+            writer: Names the writer, None for none; called on the caller's thread.
+            log: Takes a line when a writer did not answer.
         """
         self._path = FLOW_LIST_PATH + member_id
-        self._keeper = keeper
+        self._writer = writer
         self._log = log
         self._endpoint: Endpoint | None = None
         self._client: HttpClient | None = None
@@ -51,12 +51,12 @@
 
         Args:
             value: The list.
-            is_again: Whether a keeper wrote the same list last.
+            is_again: Whether a writer wrote the same list last.
 
         Returns:
             Whether it is written.
         """
-        endpoint = self._keeper()
+        endpoint = self._writer()
         if endpoint is None:
             return False
         client = self._client_to(endpoint)
@@ -65,9 +65,9 @@
         try:
             answer = client.call("POST", target, value, timeout=ANSWER_SECONDS)
         except OSError as error:
-            # The agent writes it itself; the next step looks for a keeper again.
+            # The agent writes it itself; the next step looks for a writer again.
             self._log.decision(
-                "flow list not handed over", keeper=endpoint.host, error=str(error)
+                "flow list not handed over", writer=endpoint.host, error=str(error)
             )
             self._endpoint = None
             return False
--- a/src/siskinshift/connections/list_keeper.py
+++ b/src/siskinshift/connections/snapshot_writer.py
@@ -3,7 +3,7 @@
 Pattern of load: a hundred agents, each with a list that changes every second. Writes of
 each of them outweigh all other calls of a calm fleet to the store. A balancer of the
 agents' failure domain takes the lists by HTTP and writes up to 32 in one transaction,
-under one lease. An agent that finds no keeper, or gets no answer, writes its own.
+under one lease. An agent that finds no writer, or gets no answer, writes its own.
 """
 
 from __future__ import annotations
@@ -14,8 +14,8 @@
 
 from attrs import frozen
 
-from siskinshift.connections.flow_ledger import RENEW_SECONDS
-from siskinshift.connections.flow_ledger import ledger_key
+from siskinshift.connections.flow_snapshot import RENEW_SECONDS
+from siskinshift.connections.flow_snapshot import snapshot_key
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
 from siskinshift.kv.port import Put
@@ -33,7 +33,7 @@
 
 # The name of an agent follows; its list is the body.
 FLOW_LIST_PATH = "/flow-list/"
-# The query of a list that the keeper wrote before, and nobody since.
+# The query of a list that the writer wrote before, and nobody since.
 AGAIN_QUERY = "again"
 # Lists that came within this are written together.
 GATHER_SECONDS = 1.0
@@ -45,12 +45,12 @@
 # Half of it is more than the pause after which an agent hands its list over again, and
 # the other half more than an instance is away without power in an ordinary failure.
 LEASE_SECONDS = 45.0
-# Balancers of a failure domain for each keeper: each agent keeps a connection, and with
-# it a thread, at its keeper.
-BALANCERS_PER_KEEPER = 8
+# Balancers of a failure domain for each writer: each agent keeps a connection, and with
+# it a thread, at its writer.
+BALANCERS_PER_WRITER = 8
 
 
-def keeper_of(agent_key: int, balancers: Sequence[Peer], *, now: float) -> Peer | None:
+def writer_of(agent_key: int, balancers: Sequence[Peer], *, now: float) -> Peer | None:
     """Chooses the balancer that keeps an agent's list.
 
     Args:
@@ -70,8 +70,8 @@
     if not able:
         return None
     able.sort(key=lambda balancer: balancer.key)
-    keepers = able[: max(1, len(able) // BALANCERS_PER_KEEPER)]
-    return keepers[agent_key % len(keepers)]
+    writers = able[: max(1, len(able) // BALANCERS_PER_WRITER)]
+    return writers[agent_key % len(writers)]
 
 
 @frozen
@@ -83,7 +83,7 @@
     written: Future[bool]
 
 
-class ListKeeper:
+class SnapshotWriter:
     """The lists that one balancer keeps in the store."""
 
     def __init__(self, *, store: KeyValueStore, clock: Clock, log: EventLog) -> None:
@@ -113,7 +113,7 @@
         Args:
             member_id: The agent.
             value: Its list.
-            is_again: Whether this keeper wrote the same list and nobody has since.
+            is_again: Whether this writer wrote the same list and nobody has since.
 
         Returns:
             Whether it is written, once that is known.
@@ -129,7 +129,7 @@
             known.written.set_result(False)
         return known.written
 
-    def keep_until(self, stopping: threading.Event) -> None:
+    def write_until(self, stopping: threading.Event) -> None:
         """Writes what was handed over until told to stop.
 
         Args:
@@ -196,7 +196,7 @@
         for start in range(0, len(new), LISTS_PER_CALL):
             part = {name: handed[name] for name in new[start : start + LISTS_PER_CALL]}
             puts = tuple(
-                Put(ledger_key(name), known.value, self._lease_id)
+                Put(snapshot_key(name), known.value, self._lease_id)
                 for name, known in part.items()
             )
             self._store.transact((), puts)
