--- a/src/siskinshift/observability/explanation.py
+++ b/src/siskinshift/observability/explanation.py
@@ -44,7 +44,8 @@
         "its upstream no longer holds the flow: it restarted or closed it"
     ),
     ("reset", "no agent takes it"): (
-        "refused under load or without agents: each agent refused or none was ready"
+        "refused under load or without agents: each agent refused, none was ready, or"
+        " their failure domains are evacuated"
     ),
     ("not tried again", "retry budget"): (
         "an agent did not answer, and the balancer was too loaded to ask another one"
@@ -53,10 +54,14 @@
         "the balancer did not know its owner, and searches had used up their link"
     ),
     ("not searched", "agents silent"): (
-        "the balancer did not know its owner, and agents that may be it were silent"
+        "the balancer did not know its owner, and agents that may be it were silent,"
+        " or the link had no room for a packet to each of them"
     ),
     ("refused", "full"): "refused under load: the upstream takes no more flows",
-    ("refused", "unavailable"): "the upstream leaves, is silent or its agent ends",
+    ("refused", "unavailable"): (
+        "the upstream leaves or is silent, its agent ends, or its failure domain is"
+        " evacuated"
+    ),
     ("refused", "wrong_service"): "the balancer meant another service at this address",
 }
 
