--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -47,6 +47,8 @@
 RECOVERY_SECONDS = 12.0
 PROBE_SECONDS = 0.25
 REQUESTS_PER_FLOW = 6
+# A caller that was refused comes back after this.
+REFUSED_PAUSE_SECONDS = 0.05
 # What the last checks ask for as often as they need.
 REPEATED_REQUESTS = frozenset({b"after all faults", b"added route"})
 
@@ -235,6 +237,7 @@
         except FlowReset:
             self.outcome.resets += 1
             self._judge_reset(owner, identity, starts.get(owner))
+            time.sleep(REFUSED_PAUSE_SECONDS)
         except FlowSilent:
             self.outcome.silent += 1
         finally:
