--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -7,6 +7,7 @@
 
 from siskinshift.connections.balancer_flows import BalancerFlows
 from siskinshift.connections.configuration_catch_up import CatchUp
+from siskinshift.connections.configuration_follower import STORE
 from siskinshift.connections.configuration_follower import ConfigurationFollower
 from siskinshift.connections.configuration_follower import ConfigurationReading
 from siskinshift.connections.departure import Departure
@@ -54,8 +55,6 @@
 
 CONFIGURATION_PATH = "/configuration"
 EVACUATIONS_PATH = "/evacuations"
-# Source of evacuations that no peer sent.
-STORE = "store"
 # Longest name of an agent, so that the key of its list is one that the store takes.
 MEMBER_ID_MAXIMUM = 100
 # Agents only need to know that the balancer is there, and hear it with each flow.
--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -28,7 +28,7 @@
 
 # A change must be in force within three seconds of the store's return.
 RETRY = Backoff(0.1, 0.6)
-# Source of a configuration that no peer gave.
+# Source of what no peer gave.
 STORE = "store"
 
 
