--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -20,7 +20,7 @@
 from siskinshift.flows.actions import DropEnvelope
 from siskinshift.flows.actions import ForwardToAgent
 from siskinshift.flows.actions import SendNotes
-from siskinshift.flows.courier import NotesCourier
+from siskinshift.flows.notes_sender import NotesSender
 from siskinshift.flows.router import FlowRouter
 from siskinshift.load.gate import LoadGate
 from siskinshift.messages.core import MemberState
@@ -105,7 +105,7 @@
             counters=self.counters,
             random=Random(),
         )
-        self._courier = NotesCourier(
+        self._notes_sender = NotesSender(
             application=self,
             routes=self.routes,
             key_ring=self.key_ring,
@@ -134,7 +134,7 @@
     def drain(self) -> None:
         """Gives buckets away and takes no new flows; owned flows go on."""
         self._life.drain(now=monotonic_clock())
-        self._runner.refuse_guests()
+        self._runner.refuse_peer_requests()
 
     def leave(self, at_once: threading.Event) -> None:
         """Drains and waits until nothing would be cut, or the time allowed is over.
@@ -241,7 +241,7 @@
                 datagram = self.codec.pack_envelope(action.envelope)
                 self.data_socket.send(datagram, action.agent.data)
             elif isinstance(action, SendNotes):
-                self._courier.send(action)
+                self._notes_sender.send(action)
             elif isinstance(action, DropEnvelope):
                 self.drops.dropped(action.error)
 
--- a/src/siskinshift/agent/hand_over.py
+++ b/src/siskinshift/agent/hand_over.py
@@ -56,11 +56,11 @@
 CANCEL_PATH = "/v1/load/cancel"
 USAGE_PATH = "/v1/load/usage"
 
-# A wish waits a second at most by default; the gate of the peer answers it in time.
+# A request for a slot waits a second at most by default, and is answered in time.
 MESSAGE_TIMEOUT_SECONDS = 5.0
 # Beyond the deadline, for the answer's way back.
 RUN_GRACE_SECONDS = 1.0
-# The peer's gate ends a wish by itself; this is the time its tick may be late.
+# The peer's gate ends such a request by itself; this is the time its tick may be late.
 ANSWER_GRACE_SECONDS = 0.5
 
 
@@ -323,7 +323,7 @@
     # The side that has the slot.
 
     def answer_reservation(self, action: AnswerReservation) -> None:
-        """Takes the gate's answer to a peer's wish.
+        """Takes the gate's answer to a peer's request.
 
         Args:
             action: The gate's decision.
@@ -359,7 +359,7 @@
         if not self._runner.take_reserved(message.reservation_id):
             return RunRequestReply(outcome=OutcomeKind.NOT_RUN)
         reply = CollectedReply()
-        call = _guest_call(message, reply, self._clock())
+        call = _peer_request_call(message, reply, self._clock())
         exchange = self._runner.exchange_for(call, reply.refuse_stream)
         reply.on_too_large = exchange.cancel
         self._exchanges_by_reservation[message.reservation_id] = exchange
@@ -370,7 +370,7 @@
         finally:
             self._runner.slot_used(call, since=since)
             self._exchanges_by_reservation.pop(message.reservation_id, None)
-            self._runner.guest_ended(message.reservation_id, result)
+            self._runner.peer_request_ended(message.reservation_id, result)
         return _run_reply(result, reply)
 
     def _on_cancel(self, message: CancelRun) -> LoadReceipt:
@@ -386,7 +386,7 @@
         return LoadReceipt()
 
 
-def _guest_call(message: RunRequest, reply: CollectedReply, now: float) -> Call:
+def _peer_request_call(message: RunRequest, reply: CollectedReply, now: float) -> Call:
     request = Request(
         request_id=0,
         service_id="",
--- a/src/siskinshift/agent/observed_reply.py
+++ b/src/siskinshift/agent/observed_reply.py
@@ -16,7 +16,7 @@
     from siskinshift.agent.calls import Reply
 
 
-# The caller's own wish; neither good nor bad service.
+# The caller's own decision; neither good nor bad service.
 UNCOUNTED_KINDS = frozenset({ErrorKind.CANCELLED, ErrorKind.CANCELLED_RUNNING})
 
 
--- a/src/siskinshift/agent/peer_clients.py
+++ b/src/siskinshift/agent/peer_clients.py
@@ -22,8 +22,8 @@
 class PeerClients:
     """Lends control clients.
 
-    A control client carries one message at a time, and a wish for a slot may wait for
-    a second: without several clients a peer's messages would wait for each other.
+    A control client carries one message at a time, and a request for a slot may wait
+    for a second: without several clients a peer's messages would wait for each other.
     """
 
     def __init__(self, *, key_ring: KeyRing, timeout: float) -> None:
--- a/src/siskinshift/agent/request_runner.py
+++ b/src/siskinshift/agent/request_runner.py
@@ -192,9 +192,9 @@
             self._is_draining = True
         self.decide(lambda gate, now: gate.drain(now=now))
 
-    def refuse_guests(self) -> None:
+    def refuse_peer_requests(self) -> None:
         """Takes no more requests of peers; own ones go on."""
-        self.decide(lambda gate, now: gate.refuse_guests(now=now))
+        self.decide(lambda gate, now: gate.refuse_peer_requests(now=now))
 
     def tick(self) -> None:
         """Lets the gate's time pass; sends usage sums when it is time."""
@@ -253,7 +253,7 @@
         with self._lock:
             return self._gate.cancel_reserved(reservation_id)
 
-    def guest_ended(self, reservation_id: str, result: RunResult) -> None:
+    def peer_request_ended(self, reservation_id: str, result: RunResult) -> None:
         """Takes the end of a peer's request.
 
         Args:
@@ -261,7 +261,9 @@
             result: How it ended.
         """
         self.decide(
-            lambda gate, now: gate.guest_finished(reservation_id, result, now=now)
+            lambda gate, now: gate.peer_request_finished(
+                reservation_id, result, now=now
+            )
         )
 
     def exchange_for(
--- a/src/siskinshift/bench/load_agents.py
+++ b/src/siskinshift/bench/load_agents.py
@@ -315,10 +315,12 @@
         if not gate.run_reserved(action.reservation_id, now=self._loop.now):
             self._send(partial(self._not_run, asker, action.request_id))
             return
-        done = partial(self._guest_ended, asker, peer, request, action.reservation_id)
+        done = partial(
+            self._peer_request_ended, asker, peer, request, action.reservation_id
+        )
         self._upstreams[peer].run(request, done, cut=True)
 
-    def _guest_ended(
+    def _peer_request_ended(
         self,
         asker: int,
         peer: int,
@@ -327,7 +329,7 @@
         answered: bool,
     ) -> None:
         result = RunResult.ANSWERED if answered else RunResult.LOST
-        actions = self.gates[peer].guest_finished(
+        actions = self.gates[peer].peer_request_finished(
             reservation_id, result, now=self._loop.now
         )
         self._carry_out(peer, actions)
--- a/src/siskinshift/flows/courier.py
+++ b/src/siskinshift/flows/notes_sender.py
@@ -86,7 +86,7 @@
     return (notes.service_id, "empty", 0, ())
 
 
-class NotesCourier:
+class NotesSender:
     """Sends hand-over messages and hands arriving ones to the router.
 
     Attributes:
--- a/src/siskinshift/kv/guard.py
+++ b/src/siskinshift/kv/guard.py
@@ -46,7 +46,7 @@
 
 
 class Admission(StrEnum):
-    """Answer to the wish for a call."""
+    """Answer to a call that asks to be made."""
 
     ADMITTED = "admitted"
     OVER_BUDGET = "call budget used up"
--- a/src/siskinshift/load/dispatcher.py
+++ b/src/siskinshift/load/dispatcher.py
@@ -14,22 +14,22 @@
 if TYPE_CHECKING:
     from siskinshift.core.requests import GateAction
     from siskinshift.load.gate_state import GateState
-    from siskinshift.load.guests import Guests
+    from siskinshift.load.peer_requests import PeerRequests
     from siskinshift.load.work import Work
 
 
 class Dispatcher:
     """Starts requests in the order of the queues, own ones and those of peers."""
 
-    def __init__(self, state: GateState, guests: Guests) -> None:
+    def __init__(self, state: GateState, peer_requests: PeerRequests) -> None:
         """Prepares.
 
         Args:
             state: The gate's state.
-            guests: Requests of peers.
+            peer_requests: Requests of peers.
         """
         self._state = state
-        self._guests = guests
+        self._peer_requests = peer_requests
 
     def dispatch(self, *, now: float) -> list[GateAction]:
         """Starts waiting requests while slots are free.
@@ -62,8 +62,8 @@
         Returns:
             What to do.
         """
-        if work.is_guest:
-            return self._guests.refuse(work, now=now)
+        if work.is_of_peer:
+            return self._peer_requests.refuse(work, now=now)
         if work.request.deadline <= now:
             return self._state.give_up(work, ErrorKind.DEADLINE_EXCEEDED)
         return self._state.give_up(work, ErrorKind.QUEUE_TIMEOUT)
@@ -74,7 +74,7 @@
         self._state.meter.started(group_key(work), now=now)
         work.started_at = now
         self._state.watch.started(now=now)
-        if work.is_guest:
+        if work.is_of_peer:
             work.state = WorkState.RESERVED
             return [AnswerReservation(work.reservation_id, True)]
         work.state = WorkState.RUNNING
--- a/src/siskinshift/load/fair_queues.py
+++ b/src/siskinshift/load/fair_queues.py
@@ -112,7 +112,7 @@
             Number of requests of each group that waits.
         """
         counts = {
-            key: sum(not work.is_guest for work in queue)
+            key: sum(not work.is_of_peer for work in queue)
             for key, queue in self._queues_by_group.items()
         }
         return {key: count for key, count in counts.items() if count}
--- a/src/siskinshift/load/gate.py
+++ b/src/siskinshift/load/gate.py
@@ -1,7 +1,7 @@
 """The gate of an agent: puts the decisions under load together.
 
 Two promises are kept by the modules of the gate (`gate`, `gate_state`, `dispatcher`,
-`guests`, `peer_search`, `retries`) and nowhere else:
+`peer_requests`, `peer_search`, `retries`) and nowhere else:
 
 - A request is refused as "not run" only while `Work.offered` is false. The flag is set
   before the action that offers a byte is given out (`Dispatcher`, `PeerSearch`), and
@@ -26,8 +26,8 @@
 from siskinshift.load.dispatcher import Dispatcher
 from siskinshift.load.gate_state import GateState
 from siskinshift.load.gate_state import part_key
-from siskinshift.load.guests import HELD_SECONDS
-from siskinshift.load.guests import Guests
+from siskinshift.load.peer_requests import HELD_SECONDS
+from siskinshift.load.peer_requests import PeerRequests
 from siskinshift.load.peer_search import PeerSearch
 from siskinshift.load.retries import Retries
 from siskinshift.load.usage import UsageTable
@@ -90,9 +90,9 @@
             random=random,
             now=now,
         )
-        self._guests = Guests(self._state)
+        self._peer_requests = PeerRequests(self._state)
         self._retries = Retries(self._state)
-        self._dispatcher = Dispatcher(self._state, self._guests)
+        self._dispatcher = Dispatcher(self._state, self._peer_requests)
         name = f"{member_id}/{incarnation}"
         self._search = PeerSearch(self._state, self._dispatcher, name=name)
         self.usage_table = UsageTable(member_id=member_id)
@@ -133,7 +133,7 @@
             for agent in agents
             if is_drained(service, agent)
         }
-        self._guests.is_drained = self._member_id in drained
+        self._peer_requests.is_drained = self._member_id in drained
         self._search.peers.configure(
             agent.member_id
             for agent in agents
@@ -217,7 +217,7 @@
             What to do.
         """
         work = self._state.work_by_id.get(request_id)
-        if work is None or work.is_cancelled or work.is_guest:
+        if work is None or work.is_cancelled or work.is_of_peer:
             return []
         if work.state in (WorkState.RUNNING, WorkState.AT_PEER):
             work.is_cancelled = True
@@ -225,7 +225,7 @@
         return self._state.give_up(work, ErrorKind.CANCELLED)
 
     def drain(self, *, now: float) -> list[GateAction]:
-        """Stops to admit; queued requests still run, guests that wait are refused.
+        """Stops to admit; own queued requests still run, those of peers are refused.
 
         Args:
             now: Clock reading, seconds.
@@ -234,9 +234,9 @@
             What to do.
         """
         self._state.is_draining = True
-        return self.refuse_guests(now=now)
+        return self.refuse_peer_requests(now=now)
 
-    def refuse_guests(self, *, now: float) -> list[GateAction]:
+    def refuse_peer_requests(self, *, now: float) -> list[GateAction]:
         """Takes no more requests of peers; those that wait are refused.
 
         Args:
@@ -245,7 +245,7 @@
         Returns:
             What to do.
         """
-        return self._guests.refuse_all(now=now)
+        return self._peer_requests.refuse_all(now=now)
 
     def tick(self, *, now: float) -> list[GateAction]:
         """Lets time pass.
@@ -324,16 +324,16 @@
     # The side that has the slot.
 
     def reserve(self, message: ReserveSlot, *, now: float) -> list[GateAction]:
-        """Takes a peer's wish for a slot.
+        """Takes a peer's request for a slot.
 
         Args:
-            message: The wish.
+            message: The request.
             now: Clock reading, seconds.
 
         Returns:
             An answer to the reservation, now or by a later event.
         """
-        refusal = self._guests.reserve(message, now=now)
+        refusal = self._peer_requests.reserve(message, now=now)
         return refusal or self._dispatcher.dispatch(now=now)
 
     def release(self, reservation_id: str, *, now: float) -> list[GateAction]:
@@ -346,7 +346,7 @@
         Returns:
             What to do.
         """
-        slot_is_free = self._guests.release(reservation_id, now=now)
+        slot_is_free = self._peer_requests.release(reservation_id, now=now)
         return self._dispatcher.dispatch(now=now) if slot_is_free else []
 
     def run_reserved(self, reservation_id: str, *, now: float) -> bool:
@@ -360,7 +360,7 @@
             True once when a slot is held; False says that the request did not run
             by this message.
         """
-        return self._guests.run(reservation_id, now=now)
+        return self._peer_requests.run(reservation_id, now=now)
 
     def cancel_reserved(self, reservation_id: str) -> bool:
         """Takes a caller's cancel that the holder of the request passes on.
@@ -371,9 +371,9 @@
         Returns:
             Whether it runs, so that the upstream must be told.
         """
-        return self._guests.cancel(reservation_id)
+        return self._peer_requests.cancel(reservation_id)
 
-    def guest_finished(
+    def peer_request_finished(
         self, reservation_id: str, result: RunResult, *, now: float
     ) -> list[GateAction]:
         """Takes the end of a peer's request.
@@ -386,7 +386,7 @@
         Returns:
             What to do.
         """
-        slot_is_free = self._guests.finished(reservation_id, result, now=now)
+        slot_is_free = self._peer_requests.finished(reservation_id, result, now=now)
         return self._dispatcher.dispatch(now=now) if slot_is_free else []
 
     # Figures for tests and operators.
@@ -427,7 +427,7 @@
         if work.state is WorkState.BACKING_OFF and work.queued_at <= now:
             return self._retries.requeue(work)
         if work.state is WorkState.RESERVED:
-            return self._guests.time_out(work, now=now)
+            return self._peer_requests.time_out(work, now=now)
         return []
 
     # Sums.
@@ -443,7 +443,7 @@
         )
 
     def _least_offer(self, *, now: float) -> float:
-        if self._guests.is_drained:
+        if self._peer_requests.is_drained:
             return 1.0
         if self._state.watch.looks_sick or self._state.watch.is_slow(
             self._state.recent
--- a/src/siskinshift/load/gate_state.py
+++ b/src/siskinshift/load/gate_state.py
@@ -199,13 +199,13 @@
             self.parts.leave(part_key(work.request))
 
     def withdraw(self, work: Work) -> list[GateAction]:
-        """Takes back the wishes for slots of peers.
+        """Takes back the requests for slots of peers.
 
         Args:
             work: The request they were for.
 
         Returns:
-            A release for each wish.
+            A release for each of them.
         """
         actions: list[GateAction] = [
             ReleaseAtPeer(peer_id, reservation_id)
--- a/src/siskinshift/load/guests.py
+++ b/src/siskinshift/load/peer_requests.py
@@ -23,10 +23,10 @@
 # A peer that is asked first must answer within this time: some ten round trips.
 HELD_SECONDS = 0.02
 # Requests of peers that may wait here, for each slot.
-GUESTS_PER_SLOT = 4
+PEER_REQUESTS_PER_SLOT = 4
 
 
-class Guests:
+class PeerRequests:
     """Takes reservations of peers and keeps the slots that they hold.
 
     Attributes:
@@ -47,10 +47,10 @@
         self.is_drained = False
 
     def reserve(self, message: ReserveSlot, *, now: float) -> list[GateAction]:
-        """Takes a peer's wish for a slot.
+        """Takes a peer's request for a slot.
 
         Args:
-            message: The wish.
+            message: The request.
             now: Clock reading, seconds.
 
         Returns:
@@ -157,7 +157,7 @@
         self.are_refused = True
         actions: list[GateAction] = []
         for work in tuple(self._state.queues):
-            if work.is_guest:
+            if work.is_of_peer:
                 actions += self.refuse(work, now=now)
         return actions
 
@@ -248,4 +248,4 @@
             return False
         if state.queues.length(key) >= state.settings.queue_limit:
             return False
-        return len(self._reservations) < GUESTS_PER_SLOT * state.slots.configured
+        return len(self._reservations) < PEER_REQUESTS_PER_SLOT * state.slots.configured
--- a/src/siskinshift/load/peer_search.py
+++ b/src/siskinshift/load/peer_search.py
@@ -139,7 +139,7 @@
         Returns:
             Questions; none if it may not be asked for.
         """
-        is_idle = not work.is_guest and not work.peer_ids_by_reservation
+        is_idle = not work.is_of_peer and not work.peer_ids_by_reservation
         if work.state is not WorkState.QUEUED or not is_idle or work.offered:
             return []
         if work.request.pinned:
--- a/src/siskinshift/load/work.py
+++ b/src/siskinshift/load/work.py
@@ -63,6 +63,6 @@
     searched: bool = False
 
     @property
-    def is_guest(self) -> bool:
+    def is_of_peer(self) -> bool:
         """Whether a peer holds the request and asks for a slot here."""
         return bool(self.reservation_id)
--- a/src/siskinshift/membership/balancer.py
+++ b/src/siskinshift/membership/balancer.py
@@ -11,8 +11,8 @@
 from siskinshift.membership.announcer import Announcer
 from siskinshift.membership.announcer import hash_of_watchers
 from siskinshift.membership.assignment import WatcherAssignment
-from siskinshift.membership.class_news import NOTHING_NEW
-from siskinshift.membership.class_news import ClassTeller
+from siskinshift.membership.class_updates import NO_UPDATE
+from siskinshift.membership.class_updates import ClassUpdater
 from siskinshift.membership.comparison import Comparison
 from siskinshift.membership.comparison import answer_compare
 from siskinshift.membership.comparison import answer_digest
@@ -91,7 +91,7 @@
         self.table = MemberTable(services)
         self.expelled_count = 0
         self._watch = SilenceWatch(settings)
-        self._teller = ClassTeller(self.table)
+        self._teller = ClassUpdater(self.table)
         self._gossip = Gossip(random)
         self._comparison = Comparison(
             own=own, table=self.table, settings=settings, random=random
@@ -312,9 +312,9 @@
         self._watch.heard(member_id, at=now)
         is_newer_here = told < (known.incarnation, known.version)
         watchers = self._changed_watchers(known, heartbeat)
-        news = NOTHING_NEW
+        news = NO_UPDATE
         if known.role is Role.AGENT:
-            news = self._teller.news_for(
+            news = self._teller.update_for(
                 member_id, known.upstream_class, heartbeat.view_hash
             )
         return HeartbeatReply(
--- a/src/siskinshift/membership/class_news.py
+++ b/src/siskinshift/membership/class_updates.py
@@ -1,4 +1,4 @@
-"""What a watcher tells the agents of a class about their peers and services."""
+"""Updates that a watcher sends the agents of a class, of peers and services."""
 
 from __future__ import annotations
 
@@ -19,13 +19,13 @@
 
 
 @define(eq=False)
-class _Told:
+class _Sent:
     revision: int
     was_hash: str
 
 
 @frozen
-class ClassNews:
+class ClassUpdate:
     """Records for one agent.
 
     Attributes:
@@ -39,25 +39,25 @@
     complete: bool
 
 
-NOTHING_NEW = ClassNews((), (), False)
+NO_UPDATE = ClassUpdate((), (), False)
 
 
-class ClassTeller:
+class ClassUpdater:
     """Chooses between the last changes of a class and all of it.
 
     An agent sends the hash of what it knows with each heartbeat. When it differs,
-    a watcher sends the changes since it last told that agent; when the same hash
+    a watcher sends the changes since its last update; when the same hash
     comes again, the difference is another one, and the whole class is sent.
     """
 
     def __init__(self, table: MemberTable) -> None:
-        """Prepares a teller.
+        """Has sent nothing yet.
 
         Args:
             table: What the watcher knows.
         """
         self._table = table
-        self._told_by_id: dict[str, _Told] = {}
+        self._sent_by_id: dict[str, _Sent] = {}
 
     def forget(self, agent_id: str) -> None:
         """Drops what is kept for an agent.
@@ -65,10 +65,12 @@
         Args:
             agent_id: The agent.
         """
-        self._told_by_id.pop(agent_id, None)
+        self._sent_by_id.pop(agent_id, None)
 
-    def news_for(self, agent_id: str, upstream_class: str, view_hash: str) -> ClassNews:
-        """Lists what an agent should be told.
+    def update_for(
+        self, agent_id: str, upstream_class: str, view_hash: str
+    ) -> ClassUpdate:
+        """Lists what an agent lacks.
 
         Args:
             agent_id: The agent.
@@ -79,22 +81,22 @@
             The records.
         """
         records = self._table.class_records(upstream_class)
-        told = self._told_by_id.get(agent_id)
-        self._told_by_id[agent_id] = _Told(self._table.revision, view_hash)
+        sent = self._sent_by_id.get(agent_id)
+        self._sent_by_id[agent_id] = _Sent(self._table.revision, view_hash)
         if view_hash == hash_text(records.state_hash):
-            return NOTHING_NEW
-        repeated = told is None or told.was_hash == view_hash
+            return NO_UPDATE
+        repeated = sent is None or sent.was_hash == view_hash
         changes = records.changes
-        if not records.is_large() or repeated or told is None or not changes:
+        if not records.is_large() or repeated or sent is None or not changes:
             return self._whole(upstream_class)
-        if changes[0].revision > told.revision + 1:
+        if changes[0].revision > sent.revision + 1:
             return self._whole(upstream_class)
-        fresh = [change for change in changes if change.revision > told.revision]
+        fresh = [change for change in changes if change.revision > sent.revision]
         members = {change.key for change in fresh if not change.is_service}
         services = {change.key for change in fresh if change.is_service}
         return self._records(members, services, complete=False)
 
-    def _whole(self, upstream_class: str) -> ClassNews:
+    def _whole(self, upstream_class: str) -> ClassUpdate:
         records = self._table.class_records(upstream_class)
         return self._records(records.member_ids, records.service_ids, complete=True)
 
@@ -104,10 +106,10 @@
         service_ids: Collection[str],
         *,
         complete: bool,
-    ) -> ClassNews:
+    ) -> ClassUpdate:
         members = self._table.members_by_id
         services = self._table.services.services_by_id
-        return ClassNews(
+        return ClassUpdate(
             members=tuple(members[key] for key in sorted(member_ids) if key in members),
             services=tuple(services[key] for key in sorted(service_ids)),
             complete=complete,
