--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -11,6 +11,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToCaller
 from siskinshift.connections.actions import ToPeer
@@ -22,7 +24,9 @@
 from siskinshift.connections.peer_codec import encode_verdict
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import LoadReport
 from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.request_queue import RequestQueue
 from siskinshift.connections.routes import service_tag
@@ -64,6 +68,9 @@
         is_evacuated: Whether new flows are refused because operators have evacuated
             the failure domain.
         warm_up: Limits new flows while the upstream is cold.
+        policy: Load policies in force; the default without any.
+        report_recipients: Balancers that requested load reports.
+        load_report: What the agent observes of its upstream.
         upstream_last_seen_at: Time of the upstream's last packet, seconds.
     """
 
@@ -84,6 +91,9 @@
         self.is_draining = False
         self.is_evacuated = False
         self.warm_up = WarmUpLimit()
+        self.policy = ServicePolicy()
+        self.report_recipients: set[tuple[str, int]] = set()
+        self.load_report = LoadReport()
         self.upstream_last_seen_at = float("-inf")
 
     def __len__(self) -> int:
@@ -103,6 +113,14 @@
             self._foreign_flows.treats_unknown_as_foreign,
         )
 
+    def refresh_report(self, *, now: float) -> None:
+        """Updates the report that is sent to balancers which requested it.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        self.load_report = LoadReport()
+
     def on_forward(
         self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
     ) -> list[Action]:
@@ -310,6 +328,8 @@
             Packets for the upstream.
         """
         self._queue.slots = self._upstream.slots
+        if self.report_recipients:
+            self.refresh_report(now=now)
         expired = self._queue.drop_expired(now=now)
         if expired:
             self._log.decision("given up", reason="waited too long", requests=expired)
@@ -490,5 +510,8 @@
         address: tuple[str, int],
         packet: bytes = b"",
     ) -> ToPeer:
-        message = encode_verdict(FlowVerdict(verdict, flow, self.load, packet))
+        load = self.load
+        if address in self.report_recipients:
+            load = attrs.evolve(load, report=self.load_report)
+        message = encode_verdict(FlowVerdict(verdict, flow, load, packet))
         return ToPeer(address, message)
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING
 
+import attrs
 import xxhash
 
 from siskinshift.connections.actions import ToPeer
@@ -24,6 +25,7 @@
 from siskinshift.connections.peer_messages import Forward
 from siskinshift.connections.peer_messages import OwnerQuery
 from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.peer_messages import WarmUpRate
 from siskinshift.connections.registration import role_prefix
 from siskinshift.connections.snapshot_upload import SnapshotUpload
@@ -49,6 +51,7 @@
 
     from siskinshift.connections.actions import Action
     from siskinshift.connections.fleet import Peer
+    from siskinshift.connections.heartbeat_schedule import HeartbeatRound
     from siskinshift.connections.incarnation import Incarnation
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.owned_flow import LongLivedFlow
@@ -177,6 +180,9 @@
         if isinstance(message, WarmUpRate):
             self.flows.warm_up.rate = message.rate
             return ()
+        if isinstance(message, ServicePolicy):
+            self._on_service_policy(message, source)
+            return ()
         if isinstance(message, OwnerQuery):
             return self.flows.on_owner_query(message, source, now=now)
         if not isinstance(message, Forward):
@@ -192,6 +198,28 @@
             actions.append(ToPeer(source, current))
         return actions
 
+    def _on_service_policy(
+        self, policy: ServicePolicy, source: tuple[str, int]
+    ) -> None:
+        recipients = self.flows.report_recipients
+        if policy.wants_reports:
+            recipients.add(source)
+        else:
+            recipients.discard(source)
+        if policy != self.flows.policy:
+            self.log.fact("service policy", source=source[0], **attrs.asdict(policy))
+            self.flows.policy = policy
+
+    def send_heartbeats(self, due: HeartbeatRound, load: Load | None = None) -> None:
+        """Sends heartbeats, with a load report to balancers that requested it."""
+        recipients = self.flows.report_recipients
+        plain = [peer for peer in due.peers if peer.address not in recipients]
+        reported = [peer for peer in due.peers if peer.address in recipients]
+        super().send_heartbeats(attrs.evolve(due, peers=plain))
+        if reported:
+            load = attrs.evolve(self.load, report=self.flows.load_report)
+            super().send_heartbeats(attrs.evolve(due, peers=reported), load=load)
+
     def _on_evacuations(
         self, evacuations: Evacuations, source: tuple[str, int], *, now: float
     ) -> Iterable[Action]:
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -393,7 +393,7 @@
         )
         if agent is None:
             return self._hold_opening(record, now=now)
-        attempt = Attempt(agent)
+        attempt = Attempt(agent, offered_at=now)
         record.attempts.append(attempt)
         agent.flows_since_load += 1
         self._retry_timers.append((now + RETRY_AFTER_SECONDS, record, attempt))
@@ -474,6 +474,7 @@
         if attempt is None:
             return []
         attempt.verdict = verdict
+        agent.record_round_trip(now - attempt.offered_at)
         self._log.decision(
             "opening answered",
             flow=format_flow(record.flow),
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -5,6 +5,8 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+import attrs
+
 from siskinshift.connections.balancer_flows import BalancerFlows
 from siskinshift.connections.configuration_catch_up import CatchUp
 from siskinshift.connections.configuration_follower import STORE_SOURCE
@@ -17,10 +19,14 @@
 from siskinshift.connections.evacuations import encode_evacuations
 from siskinshift.connections.evacuations import evacuations_from_document
 from siskinshift.connections.graceful_shutdown import GracefulShutdown
+from siskinshift.connections.load_policies import NO_POLICIES
+from siskinshift.connections.load_policies import resolve_policies
+from siskinshift.connections.load_policies import routes_with_kinds
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import OwnershipAnnouncement
 from siskinshift.connections.placement import AgentPlacement
+from siskinshift.connections.policy_dissemination import PolicyDissemination
 from siskinshift.connections.snapshot_writer import SNAPSHOT_PATH
 from siskinshift.connections.snapshot_writer import UNCHANGED_QUERY
 from siskinshift.connections.snapshot_writer import WRITE_TIMEOUT_SECONDS
@@ -46,6 +52,7 @@
 
     from siskinshift.connections.actions import Action
     from siskinshift.connections.fleet import Peer
+    from siskinshift.connections.load_policies import LoadPolicies
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.connections.peer_messages import PeerMessage
     from siskinshift.connections.routes import RouteTable
@@ -85,6 +92,8 @@
         self._dissemination = EvacuationDissemination(
             self.evacuations, member_id=settings.node_id
         )
+        self.policies = NO_POLICIES
+        self._policy_dissemination = PolicyDissemination()
         placement = AgentPlacement(
             failure_domain=settings.failure_domain,
             evacuations=self.evacuations,
@@ -196,7 +205,10 @@
         if peer.member.role is Role.BALANCER:
             self._fetch_if_newer(peer, now)
             return ()
-        actions: list[Action] = [*self._dissemination.on_agent_message(peer)]
+        actions: list[Action] = [
+            *self._dissemination.on_agent_message(peer),
+            *self._policy_dissemination.to_uninformed([peer]),
+        ]
         if peer.member.state is MemberState.READY:
             actions += self._flows.retry_held(now=now)
         return actions
@@ -209,6 +221,7 @@
             return ()
         return [
             *self._dissemination.on_agent_message(peer),
+            *self._policy_dissemination.to_uninformed([peer]),
             *self._flows.on_agent_restarted(peer, last_seen_at=last_seen_at, now=now),
         ]
 
@@ -226,6 +239,7 @@
                 self.fleet.agents(), now=now
             ):
                 self.send_heartbeats(heartbeat_round)
+                self.perform(self._policy_dissemination.to_all(heartbeat_round.peers))
         self._update_state()
         return min(
             self._flows.next_due(),
@@ -312,7 +326,8 @@
             routes: The configuration.
             received: Its encoded form, for peers that can't read it from the store.
         """
-        is_newer = self._flows.configure(routes)
+        policies = resolve_policies(self.node_settings.policies, routes)
+        is_newer = self._flows.configure(routes_with_kinds(routes, policies))
         self.log.fact(
             "configuration in force" if is_newer else "configuration held already",
             version=routes.version,
@@ -324,9 +339,17 @@
         if not is_newer:
             return
         self._configuration_value = received.value
+        self._apply_policies(policies, routes)
         self._balancer_schedule.expedite()
         self.perform(self._flows.process_early_packets(now=self.clock()))
 
+    def _apply_policies(self, policies: LoadPolicies, routes: RouteTable) -> None:
+        if policies != self.policies:
+            self.log.fact("load policies", **attrs.asdict(policies))
+        self.policies = policies
+        self._policy_dissemination.configure(policies, routes)
+        self.perform(self._policy_dissemination.to_uninformed(self.fleet.agents()))
+
     def evacuate(self, evacuations: Evacuations, *, source: str) -> None:
         """Applies evacuations unless they are out of date; runs on the loop's thread.
 
--- a/src/siskinshift/connections/fleet.py
+++ b/src/siskinshift/connections/fleet.py
@@ -50,6 +50,8 @@
 # A peer without an entry and without messages is removed after this time. Entries that
 # expired during an outage of the store are back within two seconds of its return.
 REMOVE_AFTER_SECONDS = 6.0
+# Weight of a new round trip in the moving mean.
+ROUND_TRIP_SMOOTHING_FACTOR = 0.1
 NEVER = float("-inf")
 NO_LOAD = Load()
 
@@ -73,6 +75,8 @@
         queried_at: Time of the first query that it has not answered, seconds; infinite
             if it has sent a message since.
         unanswered_openings: Consecutive opening packets that it did not answer.
+        round_trip: Moving mean of the time from an opening packet to its verdict,
+            seconds; 0 before the first.
         key: Hash of its member id, used to choose agents by a flow's hash.
     """
 
@@ -88,6 +92,7 @@
     next_heartbeat_within: float = MIN_HEARTBEAT_INTERVAL_SECONDS
     queried_at: float = float("inf")
     unanswered_openings: int = 0
+    round_trip: float = 0.0
     key: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -101,6 +106,16 @@
             + DELAY_ALLOWANCE_SECONDS
         )
 
+    def record_round_trip(self, seconds: float) -> None:
+        """Updates the moving mean of the round trip.
+
+        Args:
+            seconds: Time from an opening packet to its verdict.
+        """
+        if not self.round_trip:
+            self.round_trip = seconds
+        self.round_trip += ROUND_TRIP_SMOOTHING_FACTOR * (seconds - self.round_trip)
+
     @property
     def was_idle(self) -> bool:
         """Whether, by its last report, it certainly holds no flow and is not ready."""
--- a/src/siskinshift/connections/flow_records.py
+++ b/src/siskinshift/connections/flow_records.py
@@ -31,10 +31,12 @@
 
     Attributes:
         agent: The agent.
+        offered_at: When it was sent the opening packet, seconds.
         verdict: Its reply; None before it arrives.
     """
 
     agent: Peer
+    offered_at: float = 0.0
     verdict: Verdict | None = None
 
 
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -262,17 +262,20 @@
         for peer in peers:
             self.send_datagram(datagram, peer.address)
 
-    def send_heartbeats(self, due: HeartbeatRound) -> None:
+    def send_heartbeats(self, due: HeartbeatRound, load: Load | None = None) -> None:
         """Sends heartbeats, which confirm the record that the peers already hold.
 
         Args:
             due: Peers of this round, and the time until their next heartbeat.
+            load: Load to report; by default the node's load without a report.
         """
+        if not due.peers:
+            return
         datagram = encode_peer_heartbeat(
             PeerHeartbeat(
                 self.member.incarnation,
                 self.member.version,
-                self.load,
+                load or self.load,
                 self.configuration_version,
                 due.next_heartbeat_within,
             )
--- a/src/siskinshift/connections/node_settings.py
+++ b/src/siskinshift/connections/node_settings.py
@@ -25,6 +25,28 @@
     lease_minimum: float
 
 
+@frozen
+class PolicySettings:
+    """Load policies that the settings of a deployment call for.
+
+    Attributes:
+        overload_control: Whether the deployment expects more demand than capacity.
+        max_ejected_fraction: Largest fraction of a service's agents that may be ejected
+            as outliers, 0 to 1.
+        remote_cost: Cost of placing a flow in another failure domain, seconds of wait.
+        min_bulk_fraction: Smallest fraction of a balancer's link for packets of uploads
+            while other traffic waits, 0 to 1.
+        max_busy_wait_fraction: Fraction of a request's deadline that its expected wait
+            may take before a new flow is refused, 0 to 1.
+    """
+
+    overload_control: bool = False
+    max_ejected_fraction: float = 0.3
+    remote_cost: float = 0.01
+    min_bulk_fraction: float = 0.2
+    max_busy_wait_fraction: float = 0.8
+
+
 @frozen
 class NodeSettings:
     """Settings of one node.
@@ -50,6 +72,7 @@
             the process is killed.
         link_bytes_per_second: Bandwidth of the instance's own link in each direction.
         store: Settings of the platform's store.
+        policies: Load policies that the deployment calls for.
     """
 
     node_id: str
@@ -68,3 +91,4 @@
     leave_seconds: float
     link_bytes_per_second: float
     store: StoreSettings
+    policies: PolicySettings = PolicySettings()
--- a/src/siskinshift/connections/peer_codec.py
+++ b/src/siskinshift/connections/peer_codec.py
@@ -22,13 +22,16 @@
 from siskinshift.connections.peer_messages import Forward
 from siskinshift.connections.peer_messages import KnownHosts
 from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import LoadReport
 from siskinshift.connections.peer_messages import OwnerQuery
 from siskinshift.connections.peer_messages import OwnershipAnnouncement
 from siskinshift.connections.peer_messages import PeerHeartbeat
 from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.peer_messages import Status
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import WarmUpRate
+from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.request_queue import RequestParameters
 from siskinshift.connections.segment import FLOW_SIZE
 from siskinshift.control.documents import encode_json
@@ -60,12 +63,31 @@
     OWNERSHIP_ANNOUNCEMENT = 7
     EVACUATIONS = 8
     WARM_UP_RATE = 9
+    SERVICE_POLICY = 10
+    # The following two replace PEER_HEARTBEAT and VERDICT for a balancer that has
+    # requested load reports; nodes without load policies drop unknown kinds.
+    REPORTED_HEARTBEAT = 11
+    REPORTED_VERDICT = 12
 
 
-# kind, purpose, service tag, urgency, objective and deadline in milliseconds
+# kind, purpose, service tag, request kind and urgency, objective and deadline in
+# milliseconds
 _FORWARD_HEADER = struct.Struct("!BBIBHH")
 _MILLISECONDS = 1000
 _MAX_URGENCY = 0xFF
+# The upper half of the urgency byte is the request kind, 0 if no load policy needs it.
+_KIND_SHIFT = 4
+_MAX_URGENCY_WITH_KIND = 0x0F
+# run times in tenths of milliseconds (median, 0.1 quantile), wait in milliseconds, busy
+# fraction, stalled requests, failure fraction, samples
+_LOAD_REPORT = struct.Struct("!HHHBBBB")
+_TENTHS_OF_MILLISECONDS = 10_000
+_MAX_BYTE = 0xFF
+# kind, flags, open flows
+_SERVICE_POLICY = struct.Struct("!BBI")
+_ADMISSION_FLAG = 1
+_REPORTS_FLAG = 2
+_RECEIPT_FLAG = 4
 # flows, running, whether the load is certain
 _LOAD = struct.Struct("!HH?")
 # kind, incarnation, record's version, configuration's version, milliseconds until the
@@ -109,13 +131,20 @@
         _Kind.FORWARD,
         purpose,
         service_tag,
-        min(request_parameters.urgency, _MAX_URGENCY),
+        _pack_urgency(request_parameters),
         min(round(request_parameters.objective * _MILLISECONDS), _MAX_COUNT),
         min(round(request_parameters.deadline * _MILLISECONDS), _MAX_COUNT),
     )
     return header + datagram
 
 
+def _pack_urgency(parameters: RequestParameters) -> int:
+    if not parameters.kind:
+        return min(parameters.urgency, _MAX_URGENCY)
+    urgency = min(parameters.urgency, _MAX_URGENCY_WITH_KIND)
+    return parameters.kind << _KIND_SHIFT | urgency
+
+
 def encode_owner_query(query: OwnerQuery) -> bytes:
     """Encodes a balancer's query for a flow's owner.
 
@@ -174,7 +203,8 @@
     Returns:
         The message.
     """
-    header = _VERDICT.pack(_Kind.VERDICT, verdict.verdict, verdict.flow)
+    kind = _Kind.REPORTED_VERDICT if verdict.load.report else _Kind.VERDICT
+    header = _VERDICT.pack(kind, verdict.verdict, verdict.flow)
     return header + _pack_load(verdict.load) + verdict.packet
 
 
@@ -208,8 +238,9 @@
     Returns:
         The message.
     """
+    has_report = heartbeat.load.report is not None
     header = _PEER_HEARTBEAT.pack(
-        _Kind.PEER_HEARTBEAT,
+        _Kind.REPORTED_HEARTBEAT if has_report else _Kind.PEER_HEARTBEAT,
         heartbeat.incarnation,
         heartbeat.version,
         heartbeat.configuration_version,
@@ -220,7 +251,42 @@
 
 def _pack_load(load: Load) -> bytes:
     flows = min(load.flows, _MAX_COUNT)
-    return _LOAD.pack(flows, min(load.running, _MAX_COUNT), load.is_certain)
+    packed = _LOAD.pack(flows, min(load.running, _MAX_COUNT), load.is_certain)
+    return packed if load.report is None else packed + _pack_report(load.report)
+
+
+def _pack_report(report: LoadReport) -> bytes:
+    def run_time(seconds: float) -> int:
+        return min(round(seconds * _TENTHS_OF_MILLISECONDS), _MAX_COUNT)
+
+    return _LOAD_REPORT.pack(
+        run_time(report.run_seconds),
+        run_time(report.fast_run_seconds),
+        min(round(report.wait_seconds * _MILLISECONDS), _MAX_COUNT),
+        min(round(report.busy_fraction * _MAX_BYTE), _MAX_BYTE),
+        min(report.stalled, _MAX_BYTE),
+        min(round(report.failure_fraction * _MAX_BYTE), _MAX_BYTE),
+        min(report.samples, _MAX_BYTE),
+    )
+
+
+def _unpack_load(datagram: bytes, offset: int, *, has_report: bool) -> Load:
+    flows, running, is_certain = _LOAD.unpack_from(datagram, offset)
+    if not has_report:
+        return Load(flows, running, is_certain)
+    run, fast_run, wait, busy, stalled, failures, samples = _LOAD_REPORT.unpack_from(
+        datagram, offset + _LOAD.size
+    )
+    report = LoadReport(
+        run_seconds=run / _TENTHS_OF_MILLISECONDS,
+        fast_run_seconds=fast_run / _TENTHS_OF_MILLISECONDS,
+        wait_seconds=wait / _MILLISECONDS,
+        busy_fraction=busy / _MAX_BYTE,
+        stalled=stalled,
+        failure_fraction=failures / _MAX_BYTE,
+        samples=samples,
+    )
+    return Load(flows, running, is_certain, report)
 
 
 def encode_known_hosts(known: KnownHosts) -> bytes:
@@ -261,6 +327,23 @@
     return _WARM_UP_RATE.pack(_Kind.WARM_UP_RATE, warm_up.rate)
 
 
+def encode_service_policy(policy: ServicePolicy) -> bytes:
+    """Encodes the load policies that an agent has to apply.
+
+    Args:
+        policy: The policies.
+
+    Returns:
+        The message.
+    """
+    flags = (
+        _ADMISSION_FLAG * policy.uses_admission
+        | _REPORTS_FLAG * policy.wants_reports
+        | _RECEIPT_FLAG * policy.receives_without_slot
+    )
+    return _SERVICE_POLICY.pack(_Kind.SERVICE_POLICY, flags, policy.max_connections)
+
+
 def decode_peer_message(datagram: bytes) -> PeerMessage | None:
     """Decodes a message.
 
@@ -275,7 +358,7 @@
     try:
         if datagram[0] == _Kind.FORWARD:
             return _decode_forward(datagram)
-        if datagram[0] == _Kind.VERDICT:
+        if datagram[0] in (_Kind.VERDICT, _Kind.REPORTED_VERDICT):
             return _decode_verdict(datagram)
         if datagram[0] == _Kind.OWNERSHIP_ANNOUNCEMENT:
             return _decode_ownership_announcement(datagram)
@@ -284,7 +367,7 @@
             return OwnerQuery(flow, acknowledged)
         if datagram[0] == _Kind.STATUS:
             return _decode_status(datagram)
-        if datagram[0] == _Kind.PEER_HEARTBEAT:
+        if datagram[0] in (_Kind.PEER_HEARTBEAT, _Kind.REPORTED_HEARTBEAT):
             return _decode_peer_heartbeat(datagram)
         if datagram[0] == _Kind.KNOWN_HOSTS:
             return _decode_known_hosts(datagram)
@@ -292,6 +375,8 @@
             return evacuations_from_document(parse_object(datagram[1:]))
         if datagram[0] == _Kind.WARM_UP_RATE:
             return _decode_warm_up_rate(datagram)
+        if datagram[0] == _Kind.SERVICE_POLICY:
+            return _decode_service_policy(datagram)
     except (BadMessageError, IndexError, ValueError, struct.error):
         return None
     return None
@@ -303,8 +388,12 @@
     )
     if purpose < 1:
         raise ValueError(purpose)
+    kind = urgency >> _KIND_SHIFT
     request_parameters = RequestParameters(
-        objective_ms / _MILLISECONDS, deadline_ms / _MILLISECONDS, urgency
+        objective_ms / _MILLISECONDS,
+        deadline_ms / _MILLISECONDS,
+        urgency & _MAX_URGENCY_WITH_KIND if kind else urgency,
+        RequestKind(kind),
     )
     packet = datagram[_FORWARD_HEADER.size :]
     return Forward(_PURPOSES[purpose - 1], service_tag, packet, request_parameters)
@@ -314,8 +403,10 @@
     _, verdict, flow = _VERDICT.unpack_from(datagram)
     if verdict < 1:
         raise ValueError(verdict)
-    load = Load(*_LOAD.unpack_from(datagram, _VERDICT.size))
-    packet = datagram[_VERDICT.size + _LOAD.size :]
+    has_report = datagram[0] == _Kind.REPORTED_VERDICT
+    load = _unpack_load(datagram, _VERDICT.size, has_report=has_report)
+    report_size = _LOAD_REPORT.size if has_report else 0
+    packet = datagram[_VERDICT.size + _LOAD.size + report_size :]
     return FlowVerdict(_VERDICTS[verdict - 1], flow, load, packet)
 
 
@@ -335,7 +426,11 @@
     _, incarnation, version, configuration, next_ms = _PEER_HEARTBEAT.unpack_from(
         datagram
     )
-    load = Load(*_LOAD.unpack(datagram[_PEER_HEARTBEAT.size :]))
+    has_report = datagram[0] == _Kind.REPORTED_HEARTBEAT
+    load_size = _LOAD.size + (_LOAD_REPORT.size if has_report else 0)
+    if len(datagram) != _PEER_HEARTBEAT.size + load_size:
+        raise ValueError(len(datagram))
+    load = _unpack_load(datagram, _PEER_HEARTBEAT.size, has_report=has_report)
     return PeerHeartbeat(
         incarnation, version, load, configuration, next_ms / _MILLISECONDS
     )
@@ -348,6 +443,16 @@
     return WarmUpRate(rate)
 
 
+def _decode_service_policy(datagram: bytes) -> ServicePolicy:
+    _, flags, max_connections = _SERVICE_POLICY.unpack(datagram)
+    return ServicePolicy(
+        max_connections=max_connections,
+        uses_admission=bool(flags & _ADMISSION_FLAG),
+        wants_reports=bool(flags & _REPORTS_FLAG),
+        receives_without_slot=bool(flags & _RECEIPT_FLAG),
+    )
+
+
 def _decode_status(datagram: bytes) -> Status:
     body = parse_object(datagram[1:])
     return Status(
--- a/src/siskinshift/connections/peer_messages.py
+++ b/src/siskinshift/connections/peer_messages.py
@@ -92,6 +92,31 @@
     flows: tuple[bytes, ...]
 
 
+@frozen
+class LoadReport:
+    """What an agent observes of its upstream, for balancers that requested it.
+
+    Attributes:
+        run_seconds: Median time from forwarding a request to the first byte of its
+            response, of recent responses; 0 if there are none.
+        fast_run_seconds: The 0.1 quantile of the same.
+        wait_seconds: Expected wait of a new request of middle urgency.
+        busy_fraction: Fraction of the slots in use over the last seconds, 0 to 1.
+        stalled: Running requests without a first byte for longer than expected.
+        failure_fraction: Fraction of recent requests that ended by a reset of the
+            upstream, a returned packet or a refused opening, 0 to 1.
+        samples: Recent responses behind the figures, at most 255.
+    """
+
+    run_seconds: float = 0.0
+    fast_run_seconds: float = 0.0
+    wait_seconds: float = 0.0
+    busy_fraction: float = 0.0
+    stalled: int = 0
+    failure_fraction: float = 0.0
+    samples: int = 0
+
+
 @frozen
 class Load:
     """The load of an upstream as reported by its agent.
@@ -101,11 +126,13 @@
         running: Flows on which the caller waits for a response.
         is_certain: Whether the agent has a record of all flows that the upstream may
             hold; false after an agent restart that the upstream survived.
+        report: What the agent observes of its upstream; None if it was not requested.
     """
 
     flows: int = 0
     running: int = 0
     is_certain: bool = False
+    report: LoadReport | None = None
 
 
 @frozen
@@ -192,6 +219,23 @@
     rate: float
 
 
+@frozen
+class ServicePolicy:
+    """The load policies that an agent has to apply, from a balancer.
+
+    Attributes:
+        max_connections: Open flows that the upstream can hold; 0 for no limit.
+        uses_admission: Whether new flows that cannot be served in time are refused.
+        wants_reports: Whether the balancer requests load reports.
+        receives_without_slot: Whether uploads are received without a slot.
+    """
+
+    max_connections: int = 0
+    uses_admission: bool = False
+    wants_reports: bool = False
+    receives_without_slot: bool = False
+
+
 PeerMessage: TypeAlias = (
     Forward
     | FlowVerdict
@@ -202,4 +246,5 @@
     | OwnershipAnnouncement
     | Evacuations
     | WarmUpRate
+    | ServicePolicy
 )
--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -28,6 +28,8 @@
 from attrs import define
 from attrs import frozen
 
+from siskinshift.connections.request_kind import RequestKind
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -61,11 +63,13 @@
         objective: Target response time, seconds; 0 if unknown.
         deadline: Time after which callers give up, seconds; 0 if unknown.
         urgency: Priority; 0 goes first.
+        kind: Kind of the requests; UNKNOWN unless a load policy needs it.
     """
 
     objective: float = 0.0
     deadline: float = 0.0
     urgency: int = 0
+    kind: RequestKind = RequestKind.UNKNOWN
 
 
 @define(eq=False)
--- a/src/siskinshift/connections/routes.py
+++ b/src/siskinshift/connections/routes.py
@@ -9,6 +9,7 @@
 from attrs import Factory
 from attrs import frozen
 
+from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.request_queue import RequestParameters
 
 
@@ -38,6 +39,7 @@
         targets: Services that receive new flows, with a total weight above 0.
         request_parameters: Request parameters of the route's flows.
         is_single_request: Whether a flow ends after one request.
+        kind: Kind of the route's requests.
     """
 
     name: str
@@ -45,6 +47,7 @@
     targets: tuple[Target, ...]
     request_parameters: RequestParameters
     is_single_request: bool
+    kind: RequestKind = RequestKind.UNKNOWN
 
     @property
     def service_ids(self) -> tuple[str, ...]:
@@ -82,6 +85,8 @@
         health_paths_by_service: Path of each service's health check.
         warm_up_rates_by_service: New flows a second that a cold upstream of the
             service can accept; services that declare none are not listed.
+        max_connections_by_service: Open flows that an upstream of a service can hold;
+            services that declare none are not listed.
     """
 
     version: int = 0
@@ -93,6 +98,9 @@
     warm_up_rates_by_service: Mapping[str, float] = Factory(
         lambda: MappingProxyType({})
     )
+    max_connections_by_service: Mapping[str, int] = Factory(
+        lambda: MappingProxyType({})
+    )
 
 
 def service_tag(service_id: str) -> int:
--- a/src/siskinshift/platform/configuration.py
+++ b/src/siskinshift/platform/configuration.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from siskinshift.connections.peer_codec import MAX_WARM_UP_RATE
+from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.request_queue import RequestParameters
 from siskinshift.connections.routes import ConnectionRoute
 from siskinshift.connections.routes import RouteTable
@@ -30,6 +31,13 @@
 CONFIGURATION_KEY = OPERATOR_KEY_PREFIX + "config"
 MILLISECONDS_PER_SECOND = 1000.0
 DOWNLOAD_TYPE = "download"
+KINDS_BY_TYPE = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.NON_IDEMPOTENT,
+    DOWNLOAD_TYPE: RequestKind.DOWNLOAD,
+    "upload": RequestKind.UPLOAD,
+}
+MAX_CONNECTIONS = (1 << 32) - 1
 # One day; no request has a longer time limit.
 MAX_DURATION_MS = 86_400_000
 MAX_WEIGHT = 1_000_000
@@ -63,6 +71,21 @@
             }
         ),
         warm_up_rates_by_service=_decode_warm_up_rates(services),
+        max_connections_by_service=_decode_max_connections(services),
+    )
+
+
+def _decode_max_connections(services: list[dict[str, Any]]) -> Mapping[str, int]:
+    """Decodes the limits; a missing limit or 0 means no limit."""
+    limits_by_service = {
+        get_string(service, "name"): get_integer(
+            service, "max-conns", maximum=MAX_CONNECTIONS
+        )
+        for service in services
+        if "max-conns" in service
+    }
+    return MappingProxyType(
+        {service: limit for service, limit in limits_by_service.items() if limit}
     )
 
 
@@ -91,6 +114,7 @@
             urgency=get_integer(route, "priority"),
         ),
         is_single_request=get_string(route, "type") == DOWNLOAD_TYPE,
+        kind=KINDS_BY_TYPE.get(get_string(route, "type"), RequestKind.UNKNOWN),
     )
 
 
--- a/src/siskinshift/platform/settings.py
+++ b/src/siskinshift/platform/settings.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from siskinshift.connections.node_settings import NodeSettings
+from siskinshift.connections.node_settings import PolicySettings
 from siskinshift.connections.node_settings import StoreSettings
 from siskinshift.control.documents import parse_object
 from siskinshift.control.exceptions import BadMessageError
@@ -28,6 +29,8 @@
 PATH_VARIABLE = "SISKINSHIFT_NODE_FILE"
 MILLISECONDS_PER_SECOND = 1000.0
 BYTES_PER_MEGABIT = 125_000.0
+# Name in the list of contracts of a deployment whose demand may exceed its capacity.
+OVERLOAD_CONTRACT = "pressure"
 # A node sends a few requests at its start and one every 10 s afterwards. A fleet that
 # starts at once must stay below the store's rate limits and leave room for operators.
 CALL_RATE = 10.0
@@ -50,14 +53,32 @@
             raise self._invalid_field(name, value, "a table")
         return _TableReader(self._source, value, f"{self._path_prefix}{name}.")
 
+    def optional_table(self, name: str) -> _TableReader:
+        if name in self._table:
+            return self.table(name)
+        return _TableReader(self._source, {}, f"{self._path_prefix}{name}.")
+
+    def strings(self, name: str) -> tuple[str, ...]:
+        values = self._table.get(name, [])
+        if not isinstance(values, list) or not all(isinstance(v, str) for v in values):
+            raise self._invalid_field(name, values, "a list of texts")
+        return tuple(values)
+
     def text(self, name: str, default: str | None = None) -> str:
         value = self._table.get(name, default)
         if not isinstance(value, str) or (value == "" and default is None):
             raise self._invalid_field(name, value, "a text")
         return value
 
-    def number(self, name: str, *, minimum: float, maximum: float) -> float:
-        value: Any = self._table.get(name)
+    def number(
+        self,
+        name: str,
+        *,
+        minimum: float,
+        maximum: float,
+        default: float | None = None,
+    ) -> float:
+        value: Any = self._table.get(name, default)
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
         if not is_number or not minimum <= value <= maximum:
             raise self._invalid_field(name, value, f"a number, {minimum} to {maximum}")
@@ -188,6 +209,33 @@
         link_bytes_per_second=limits.number("link-mbps", minimum=0.01, maximum=1e6)
         * BYTES_PER_MEGABIT,
         store=_decode_store(fields.table("platform")),
+        policies=_decode_policies(fields),
+    )
+
+
+def _decode_policies(fields: _TableReader) -> PolicySettings:
+    defaults = PolicySettings()
+    load = fields.optional_table("load")
+
+    def fraction(name: str, default: float) -> float:
+        return load.number(name, minimum=0.0, maximum=1.0, default=default)
+
+    remote_cost_ms = load.number(
+        "remote_cost_ms",
+        minimum=0.0,
+        maximum=10_000.0,
+        default=defaults.remote_cost * MILLISECONDS_PER_SECOND,
+    )
+    return PolicySettings(
+        overload_control=OVERLOAD_CONTRACT in fields.strings("contracts"),
+        max_ejected_fraction=fraction(
+            "max_ejected_fraction", defaults.max_ejected_fraction
+        ),
+        remote_cost=remote_cost_ms / MILLISECONDS_PER_SECOND,
+        min_bulk_fraction=fraction("min_bulk_fraction", defaults.min_bulk_fraction),
+        max_busy_wait_fraction=fraction(
+            "max_busy_wait_fraction", defaults.max_busy_wait_fraction
+        ),
     )
 
 
