--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -207,7 +207,14 @@
         else:
             recipients.discard(source)
         if policy != self.flows.policy:
-            self.log.fact("service policy", source=source[0], **attrs.asdict(policy))
+            self.log.fact(
+                "service policy",
+                source=source[0],
+                max_connections=policy.max_connections,
+                admission=policy.uses_admission,
+                reports=policy.wants_reports,
+                receipt=policy.receives_without_slot,
+            )
             self.flows.policy = policy
 
     def send_heartbeats(self, due: HeartbeatRound, load: Load | None = None) -> None:
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -5,8 +5,6 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-import attrs
-
 from siskinshift.connections.balancer_flows import BalancerFlows
 from siskinshift.connections.configuration_catch_up import CatchUp
 from siskinshift.connections.configuration_follower import STORE_SOURCE
@@ -345,7 +343,13 @@
 
     def _apply_policies(self, policies: LoadPolicies, routes: RouteTable) -> None:
         if policies != self.policies:
-            self.log.fact("load policies", **attrs.asdict(policies))
+            self.log.fact(
+                "load policies",
+                bulk_scheduling=policies.bulk_scheduling,
+                admission=policies.admission,
+                outlier_detection=policies.outlier_detection,
+                expected_wait=policies.expected_wait,
+            )
         self.policies = policies
         self._policy_dissemination.configure(policies, routes)
         self.perform(self._policy_dissemination.to_uninformed(self.fleet.agents()))
