--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -18,6 +18,7 @@
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.actions import ToUpstream
 from siskinshift.connections.foreign_flows import ForeignFlows
+from siskinshift.connections.health.upstream_observer import UpstreamObserver
 from siskinshift.connections.owned_flows import OwnedFlows
 from siskinshift.connections.ownership_probes import OwnershipProbe
 from siskinshift.connections.ownership_probes import OwnershipProbes
@@ -87,6 +88,7 @@
         self._flows = OwnedFlows(self._queue)
         self._foreign_flows = ForeignFlows()
         self._probes = OwnershipProbes()
+        self._observer = UpstreamObserver()
         self._swept_at = 0.0
         self.is_draining = False
         self.is_evacuated = False
@@ -119,7 +121,14 @@
         Args:
             now: Clock reading, seconds.
         """
-        self.load_report = LoadReport()
+        observed = self._observer.observe(self._upstream.incarnation, now=now)
+        self.load_report = LoadReport(
+            run_seconds=observed.run_seconds,
+            fast_run_seconds=observed.fast_run_seconds,
+            stalled=observed.stalled,
+            failure_fraction=observed.failure_fraction,
+            samples=observed.samples,
+        )
 
     def on_forward(
         self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
@@ -153,6 +162,9 @@
             flow, segment, forward.request_parameters, now=now
         ):
             actions.append(ToUpstream(segment.datagram))
+            if segment.length and self._queue.is_running(segment.flow):
+                kind = forward.request_parameters.kind
+                self._observer.on_forwarded(segment.flow, now=now, kind=kind)
         if forward.purpose is Purpose.LOOKUP:
             actions.append(self._verdict_to(Verdict.MINE, segment.flow, sender))
         if segment.flags & (FIN | RESET):
@@ -215,6 +227,7 @@
                 self._verdict_to(Verdict.ACCEPTED, segment.flow, flow.opening_balancer)
             )
             flow.opening_balancer = None
+        self._observer.on_upstream_segment(segment, flow, now=now)
         flow.record_upstream_packet(segment)
         flow.used_at = now
         if segment.length:
@@ -312,6 +325,7 @@
             self._verdict_to(Verdict.NOT_MINE, flow, probe.balancer)
             for flow, probe in self._probes.pop_all()
         ]
+        self._observer.clear(now=now)
         ended = self._flows.end_all(now=now)
         actions += [ResetCaller(key, flow.acknowledged) for key, flow in ended]
         if ended:
@@ -345,6 +359,9 @@
                 waited=round(now - request.arrived_at, 4),
             )
             self._log.metrics.observe("request_wait", now - request.arrived_at)
+            self._observer.on_forwarded(
+                request.flow, now=now, kind=request.parameters.kind
+            )
             actions += [
                 ToUpstream(packet) for packet in request.packets_by_sequence.values()
             ]
@@ -377,6 +394,7 @@
             if not self.warm_up.admits(is_cold=is_cold, now=now):
                 return [self._refuse(Verdict.FULL, segment.flow, sender)]
             flow = self._flows.add(segment.flow, now=now)
+        self._observer.on_opening(segment.flow, now=now)
         flow.opening_balancer = flow.last_balancer = sender
         return [ToUpstream(segment.datagram)]
 
@@ -430,6 +448,7 @@
             if flow is None or flow.opening_balancer is None:
                 return []
             sender = flow.opening_balancer
+            self._observer.on_opening_refused(segment.flow, now=now)
             self._flows.remove(segment.flow, now=now)
             return [self._refuse(Verdict.FULL, segment.flow, sender)]
         probe = self._probes.pop(segment.flow)
@@ -449,6 +468,7 @@
         # The caller acknowledged this upstream's sequence numbers, so no other upstream
         # can hold the flow.
         acknowledged = flow.acknowledged
+        self._observer.on_returned(segment.flow, opened_at=flow.opened_at, now=now)
         self._flows.end(segment.flow, flow, now=now)
         self._log.decision(
             "reset", flow=format_flow(segment.flow), reason="upstream lost the flow"
@@ -467,6 +487,7 @@
         flow.used_at = now
         flow.acknowledged = segment.ack
         if segment.flags & RESET:
+            self._observer.on_flow_ended(segment.flow, now=now)
             self._flows.end(segment.flow, flow, now=now)
             return True
         if segment.flags & FIN:
