--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -40,6 +40,7 @@
     from siskinshift.connections.actions import Action
     from siskinshift.connections.fleet import Fleet
     from siskinshift.connections.fleet import Peer
+    from siskinshift.connections.health.outlier_detector import OutlierDetector
     from siskinshift.connections.owner_lookup import OwnerLookup
     from siskinshift.connections.peer_messages import FlowVerdict
     from siskinshift.connections.placement import AgentPlacement
@@ -67,7 +68,12 @@
 
 
 class BalancerFlows:
-    """The flows of one balancer: their cache, placement and retries."""
+    """The flows of one balancer: their cache, placement and retries.
+
+    Attributes:
+        outlier_detector: Selects the agents that may get new flows; None if the
+            deployment does not call for it.
+    """
 
     def __init__(
         self,
@@ -96,6 +102,7 @@
         self._records = FlowRecords()
         self._retry_timers: deque[tuple[float, FlowRecord, Attempt]] = deque()
         self._held_records: deque[FlowRecord] = deque()
+        self.outlier_detector: OutlierDetector | None = None
         self._retry_budget = RetryBudget(fraction=RETRY_FRACTION)
         self._forwarding = Forwarding()
         self._finder = OwnerFinder(
@@ -387,10 +394,19 @@
 
     def _offer_to_next_agent(self, record: FlowRecord, *, now: float) -> list[Action]:
         attempted = {attempt.agent.member.member_id for attempt in record.attempts}
-        agents = self._fleet.agents_of(record.service_id)
+        agents = eligible = self._fleet.agents_of(record.service_id)
+        if self.outlier_detector is not None:
+            eligible = self.outlier_detector.eligible(
+                record.service_id, agents, attempted=attempted, now=now
+            )
         agent = self._placement.choose(
-            agents, record.flow, attempted=attempted, now=now
+            eligible, record.flow, attempted=attempted, now=now
         )
+        if agent is None and eligible is not agents:
+            # An ejected agent that accepts the flow is better than none.
+            agent = self._placement.choose(
+                agents, record.flow, attempted=attempted, now=now
+            )
         if agent is None:
             return self._hold_opening(record, now=now)
         attempt = Attempt(agent, offered_at=now)
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -19,6 +19,7 @@
 from siskinshift.connections.evacuations import encode_evacuations
 from siskinshift.connections.evacuations import evacuations_from_document
 from siskinshift.connections.graceful_shutdown import GracefulShutdown
+from siskinshift.connections.health.outlier_detector import OutlierDetector
 from siskinshift.connections.load_policies import NO_POLICIES
 from siskinshift.connections.load_policies import resolve_policies
 from siskinshift.connections.load_policies import routes_with_kinds
@@ -106,6 +107,9 @@
             link_bytes_per_second=settings.link_bytes_per_second,
             log=self.log,
         )
+        self._outlier_detector = OutlierDetector(
+            settings.policies, evacuations=self.evacuations, log=self.log
+        )
         caller_packets = settings.caller_packets
         self._caller_socket = open_datagram_socket(
             caller_packets.host, caller_packets.port
@@ -346,6 +350,8 @@
     def _apply_policies(self, policies: LoadPolicies, routes: RouteTable) -> None:
         if policies != self.policies:
             self.log.fact("load policies", **attrs.asdict(policies))
+        detector = self._outlier_detector if policies.outlier_detection else None
+        self._flows.outlier_detector = detector
         self.policies = policies
         self._policy_dissemination.configure(policies, routes)
         self.perform(self._policy_dissemination.to_uninformed(self.fleet.agents()))
--- /dev/null
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -0,0 +1,190 @@
+"""Keeps the health record of one agent at a balancer: ejections and its return.
+
+An upstream that flaps is bad again soon after each return, so the ejection time doubles
+with each ejection. Returning upstreams have no flows and look idle, so their share of
+new flows grows over seconds; otherwise every balancer would place its next flows there
+at once.
+"""
+
+from __future__ import annotations
+
+from attrs import define
+
+from siskinshift.connections.fleet import Peer
+from siskinshift.connections.health.criteria import HEALTHY
+from siskinshift.connections.health.criteria import Finding
+from siskinshift.connections.health.criteria import stalled_limit
+from siskinshift.connections.health.evidence import MIN_ROUND_TRIPS
+from siskinshift.connections.health.evidence import NO_REPORT
+from siskinshift.connections.health.evidence import Evidence
+from siskinshift.connections.peer_messages import LoadReport
+
+
+# Time of the first ejection. Reports cover up to eight seconds, and requests that hung
+# before are mostly gone after five.
+BASE_EJECTION_SECONDS = 5.0
+# An upstream that has recovered stays unused for at most this time.
+MAX_EJECTION_SECONDS = 60.0
+# An agent that has served well for this time has one consecutive ejection less.
+GOOD_SERVICE_SECONDS = 30.0
+# Time until a returned agent has its full share of new flows; as long as the window of
+# its reports, so that it is judged before.
+SLOW_START_SECONDS = 8.0
+MIN_SLOW_START_FRACTION = 0.1
+# Age from which a report does not judge, in announced heartbeat intervals and seconds:
+# the upstream may have recovered, or the agent's machine may have failed since.
+STALE_AFTER_INTERVALS = 2.0
+MIN_STALE_AFTER_SECONDS = 2.0
+
+
+@define(eq=False)
+class AgentRecord:
+    """Health record of one incarnation of an agent.
+
+    Attributes:
+        agent: The agent.
+        incarnation: Incarnation that the record is about.
+        finding: Result of the newest judgement.
+        ejected_until: End of the ejection, seconds; 0 if it is not ejected.
+        consecutive: Ejections less those made up for by good service.
+        returned_at: Time of its last return, seconds.
+        good_since: Time since which it has served well, seconds.
+        slow_start_credit: Fraction of a flow that it may get during slow start.
+        probed_at: Time of the last probe, seconds.
+    """
+
+    agent: Peer
+    incarnation: int
+    finding: Finding = HEALTHY
+    ejected_until: float = 0.0
+    consecutive: int = 0
+    returned_at: float = float("-inf")
+    good_since: float = 0.0
+    slow_start_credit: float = 0.0
+    probed_at: float = float("-inf")
+    _report: LoadReport | None = None
+    _stalled_reports: int = 0
+    _round_trip: float = 0.0
+    _round_trips: int = 0
+
+    def is_about(self, agent: Peer) -> bool:
+        """Returns whether the record is about this agent in its present incarnation.
+
+        Args:
+            agent: The agent.
+        """
+        return self.agent is agent and self.incarnation == agent.member.incarnation
+
+    @property
+    def is_ejected(self) -> bool:
+        """Whether the agent is ejected."""
+        return self.ejected_until > 0.0
+
+    @property
+    def is_unhealthy(self) -> bool:
+        """Whether the newest judgement found the agent unhealthy."""
+        return self.finding is not HEALTHY
+
+    @property
+    def ejection_seconds(self) -> float:
+        """Duration of an ejection after `consecutive` of them, seconds."""
+        exponent = max(0, self.consecutive - 1)
+        return min(BASE_EJECTION_SECONDS * 2.0**exponent, MAX_EJECTION_SECONDS)
+
+    def slow_start_fraction(self, *, now: float) -> float:
+        """Returns the fraction of its share of new flows that it gets.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            The fraction, 0.1 to 1.
+        """
+        elapsed = (now - self.returned_at) / SLOW_START_SECONDS
+        return min(1.0, max(MIN_SLOW_START_FRACTION, elapsed))
+
+    def collect(self, *, now: float) -> Evidence:
+        """Collects the evidence for a judgement.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            The evidence; without a report if it is missing or out of date.
+        """
+        agent = self.agent
+        if agent.round_trip != self._round_trip:
+            self._round_trip = agent.round_trip
+            self._round_trips += 1
+        report = agent.load.report
+        stale_after = max(
+            STALE_AFTER_INTERVALS * agent.next_heartbeat_within, MIN_STALE_AFTER_SECONDS
+        )
+        if now - agent.last_seen_at > stale_after:
+            report = None
+        if report is not None and report is not self._report:
+            is_hanging = report.stalled >= stalled_limit(report.samples)
+            self._stalled_reports = self._stalled_reports + 1 if is_hanging else 0
+            self._report = report
+        return Evidence(
+            report=report or NO_REPORT,
+            failure_domain=agent.member.failure_domain,
+            stalled_reports=self._stalled_reports if report is not None else 0,
+            unanswered_openings=agent.unanswered_openings,
+            round_trip=self._round_trip if self._round_trips >= MIN_ROUND_TRIPS else 0,
+            is_repeat=self.consecutive > 0,
+        )
+
+    def eject(self, *, now: float) -> None:
+        """Ejects the agent, for longer with each consecutive ejection.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        self.consecutive += 1
+        self.ejected_until = now + self.ejection_seconds
+        self.probed_at = now
+
+    def end_ejection(self, *, now: float) -> None:
+        """Lets the agent return with slow start.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        self.ejected_until = 0.0
+        self.returned_at = self.good_since = now
+        self.slow_start_credit = 0.0
+
+    def lift(self, *, now: float) -> None:
+        """Lets the agent return with its full share, since the cause is shared.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        self.end_ejection(now=now)
+        self.consecutive = max(0, self.consecutive - 1)
+        self.returned_at = float("-inf")
+
+    def record_service(self, *, now: float) -> None:
+        """Reduces the consecutive ejections after a period of good service.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        if self.is_unhealthy:
+            self.good_since = now
+        elif self.consecutive and now - self.good_since >= GOOD_SERVICE_SECONDS:
+            self.consecutive -= 1
+            self.good_since = now
+
+    def admits_flow(self, fraction: float) -> bool:
+        """Returns whether the agent may get the next new flow during slow start.
+
+        Args:
+            fraction: Fraction of its share, 0 to 1.
+        """
+        self.slow_start_credit += fraction
+        if self.slow_start_credit < 1.0:
+            return False
+        self.slow_start_credit -= 1.0
+        return True
