--- a/src/siskinshift/connections/health/agent_record.py
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -20,16 +20,17 @@
 from siskinshift.connections.peer_messages import LoadReport
 
 
-# Time of the first ejection. Reports cover up to eight seconds, and requests that hung
-# before are mostly gone after five.
+# Time of the first ejection. Reports cover four seconds, so at its end they no longer
+# contain what led to it. With an ejection shorter than that, an upstream that had
+# recovered was ejected again.
 BASE_EJECTION_SECONDS = 5.0
 # An upstream that has recovered stays unused for at most this time.
 MAX_EJECTION_SECONDS = 60.0
 # An agent that has served well for this time has one consecutive ejection less.
 GOOD_SERVICE_SECONDS = 30.0
-# Time until a returned agent has its full share of new flows; as long as the window of
-# its reports, so that it is judged before.
-SLOW_START_SECONDS = 8.0
+# Time until a returned agent has its full share of new flows; longer than the window
+# of its reports, so that it is judged before.
+SLOW_START_SECONDS = 5.0
 MIN_SLOW_START_FRACTION = 0.1
 # Age from which a report does not judge, in announced heartbeat intervals and seconds:
 # the upstream may have recovered, or the agent's machine may have failed since.
@@ -45,6 +46,7 @@
         agent: The agent.
         incarnation: Incarnation that the record is about.
         finding: Result of the newest judgement.
+        ejected_for: Reason of the newest ejection; empty before the first.
         ejected_until: End of the ejection, seconds; 0 if it is not ejected.
         consecutive: Ejections less those made up for by good service.
         returned_at: Time of its last return, seconds.
@@ -56,6 +58,7 @@
     agent: Peer
     incarnation: int
     finding: Finding = HEALTHY
+    ejected_for: str = ""
     ejected_until: float = 0.0
     consecutive: int = 0
     returned_at: float = float("-inf")
@@ -142,6 +145,7 @@
             now: Clock reading, seconds.
         """
         self.consecutive += 1
+        self.ejected_for = self.finding.reason
         self.ejected_until = now + self.ejection_seconds
         self.probed_at = now
 
--- a/src/siskinshift/connections/health/criteria.py
+++ b/src/siskinshift/connections/health/criteria.py
@@ -30,26 +30,35 @@
 MIN_SLOW_SAMPLES = 8
 # Fraction of the service's median run time below which the fastest tenth is suspicious.
 FAST_FRACTION = 0.25
-# The same compared with the fastest tenth of the other agents, since work may vary so
-# much that a tenth of it takes less than a quarter of the median.
-FAST_QUANTILE_FRACTION = 0.3
-# With fewer, the 0.1 quantile is the second or third fastest response, which one group
-# of trivial requests may determine.
-MIN_FAST_SAMPLES = 30
+# Work may vary so much that a tenth of it takes less than a quarter of the median. So
+# the fastest tenth and the median are also compared with those of the other agents:
+# limit of the product of the two ratios. Responses of 1 ms to 40 % of the requests
+# where work takes 22 ms gave 0.08 to 0.14. With exponential work a limit of 0.3 on the
+# fastest tenth alone ejected healthy agents five times as often.
+FAST_RATIO_PRODUCT = 0.15
+# With fewer, the 0.1 quantile is one of the four fastest responses, which a group of
+# trivial requests may determine.
+MIN_FAST_SAMPLES = 40
 # An agent that was ejected before is judged by a fraction of the samples: it gets few
 # requests, and it has shown the fault before.
-REPEAT_SAMPLE_FRACTION = 0.25
+# With a quarter, one old sample of the time before a recovery was enough.
+REPEAT_SAMPLE_FRACTION = 0.5
+# Resolution of run times in a report.
+MIN_RUN_SECONDS = 0.0001
 # Stalled requests that count as hanging. One alone may be a request whose caller
 # vanished while sending it.
 MIN_STALLED = 2
 # With many requests in parallel, this fraction of the recent responses instead.
 STALLED_FRACTION = 1 / 32
+# Multiple of the service's mean that counts as hanging, since many agents have stalled
+# requests if all upstreams slow down. At most 30 % are ejected, which reach it.
+STALLED_MEANS = 2.5
 # Reports in a row, at different evaluations, that have to show them: an agent that was
 # busy itself may have handled a first byte late.
 HANGING_REPORTS = 2
-# Fraction of failed requests or openings. Healthy upstreams have practically none; with
-# at least twenty outcomes behind it, four failures reach it.
-MAX_FAILURE_FRACTION = 0.15
+# Fraction of failed requests or openings. Healthy upstreams have practically none; four
+# failures of the newest 32 outcomes reach it.
+MAX_FAILURE_FRACTION = 0.1
 # One opening packet in forty may be lost, and two in a row in a burst. The placement
 # avoids an agent after two already; it returns to it as soon as a heartbeat arrives.
 UNRESPONSIVE_OPENINGS = 4
@@ -75,6 +84,8 @@
 
 
 HEALTHY = Finding()
+# Criteria that compare run times with those of the service.
+RUN_TIME_REASONS = frozenset({"slow_upstream", "slow_machine", "failing_fast"})
 Criterion: TypeAlias = "Callable[[Evidence, ServiceStatistics], float]"
 _criteria_by_name: dict[str, Criterion] = {}
 
@@ -148,23 +159,24 @@
     report = evidence.report
     if report.samples < _required(MIN_FAST_SAMPLES, evidence):
         return 0.0
-    limit = min(
-        FAST_FRACTION * service.run_seconds,
-        FAST_QUANTILE_FRACTION * service.fast_run_seconds,
-    )
-    # The report's resolution is 0.1 ms.
-    return limit / max(report.fast_run_seconds, 0.0001)
+    if not service.run_seconds or not service.fast_run_seconds:
+        return 0.0
+    fast = max(report.fast_run_seconds, MIN_RUN_SECONDS)
+    run = max(report.run_seconds, MIN_RUN_SECONDS)
+    product = fast / service.fast_run_seconds * run / service.run_seconds
+    return min(FAST_FRACTION * service.run_seconds / fast, FAST_RATIO_PRODUCT / product)
 
 
 @register_criterion("hanging")
-def _hanging(evidence: Evidence, _: ServiceStatistics) -> float:
+def _hanging(evidence: Evidence, service: ServiceStatistics) -> float:
     """Returns the severity of an upstream that never responds to some requests.
 
     Their callers wait until their deadline, while the requests hold its slots.
     """
     if evidence.stalled_reports < HANGING_REPORTS:
         return 0.0
-    return evidence.report.stalled / stalled_limit(evidence.report.samples)
+    limit = stalled_limit(evidence.report.samples)
+    return evidence.report.stalled / max(limit, STALLED_MEANS * service.stalled)
 
 
 @register_criterion("failing")
--- a/src/siskinshift/connections/health/evidence.py
+++ b/src/siskinshift/connections/health/evidence.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from statistics import fmean
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -62,14 +63,19 @@
     Attributes:
         run_seconds: Median of the agents' median run times; 0 if too few report them.
         fast_run_seconds: Median of the agents' 0.1 quantiles; 0 if too few report them.
+        stalled: Mean number of stalled requests of an agent with a report.
         round_trip_by_domain: Median round trip to the agents of a failure domain,
             seconds, for domains with enough agents. Distance between domains is not a
             fault.
+        has_shifted: Whether run times of the whole service changed so much that they
+            are no measure for its agents; they are 0 then.
     """
 
     run_seconds: float = 0.0
     fast_run_seconds: float = 0.0
+    stalled: float = 0.0
     round_trip_by_domain: dict[str, float] = Factory(dict)
+    has_shifted: bool = False
 
 
 def summarize(evidence: Iterable[Evidence]) -> ServiceStatistics:
@@ -82,14 +88,18 @@
         The statistics.
     """
     reports = []
+    stalled = []
     round_trips_by_domain: defaultdict[str, list[float]] = defaultdict(list)
     for known in evidence:
+        if known.report is not NO_REPORT:
+            stalled.append(known.report.stalled)
         if known.report.samples >= MIN_SAMPLES:
             reports.append(known.report)
         if known.round_trip:
             round_trips_by_domain[known.failure_domain].append(known.round_trip)
     return ServiceStatistics(
         run_seconds=_median(report.run_seconds for report in reports),
+        stalled=fmean(stalled) if stalled else 0.0,
         fast_run_seconds=_median(report.fast_run_seconds for report in reports),
         round_trip_by_domain={
             domain: _median(round_trips)
--- a/src/siskinshift/connections/health/service_health.py
+++ b/src/siskinshift/connections/health/service_health.py
@@ -10,7 +10,10 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from siskinshift.connections.health.agent_record import AgentRecord
+from siskinshift.connections.health.criteria import RUN_TIME_REASONS
 from siskinshift.connections.health.criteria import judge
 from siskinshift.connections.health.evidence import NO_REPORT
 from siskinshift.connections.health.evidence import summarize
@@ -30,6 +33,11 @@
 # which it no longer does, so that ejections are not lifted and repeated at the limit.
 PANIC_FRACTION = 0.5
 PANIC_END_FRACTION = 0.4
+# Factor by which the service's run time may differ from its usual one. Beyond it the
+# change is shared: if most upstreams fail fast, the others would count as slow.
+MAX_SHIFT_FACTOR = 3.0
+# Time constant of the usual run time.
+USUAL_RUN_SMOOTHING_SECONDS = 60.0
 # Probes of an ejected agent as a fraction of the flows that a healthy one gets: real
 # requests, half of which may fail. Their rate over all balancers is independent of the
 # number of balancers.
@@ -72,6 +80,7 @@
         self._log = log
         self._records_by_id: dict[str, AgentRecord] = {}
         self._probe_credit = 0.0
+        self._usual_run_seconds = 0.0
         self.agents: list[Peer] = []
         self.evaluated_at = float("-inf")
         self.eligible: list[Peer] = []
@@ -91,12 +100,13 @@
             agents: Agents of the service, in any state.
             now: Clock reading, seconds.
         """
+        elapsed = now - self.evaluated_at
         self.agents = agents
         self.evaluated_at = now
         records = self._update_records(agents)
         usable = [r for r in records if self._is_usable(r.agent, now=now)]
         evidence = [record.collect(now=now) for record in usable]
-        statistics = summarize(evidence)
+        statistics = self._without_shift(summarize(evidence), elapsed)
         judged = unhealthy = 0
         for record, known in zip(usable, evidence, strict=True):
             record.finding = judge(known, statistics)
@@ -142,6 +152,22 @@
         )
         return record.agent
 
+    def _without_shift(
+        self, statistics: ServiceStatistics, elapsed: float
+    ) -> ServiceStatistics:
+        """Removes run times that are no measure, since the whole service changed."""
+        run_seconds = statistics.run_seconds
+        if not run_seconds:
+            return statistics
+        usual = self._usual_run_seconds or run_seconds
+        weight = min(1.0, elapsed / USUAL_RUN_SMOOTHING_SECONDS)
+        self._usual_run_seconds = usual + weight * (run_seconds - usual)
+        if usual / MAX_SHIFT_FACTOR <= run_seconds <= usual * MAX_SHIFT_FACTOR:
+            return statistics
+        return attrs.evolve(
+            statistics, run_seconds=0.0, fast_run_seconds=0.0, has_shifted=True
+        )
+
     def _update_records(self, agents: list[Peer]) -> list[AgentRecord]:
         known = self._records_by_id
         self._records_by_id = {}
@@ -172,6 +198,13 @@
         ejected = []
         for record in usable:
             record.record_service(now=now)
+            if (
+                record.is_ejected
+                and statistics.has_shifted
+                and record.ejected_for in RUN_TIME_REASONS
+            ):
+                record.lift(now=now)
+                self._log_return(record, "service changed")
             is_over = record.is_ejected and record.ejected_until <= now
             if is_over and not record.is_unhealthy:
                 self._return(record, "served its time", now=now)
@@ -199,6 +232,9 @@
 
     def _return(self, record: AgentRecord, cause: str, *, now: float) -> None:
         record.end_ejection(now=now)
+        self._log_return(record, cause)
+
+    def _log_return(self, record: AgentRecord, cause: str) -> None:
         self._log.metrics.count_decision("agent_return", f"{self._service_id}:{cause}")
         report = record.agent.load.report or NO_REPORT
         self._log.fact(
--- a/src/siskinshift/connections/health/upstream_observer.py
+++ b/src/siskinshift/connections/health/upstream_observer.py
@@ -29,12 +29,13 @@
     from siskinshift.connections.segment import Segment
 
 
-# Run times and outcomes behind a report: four seconds of requests at 16 a second. The
+# Run times behind a report: four seconds of requests at 16 a second. The
 # 0.1 quantile of fewer varies too much to be compared.
 MAX_SAMPLES = 64
-# Older samples do not describe the upstream's present state. An upstream that is thirty
-# times slower than 22 ms still gives ten samples in this time.
-MAX_SAMPLE_AGE_SECONDS = 8.0
+# Older samples do not describe the upstream's present state. A slowed upstream gives
+# few samples, so its median changes only when the earlier ones are dropped. At 16
+# requests a second 4 s still hold 64 samples.
+MAX_SAMPLE_AGE_SECONDS = 4.0
 FAST_QUANTILE = 0.1
 # A request of seven times the mean behind another one takes 14 means, and the median is
 # below the mean.
@@ -46,14 +47,19 @@
 # up.
 MAX_STALLED_AFTER_SECONDS = 1.2
 # A one-slot upstream has at most two requests, so the number of overdue ones alone
-# drops to zero whenever their callers give up. Ended ones count for this time.
+# drops to zero whenever their callers give up. Abandoned ones count for this time.
+# Those that were answered late do not count: a long request and the one that waits
+# behind it are both late.
 STALL_MEMORY_SECONDS = 3.0
 # An upstream on the same machine replies to an opening within a millisecond. Two loop
 # iterations of a busy agent or upstream are far shorter than this.
 OPENING_TIMEOUT_SECONDS = 0.3
-# Outcomes below this number count as this number, so that one failure among few
-# requests does not look like a failing upstream.
-MIN_OUTCOMES = 20
+# Outcomes behind a report. Healthy upstreams have practically no failures, so fewer
+# suffice than for run times, and a fault shows sooner.
+MAX_OUTCOMES = 32
+# Fewer outcomes count as this number, so that one failure among few requests does not
+# look like a failing upstream.
+MIN_OUTCOMES = 32
 # A request or opening without a first byte is forgotten after this time: its flow may
 # have ended without a packet.
 MAX_RUNNING_SECONDS = 10.0
@@ -73,7 +79,7 @@
     Attributes:
         run_seconds: Median time from forwarding a request to its first byte.
         fast_run_seconds: The 0.1 quantile of the same.
-        stalled: Requests whose first byte is, or recently was, overdue.
+        stalled: Requests whose first byte is overdue, with recently abandoned ones.
         failure_fraction: Fraction of recent requests or openings that failed, 0 to 1;
             the larger of the two.
         samples: Recent responses behind the run times.
@@ -90,7 +96,7 @@
     """Recent outcomes, bounded in number and age."""
 
     def __init__(self) -> None:
-        self._outcomes: deque[tuple[float, bool]] = deque(maxlen=MAX_SAMPLES)
+        self._outcomes: deque[tuple[float, bool]] = deque(maxlen=MAX_OUTCOMES)
 
     def add(self, *, is_failure: bool, now: float) -> None:
         self._outcomes.append((now, is_failure))
@@ -191,8 +197,6 @@
         started_at = self._started_at_by_flow.pop(segment.flow, None)
         if started_at is None:
             return
-        if self._is_stalled(started_at, now=now):
-            self._stalled_at.append(now)
         if segment.length:
             self._run_times.append((now, now - started_at))
         # Closing without a response is a failure unless the caller closed first.
--- /dev/null
+++ b/tests/connections/health/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of outlier detection."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/connections/health/test_service_health.py
@@ -0,0 +1,210 @@
+"""Tests of the limits of ejection, with arbitrary reports of the agents."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from siskinshift.connections.evacuations import EvacuationRegister
+from siskinshift.connections.health.agent_record import MAX_EJECTION_SECONDS
+from siskinshift.connections.health.agent_record import SLOW_START_SECONDS
+from siskinshift.connections.health.outlier_detector import OutlierDetector
+from siskinshift.connections.node_settings import PolicySettings
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import LoadReport
+from siskinshift.connections.peer_messages import Status
+from siskinshift.messages.core import MemberState
+from tests.connections.builders import agents
+from tests.connections.builders import fleet_of
+from tests.connections.builders import member
+from tests.connections.builders import quiet_log
+
+
+GOOD = LoadReport(run_seconds=0.02, fast_run_seconds=0.01, samples=64)
+BAD_REPORTS = (
+    LoadReport(run_seconds=0.3, fast_run_seconds=0.1, samples=64),
+    LoadReport(run_seconds=0.001, fast_run_seconds=0.001, samples=64),
+    LoadReport(run_seconds=0.02, fast_run_seconds=0.01, samples=64, stalled=9),
+    LoadReport(run_seconds=0.02, fast_run_seconds=0.01, failure_fraction=0.5),
+)
+COUNT = 10
+INTERVAL_SECONDS = 0.2
+
+
+class _Service:
+    """A balancer's fleet of ten agents that report at each step."""
+
+    def __init__(self) -> None:
+        self.fleet = fleet_of(*agents(COUNT))
+        self.detector = OutlierDetector(
+            PolicySettings(), evacuations=EvacuationRegister(), log=quiet_log()
+        )
+        self.now = 0.0
+        self.report_by_id = dict.fromkeys(self.fleet.peers_by_id, GOOD)
+
+    def step(self, seconds: float = INTERVAL_SECONDS) -> list[str]:
+        """Reports and evaluates until a time has passed; returns the eligible ones."""
+        eligible = []
+        for _ in range(max(1, round(seconds / INTERVAL_SECONDS))):
+            self.now += INTERVAL_SECONDS
+            for member_id, report in self.report_by_id.items():
+                peer = self.fleet.peers_by_id[member_id]
+                # A new object, as from another datagram.
+                load = Load(report=attrs.evolve(report))
+                self.fleet.update_load(peer, load)
+                self.fleet.record_message(peer, now=self.now)
+            everyone = self.fleet.agents_of("editor")
+            eligible = self.detector.eligible("editor", everyone, now=self.now)
+        return [peer.member.member_id for peer in eligible]
+
+
+class _Ejections(RuleBasedStateMachine):
+    """Agents become bad, good, silent, restarted or removed in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.service = _Service()
+        self.eligible: list[str] = sorted(self.service.report_by_id)
+
+    @rule(
+        number=strategies.integers(1, COUNT),
+        report=strategies.sampled_from((GOOD, LoadReport(), *BAD_REPORTS)),
+    )
+    def change(self, number: int, report: LoadReport) -> None:
+        if f"editor-{number}" in self.service.report_by_id:
+            self.service.report_by_id[f"editor-{number}"] = report
+
+    @rule(seconds=strategies.sampled_from((INTERVAL_SECONDS, 1.0, 6.0)))
+    def advance(self, seconds: float) -> None:
+        self.eligible = self.service.step(seconds)
+
+    @rule(number=strategies.integers(1, COUNT))
+    def silence(self, number: int) -> None:
+        self.service.report_by_id.pop(f"editor-{number}", None)
+
+    @rule(number=strategies.integers(1, COUNT))
+    def restart(self, number: int) -> None:
+        name = f"editor-{number}"
+        known = self.service.fleet.peers_by_id[name].member
+        new = attrs.evolve(known, incarnation=known.incarnation + 1)
+        self.service.fleet.handle_status(Status(new, Load()), now=self.service.now)
+        self.service.report_by_id[name] = GOOD
+
+    @invariant()
+    def an_agent_is_eligible(self) -> None:
+        assert self.eligible
+
+    @invariant()
+    def at_most_the_allowed_fraction_is_ejected(self) -> None:
+        health = self.service.detector._services_by_id.get("editor")
+        assert health is None or len(health.ejected) <= int(0.3 * COUNT)
+
+    def teardown(self) -> None:
+        """Everything that was ejected comes back once all agents serve well."""
+        for name in self.service.fleet.peers_by_id:
+            self.service.report_by_id[name] = GOOD
+        self.service.step(MAX_EJECTION_SECONDS + SLOW_START_SECONDS + 1.0)
+        self.eligible = self.service.step()
+        assert len(self.eligible) == COUNT
+
+
+TestEjections = _Ejections.TestCase
+TestEjections.settings = settings(
+    max_examples=25, stateful_step_count=20, deadline=None
+)
+
+
+def _eject_first(report: LoadReport = BAD_REPORTS[0]) -> _Service:
+    service = _Service()
+    service.step(1.0)
+    service.report_by_id["editor-1"] = report
+    assert "editor-1" not in service.step(1.0)
+    return service
+
+
+@pytest.mark.parametrize("report", BAD_REPORTS)
+def test_each_kind_of_bad_report_ejects(report: LoadReport) -> None:
+    _eject_first(report)
+
+
+def test_the_worst_are_ejected_first() -> None:
+    """Guards against ejecting mild outliers while the limit keeps the worst in use."""
+    service = _Service()
+    service.step(1.0)
+    for number in range(1, 6):
+        failures = 0.1 * number
+        service.report_by_id[f"editor-{number}"] = attrs.evolve(
+            GOOD, failure_fraction=failures
+        )
+    assert set(service.report_by_id) - set(service.step()) == {
+        "editor-3",
+        "editor-4",
+        "editor-5",
+    }
+
+
+def test_a_report_of_a_silent_agent_ejects_nobody() -> None:
+    """Guards against judging by a report that is older than the agent's silence."""
+    service = _Service()
+    service.step(1.0)
+    service.report_by_id["editor-1"] = attrs.evolve(BAD_REPORTS[2], samples=0)
+    # One report: hanging needs two.
+    service.step()
+    del service.report_by_id["editor-1"]
+    assert "editor-1" in service.step(5.0)
+
+
+def test_few_samples_judge_nobody() -> None:
+    """Guards against a comparison of two or three requests."""
+    service = _Service()
+    service.step(1.0)
+    for report in BAD_REPORTS[:2]:
+        service.report_by_id["editor-1"] = attrs.evolve(report, samples=7)
+        assert "editor-1" in service.step(3.0)
+
+
+def test_another_incarnation_starts_with_a_clean_record() -> None:
+    service = _eject_first()
+    known = service.fleet.peers_by_id["editor-1"].member
+    new = attrs.evolve(known, incarnation=known.incarnation + 1)
+    service.fleet.handle_status(Status(new, Load()), now=service.now)
+    service.report_by_id["editor-1"] = GOOD
+    assert "editor-1" in service.step()
+
+
+def test_consecutive_ejections_last_longer_and_good_service_makes_up_for_them() -> None:
+    service = _eject_first()
+    health = service.detector._services_by_id["editor"]
+    record = health._records_by_id["editor-1"]
+    service.step(6.0)
+    assert record.consecutive == 2
+    first_seconds = record.ejection_seconds
+    service.step(11.0)
+    assert record.consecutive == 3
+    assert record.ejection_seconds == 2 * first_seconds
+    service.report_by_id["editor-1"] = GOOD
+    service.step(20.0)
+    assert not record.is_ejected
+    service.step(100.0)
+    assert record.consecutive == 0
+
+
+def test_a_drained_agent_does_not_count_against_the_limit() -> None:
+    """Guards against ejecting most of those that remain while others drain."""
+    service = _Service()
+    for number in range(4, COUNT + 1):
+        draining = member(
+            f"editor-{number}",
+            host=f"10.0.1.{number}",
+            state=MemberState.DRAINING,
+            version=2,
+        )
+        service.fleet.handle_status(Status(draining, Load()), now=0.0)
+        del service.report_by_id[draining.member_id]
+    service.report_by_id["editor-1"] = BAD_REPORTS[3]
+    assert "editor-1" in service.step(1.0)
