--- a/src/siskinshift/connections/health/outlier_detector.py
+++ b/src/siskinshift/connections/health/outlier_detector.py
@@ -98,7 +98,8 @@
             for record, fraction in service.slow_starting
             if record.admits_flow(fraction)
         ]
-        return [*service.eligible, *starting] or agents
+        eligible = [*service.eligible, *starting] if starting else service.eligible
+        return eligible or agents
 
     def _update_gauges(self) -> None:
         services = self._services_by_id.values()
--- a/src/siskinshift/connections/health/upstream_observer.py
+++ b/src/siskinshift/connections/health/upstream_observer.py
@@ -109,10 +109,15 @@
 
 
 class UpstreamObserver:
-    """Keeps recent run times, outcomes and overdue requests of one upstream."""
+    """Keeps recent run times, outcomes and overdue requests of one upstream.
+
+    It records nothing until `observe` is called for the first time, so that packets
+    cost nothing where no balancer requests reports.
+    """
 
     def __init__(self) -> None:
         """Initializes the observer without a history."""
+        self._is_active = False
         self._incarnation: Incarnation | None = None
         self._observed_at = float("-inf")
         self._resumed_at = float("-inf")
@@ -142,7 +147,7 @@
             flow: The flow.
             now: Clock reading, seconds.
         """
-        if len(self._opened_at_by_flow) < MAX_TRACKED:
+        if self._is_active and len(self._opened_at_by_flow) < MAX_TRACKED:
             self._opened_at_by_flow.setdefault(flow, now)
 
     def on_opening_refused(self, flow: bytes, *, now: float) -> None:
@@ -168,6 +173,8 @@
             now: Clock reading, seconds.
             kind: Kind of the request.
         """
+        if not self._is_active:
+            return
         is_known = flow in self._started_at_by_flow
         if is_known and kind is not RequestKind.UPLOAD:
             return
@@ -184,6 +191,8 @@
             flow: State of its flow.
             now: Clock reading, seconds.
         """
+        if not self._is_active:
+            return
         flags = segment.flags
         if flags & SYN:
             if self._opened_at_by_flow.pop(segment.flow, None) is not None:
@@ -250,6 +259,7 @@
         if now - self._observed_at > PAUSED_AFTER_SECONDS:
             self._resumed_at = now
         self._observed_at = self._computed_at = now
+        self._is_active = True
         self._forget_old(now=now)
         run_times = sorted(seconds for _, seconds in self._run_times)
         run_seconds = median(run_times) if run_times else 0.0
--- a/tests/connections/health/test_upstream_observer.py
+++ b/tests/connections/health/test_upstream_observer.py
@@ -120,6 +120,7 @@
 def test_a_pause_of_the_agent_itself_stalls_no_request() -> None:
     """Guards against an ejection for the time that the agent's process was stopped."""
     observer = UpstreamObserver()
+    observer.observe(None, now=0.9)
     observer.on_forwarded(FLOW, now=1.0)
     assert observer.observe(None, now=1.1).stalled == 0
     assert observer.observe(None, now=4.0).stalled == 0
