--- a/src/siskinshift/connections/health/agent_record.py
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -53,6 +53,10 @@
         good_since: Time since which it has served well, seconds.
         slow_start_credit: Fraction of a flow that it may get during slow start.
         probed_at: Time of the last probe, seconds.
+        judged_report: Newest report that was counted.
+        stalled_reports: Consecutive reports with stalled requests.
+        judged_round_trip: Newest moving mean of round trips that was counted, seconds.
+        round_trip_count: Different moving means that were counted.
     """
 
     agent: Peer
@@ -65,10 +69,10 @@
     good_since: float = 0.0
     slow_start_credit: float = 0.0
     probed_at: float = float("-inf")
-    _report: LoadReport | None = None
-    _stalled_reports: int = 0
-    _round_trip: float = 0.0
-    _round_trips: int = 0
+    judged_report: LoadReport | None = None
+    stalled_reports: int = 0
+    judged_round_trip: float = 0.0
+    round_trip_count: int = 0
 
     def is_about(self, agent: Peer) -> bool:
         """Returns whether the record is about this agent in its present incarnation.
@@ -116,25 +120,25 @@
             The evidence; without a report if it is missing or out of date.
         """
         agent = self.agent
-        if agent.round_trip != self._round_trip:
-            self._round_trip = agent.round_trip
-            self._round_trips += 1
+        if agent.round_trip != self.judged_round_trip:
+            self.judged_round_trip = agent.round_trip
+            self.round_trip_count += 1
         report = agent.load.report
         stale_after = max(
             STALE_AFTER_INTERVALS * agent.next_heartbeat_within, MIN_STALE_AFTER_SECONDS
         )
         if now - agent.last_seen_at > stale_after:
             report = None
-        if report is not None and report is not self._report:
+        if report is not None and report is not self.judged_report:
             is_hanging = report.stalled >= stalled_limit(report.samples)
-            self._stalled_reports = self._stalled_reports + 1 if is_hanging else 0
-            self._report = report
+            self.stalled_reports = self.stalled_reports + 1 if is_hanging else 0
+            self.judged_report = report
         return Evidence(
             report=report or NO_REPORT,
             failure_domain=agent.member.failure_domain,
-            stalled_reports=self._stalled_reports if report is not None else 0,
+            stalled_reports=self.stalled_reports if report is not None else 0,
             unanswered_openings=agent.unanswered_openings,
-            round_trip=self._round_trip if self._round_trips >= MIN_ROUND_TRIPS else 0,
+            round_trip=self.judged_round_trip if self.round_trip_count >= MIN_ROUND_TRIPS else 0,
             is_repeat=self.consecutive > 0,
         )
 
