--- a/src/siskinshift/connections/health/agent_record.py
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -133,12 +133,13 @@
             is_hanging = report.stalled >= stalled_limit(report.samples)
             self.stalled_reports = self.stalled_reports + 1 if is_hanging else 0
             self.judged_report = report
+        has_round_trips = self.round_trip_count >= MIN_ROUND_TRIPS
         return Evidence(
             report=report or NO_REPORT,
             failure_domain=agent.member.failure_domain,
             stalled_reports=self.stalled_reports if report is not None else 0,
             unanswered_openings=agent.unanswered_openings,
-            round_trip=self.judged_round_trip if self.round_trip_count >= MIN_ROUND_TRIPS else 0,
+            round_trip=self.judged_round_trip if has_round_trips else 0,
             is_repeat=self.consecutive > 0,
         )
 
