--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -4,7 +4,7 @@
 for the owner of a flow that is not in its cache. Callers open flows while agents fail,
 restart and fill up. Without retries by the balancer, an opening packet to a failed
 agent delays the caller by the 200 ms to its next retransmission. With them the delay is
-milliseconds if an agent refuses, and `RETRY_AFTER_SECONDS` if none replies.
+milliseconds if an agent refuses, and the delay of `retry_timers` if none replies.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.early_packets import EarlyPackets
+from siskinshift.connections.egress.departure import Departure
 from siskinshift.connections.flow_records import Attempt
 from siskinshift.connections.flow_records import FlowRecord
 from siskinshift.connections.flow_records import FlowRecords
@@ -26,6 +27,7 @@
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import WarmUpRate
+from siskinshift.connections.retry_timers import RetryTimers
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import RESET
@@ -49,9 +51,6 @@
     from siskinshift.observability.event_log import EventLog
 
 
-# A verdict takes one to three milliseconds; a busy instance replies within this time.
-# The second agent can still meet an objective of 100 ms.
-RETRY_AFTER_SECONDS = 0.04
 # Limit of agents to which one flow is offered: three simultaneous failures of agents
 # are an outage.
 MAX_ATTEMPTS = 4
@@ -67,7 +66,12 @@
 
 
 class BalancerFlows:
-    """The flows of one balancer: their cache, placement and retries."""
+    """The flows of one balancer: their cache, placement and retries.
+
+    Attributes:
+        is_link_scheduled: Whether packets may wait in this balancer, so that the times
+            of openings count from when they have left it.
+    """
 
     def __init__(
         self,
@@ -94,7 +98,8 @@
         self._dropped_addresses: set[bytes] = set()
         self._early_packets = EarlyPackets()
         self._records = FlowRecords()
-        self._retry_timers: deque[tuple[float, FlowRecord, Attempt]] = deque()
+        self.is_link_scheduled = False
+        self._retry_timers = RetryTimers()
         self._held_records: deque[FlowRecord] = deque()
         self._retry_budget = RetryBudget(fraction=RETRY_FRACTION)
         self._forwarding = Forwarding()
@@ -311,9 +316,8 @@
             Actions that are due.
         """
         actions: list[Action] = []
-        while self._retry_timers and self._retry_timers[0][0] <= now:
-            _, record, attempt = self._retry_timers.popleft()
-            if attempt.verdict is None and self._records.find(record.flow) is record:
+        for record, attempt in self._retry_timers.pop_due(now=now):
+            if self._records.find(record.flow) is record:
                 attempt.agent.unanswered_openings += 1
                 actions += self._retry(record, now=now)
         actions += self._finder.tick(now=now)
@@ -332,8 +336,7 @@
             Clock reading, seconds.
         """
         due = min(self._records.next_due, self._finder.next_due)
-        if self._retry_timers:
-            due = min(due, self._retry_timers[0][0])
+        due = min(due, self._retry_timers.next_due)
         if self._held_records:
             due = min(due, self._held_records[0].opened_at + MAX_HOLD_SECONDS)
         return due
@@ -382,6 +385,9 @@
                 )
                 for a in accepted
             ]
+        if any(attempt.left_at is None for attempt in record.attempts):
+            # The opening still waits for the link.
+            return []
         record.opened_at = now
         return self._offer_to_next_agent(record, now=now)
 
@@ -393,10 +399,11 @@
         )
         if agent is None:
             return self._hold_opening(record, now=now)
-        attempt = Attempt(agent, offered_at=now)
+        departure = Departure() if self.is_link_scheduled else None
+        attempt = Attempt(agent, offered_at=now, departure=departure)
         record.attempts.append(attempt)
         agent.flows_since_load += 1
-        self._retry_timers.append((now + RETRY_AFTER_SECONDS, record, attempt))
+        self._retry_timers.add(record, attempt, now=now)
         self._log.decision(
             "open",
             flow=format_flow(record.flow),
@@ -408,7 +415,9 @@
         )
         return [
             *self._warm_up(agent, record.service_id),
-            self._forwarding.to_agent(agent, Purpose.OPEN, record.opening, record),
+            self._forwarding.to_agent(
+                agent, Purpose.OPEN, record.opening, record, departure
+            ),
         ]
 
     def _warm_up(self, agent: Peer, service_id: str) -> list[Action]:
@@ -474,7 +483,9 @@
         if attempt is None:
             return []
         attempt.verdict = verdict
-        agent.record_round_trip(now - attempt.offered_at)
+        if attempt.left_at is not None:
+            # The wait in this balancer is no property of the agent.
+            agent.record_round_trip(max(0.0, now - attempt.left_at))
         self._log.decision(
             "opening answered",
             flow=format_flow(record.flow),
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -348,6 +348,7 @@
             self.log.fact("load policies", **attrs.asdict(policies))
         self.policies = policies
         self.schedule_egress(policies.bulk_scheduling)
+        self._flows.is_link_scheduled = policies.bulk_scheduling
         self._policy_dissemination.configure(policies, routes)
         self.perform(self._policy_dissemination.to_uninformed(self.fleet.agents()))
 
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -11,7 +11,6 @@
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.balancer_flows import MAX_HOLD_SECONDS
-from siskinshift.connections.balancer_flows import RETRY_AFTER_SECONDS
 from siskinshift.connections.early_packets import MAX_EARLY_SECONDS
 from siskinshift.connections.evacuations import EvacuationRegister
 from siskinshift.connections.evacuations import Evacuations
@@ -33,6 +32,7 @@
 from siskinshift.connections.peer_messages import Status
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.peer_messages import WarmUpRate
+from siskinshift.connections.retry_timers import RETRY_AFTER_SECONDS
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import SYN
