--- a/src/siskinshift/connections/egress/scheduled_node.py
+++ b/src/siskinshift/connections/egress/scheduled_node.py
@@ -131,10 +131,11 @@
             self.log.decision("send failed", address=address[0], error=str(error))
 
     def _run_egress(self, now: float) -> float:
-        if self._egress is None:
+        egress = self._egress
+        if egress is None:
             return float("inf")
-        due = self._egress.run(now)
-        if not self._is_egress_scheduled and self._egress.is_empty:
+        due = egress.run(now)
+        if not self._is_egress_scheduled and egress.is_empty:
             self._egress = None
             self.loop.remove_precise_timer(self._run_egress)
         return due
--- a/src/siskinshift/runtime/event_loop.py
+++ b/src/siskinshift/runtime/event_loop.py
@@ -129,7 +129,8 @@
         Args:
             step: The timer.
         """
-        self._precise_timers.remove(step)
+        # A new list, since a timer may remove itself.
+        self._precise_timers = [kept for kept in self._precise_timers if kept != step]
 
     def call(self, function: Callable[[], ResultT]) -> Future[ResultT]:
         """Schedules a function on the loop's thread; thread-safe.
@@ -160,9 +161,10 @@
     def run_once(self) -> None:
         """Runs due timers, waits for the next event and handles pending events."""
         due_at = self._run_timers()
-        for step in tuple(self._precise_timers):
-            due_at = min(due_at, self._run_timer(step, self._clock()))
-        wait = min(max(due_at - self._clock(), 0.0), MAX_WAIT_SECONDS)
+        now = self._clock()
+        for step in self._precise_timers:
+            due_at = min(due_at, self._run_timer(step, now))
+        wait = min(max(due_at - now, 0.0), MAX_WAIT_SECONDS)
         ready = [key for key, _ in self._selector.select(wait)]
         self._has_handled_events = self._has_handled_events or bool(ready)
         for key in ready:
--- a/tests/connections/egress/test_accounts.py
+++ b/tests/connections/egress/test_accounts.py
@@ -6,13 +6,13 @@
 import os
 from typing import TYPE_CHECKING
 
+from siskinshift.bench.egress_link import datagram
 from siskinshift.connections.egress.accounts import DROP_LOG_INTERVAL_SECONDS
 from siskinshift.connections.egress.accounts import FULL
 from siskinshift.connections.egress.accounts import EgressAccounts
 from siskinshift.connections.egress.traffic_class import TrafficClass
 from siskinshift.connections.egress.waiting_packet import WaitingPacket
 from siskinshift.observability.event_log import EventLog
-from tests.connections.egress.builders import datagram
 
 
 if TYPE_CHECKING:
