--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -357,6 +357,8 @@
         detector = self._outlier_detector if policies.outlier_detection else None
         self._flows.outlier_detector = detector
         self.policies = policies
+        self.schedule_egress(policies.bulk_scheduling)
+        self._flows.is_link_scheduled = policies.bulk_scheduling
         self._policy_dissemination.configure(policies, routes)
         self.perform(self._policy_dissemination.to_uninformed(self.fleet.agents()))
 
