--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -389,7 +389,11 @@
         attempted = {attempt.agent.member.member_id for attempt in record.attempts}
         agents = self._fleet.agents_of(record.service_id)
         agent = self._placement.choose(
-            agents, record.flow, attempted=attempted, now=now
+            agents,
+            record.flow,
+            attempted=attempted,
+            now=now,
+            was_refused=any(a.verdict is Verdict.FULL for a in record.attempts),
         )
         if agent is None:
             return self._hold_opening(record, now=now)
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -94,14 +94,16 @@
         )
         self.policies = NO_POLICIES
         self._policy_dissemination = PolicyDissemination()
-        placement = AgentPlacement(
+        self.placement = AgentPlacement(
             failure_domain=settings.failure_domain,
             evacuations=self.evacuations,
             random=self.random,
+            settings=settings.policies,
+            log=self.log,
         )
         self._flows = BalancerFlows(
             fleet=self.fleet,
-            placement=placement,
+            placement=self.placement,
             failure_domain=settings.failure_domain,
             link_bytes_per_second=settings.link_bytes_per_second,
             log=self.log,
@@ -347,6 +349,7 @@
         if policies != self.policies:
             self.log.fact("load policies", **attrs.asdict(policies))
         self.policies = policies
+        self.placement.apply(policies)
         self._policy_dissemination.configure(policies, routes)
         self.perform(self._policy_dissemination.to_uninformed(self.fleet.agents()))
 
--- /dev/null
+++ b/tests/connections/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the placement of new flows."""
