--- a/src/siskinshift/connections/placement/spillover.py
+++ b/src/siskinshift/connections/placement/spillover.py
@@ -38,6 +38,8 @@
 # Largest change of the fraction in one step: a domain that is lost or overloaded at
 # once sheds half of its flows within 1.5 s.
 MAX_STEP = 0.2
+# Part of the difference from the balanced fraction by which a step changes it.
+STEP_GAIN = 0.5
 # Smaller changes are not made: they are within the noise of the reports.
 MIN_STEP = 0.03
 # Time constant by which reports lag: half of the two seconds over which agents measure
@@ -143,7 +145,7 @@
         if target < MIN_STEP:
             self.fraction = max(0.0, self.fraction - MAX_STEP)
         elif abs(change) >= MIN_STEP:
-            self.fraction += max(-MAX_STEP, min(MAX_STEP, change))
+            self.fraction += max(-MAX_STEP, min(MAX_STEP, STEP_GAIN * change))
 
     def _target(
         self,
