--- a/src/siskinshift/connections/placement/wait_policy.py
+++ b/src/siskinshift/connections/placement/wait_policy.py
@@ -56,6 +56,7 @@
         self._random = context.random
         self._loads_by_service: dict[str, ServiceLoad] = {}
         self._spillovers_by_service: dict[str, Spillover] = {}
+        self._exported_domains_by_service: dict[str, set[str]] = {}
 
     def choose(self, candidates: Candidates, *, now: float) -> Peer:
         """Chooses an agent; see `CostPolicy`."""
@@ -78,9 +79,8 @@
             return self._choose_by_flows(candidates, service, now=now)
         if self._random.random() < spillover.fraction:
             weights = spillover.free_fractions_by_domain
-            remote = [
-                a for a in candidates.remote if a.member.failure_domain in weights
-            ]
+            known = weights.keys() & service.domains_by_name.keys()
+            remote = [a for a in candidates.remote if a.member.failure_domain in known]
             if remote:
                 chosen = self._best(self._draw(remote, weights), service, now=now)
                 self._record_spilled(chosen, service, spillover, now=now)
@@ -237,11 +237,15 @@
     def _export_room(self, service_id: str, service: ServiceLoad) -> None:
         if self._context.log is None:
             return
-        for name, domain in service.domains_by_name.items():
+        exported = self._exported_domains_by_service.setdefault(service_id, set())
+        exported.update(service.domains_by_name)
+        for name in exported:
+            domain = service.domains_by_name.get(name)
             # Metric names allow only these characters, and gauges have no labels.
             suffix = re.sub(r"\W", "_", f"{service_id}_{name}", flags=re.ASCII)
             self._context.log.metrics.set_gauge(
-                f"placement_room_slots_{suffix}", round(domain.room, 3)
+                f"placement_room_slots_{suffix}",
+                round(domain.room, 3) if domain is not None else 0.0,
             )
 
 
--- a/tests/connections/placement/test_wait_policy.py
+++ b/tests/connections/placement/test_wait_policy.py
@@ -15,6 +15,7 @@
 from siskinshift.connections.owner_lookup import home_agents
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import LoadReport
+from siskinshift.connections.placement import SUSPECTED_AFTER_UNANSWERED
 from siskinshift.connections.placement import AgentPlacement
 from siskinshift.messages.core import MemberState
 from tests.connections.builders import fleet_of
@@ -192,3 +193,24 @@
             assert (chosen is None) == (not eligible)
             assert chosen is None or chosen.member.member_id in eligible
         assert chosen is None or chosen.member.member_id in set(allowed) - attempted
+
+
+def test_a_domain_that_is_back_gets_flows_from_the_next_sum_on() -> None:
+    """Guards against a failed choice: flows spill to a domain without a current sum."""
+    fleet = _fleet({"a": 1.0, "b": 0.2, "c": 0.2}, size=8)
+    log = quiet_log()
+    placement = _placement(log=log)
+    assert "b" in _domains(placement, fleet, seconds=5)
+    lost = [a for a in fleet.agents() if a.member.failure_domain == "b"]
+    for now in (5.25, 5.75, 6.25, 6.75, 7.25):
+        for unanswered in (SUSPECTED_AFTER_UNANSWERED, 0):
+            for agent in lost:
+                agent.unanswered_openings = unanswered
+            for port in range(100):
+                chosen = placement.choose(
+                    fleet.agents(), flow_of(port), attempted=(), now=now
+                )
+                assert chosen is not None
+                assert chosen not in lost
+        assert "siskinshift_placement_room_slots_editor_b 0" in log.metrics.render()
+        placement.choose(fleet.agents(), flow_of(1), attempted=(), now=now + 0.25)
