--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -397,18 +397,27 @@
 
     def _offer_to_next_agent(self, record: FlowRecord, *, now: float) -> list[Action]:
         attempted = {attempt.agent.member.member_id for attempt in record.attempts}
+        was_refused = any(a.verdict is Verdict.FULL for a in record.attempts)
         agents = eligible = self._fleet.agents_of(record.service_id)
         if self.outlier_detector is not None:
             eligible = self.outlier_detector.eligible(
                 record.service_id, agents, attempted=attempted, now=now
             )
         agent = self._placement.choose(
-            eligible, record.flow, attempted=attempted, now=now
+            eligible,
+            record.flow,
+            attempted=attempted,
+            now=now,
+            was_refused=was_refused,
         )
         if agent is None and eligible is not agents:
             # An ejected agent that accepts the flow is better than none.
             agent = self._placement.choose(
-                agents, record.flow, attempted=attempted, now=now
+                agents,
+                record.flow,
+                attempted=attempted,
+                now=now,
+                was_refused=was_refused,
             )
         if agent is None:
             return self._hold_opening(record, now=now)
