--- a/src/siskinshift/core/http.py
+++ b/src/siskinshift/core/http.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
+from attrs import Factory
 from attrs import frozen
 
 
@@ -12,7 +15,9 @@
     Attributes:
         status: HTTP status code.
         body: Response body.
+        headers: Headers by their name in lower case.
     """
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = Factory(dict)
--- a/src/siskinshift/kv/entry_slots.py
+++ b/src/siskinshift/kv/entry_slots.py
@@ -282,6 +282,19 @@
         )
         self._renew_at = requested_at + ttl / KEEP_ALIVES_PER_TTL
 
+    def on_restored(self, *, now: float) -> None:
+        """Records that the store was restored from an older copy.
+
+        The lease is not revoked: its id may belong to another balancer now.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        self._free_index = None
+        if self._held_slot is not None:
+            self._drop_slot(now)
+        self._lost_lease_id = 0
+
     def on_renewal_failed(self, *, now: float) -> None:
         """Records that a keep-alive received no reply.
 
--- a/src/siskinshift/kv/etcd.py
+++ b/src/siskinshift/kv/etcd.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 import copy
 import threading
 from http import HTTPStatus
@@ -19,15 +17,24 @@
 import orjson
 
 from siskinshift.core.clocks import monotonic_clock
-from siskinshift.kv.exceptions import StoreCompactedError
+from siskinshift.kv.etcd_codec import MALFORMED_ERRORS
+from siskinshift.kv.etcd_codec import decode_batch
+from siskinshift.kv.etcd_codec import decode_revision
+from siskinshift.kv.etcd_codec import decode_snapshot
+from siskinshift.kv.etcd_codec import encode_base64
+from siskinshift.kv.etcd_codec import encode_compare
+from siskinshift.kv.etcd_codec import encode_operation
+from siskinshift.kv.etcd_codec import prefix_range
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
+from siskinshift.kv.exceptions import StoreRestoredError
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.generations import UNKNOWN_GENERATION
+from siskinshift.kv.generations import GenerationTracker
 from siskinshift.kv.guard import Admission
 from siskinshift.kv.guard import CallClass
 from siskinshift.kv.guard import CallGuard
 from siskinshift.kv.port import Entry
 from siskinshift.kv.port import Lease
-from siskinshift.kv.port import Put
 from siskinshift.kv.port import Snapshot
 from siskinshift.kv.port import TransactionResult
 from siskinshift.kv.port import WatchBatch
@@ -52,16 +59,6 @@
 LEASE_REVOKE_PATH = "/v3/lease/revoke"
 WATCH_PATH = "/v3/watch"
 
-# Raised while decoding a document with an unexpected structure.
-MALFORMED_ERRORS = (
-    AttributeError,
-    IndexError,
-    KeyError,
-    TypeError,
-    ValueError,
-    binascii.Error,
-)
-
 
 class EtcdStore:
     """KeyValueStore over etcd's JSON gateway, protected by a CallGuard."""
@@ -87,6 +84,7 @@
         self._guard_lock = threading.Lock()
         self._transport = transport or HttpTransport(settings)
         self._clock = clock
+        self._generations = GenerationTracker()
 
     def with_call_class(self, call_class: CallClass) -> EtcdStore:
         """Returns a store of another class that shares the rate limit and breaker.
@@ -107,6 +105,17 @@
         with self._guard_lock:
             return self._guard.is_healthy
 
+    @property
+    def generation(self) -> int:
+        """Newest known generation; see KeyValueStore."""
+        return self._generations.current
+
+    def confirm_generation(self, key: str) -> int:
+        """Returns the generation as of now; see KeyValueStore."""
+        if self.generation != UNKNOWN_GENERATION:
+            self.revision_of(key)
+        return self.generation
+
     def get(self, key: str) -> Entry | None:
         """Reads one entry.
 
@@ -120,9 +129,9 @@
             StoreUnavailableError: No valid response arrived in time.
         """
         response = self._request_idempotent(
-            RANGE_PATH, {"key": _encode_base64(key.encode())}
+            RANGE_PATH, {"key": encode_base64(key.encode())}
         )
-        entries = _decode_snapshot(response).entries
+        entries = decode_snapshot(response, generation=self.generation).entries
         return entries[0] if entries else None
 
     def revision_of(self, key: str) -> int:
@@ -137,8 +146,9 @@
         Raises:
             StoreUnavailableError: No valid response arrived in time.
         """
-        body = {"key": _encode_base64(key.encode()), "keys_only": True}
-        entries = _decode_snapshot(self._request_idempotent(RANGE_PATH, body)).entries
+        body = {"key": encode_base64(key.encode()), "keys_only": True}
+        response = self._request_idempotent(RANGE_PATH, body)
+        entries = decode_snapshot(response, generation=self.generation).entries
         return entries[0].revision if entries else 0
 
     def list_prefix(self, prefix: str) -> Snapshot:
@@ -153,9 +163,8 @@
         Raises:
             StoreUnavailableError: No valid response arrived in time.
         """
-        return _decode_snapshot(
-            self._request_idempotent(RANGE_PATH, _prefix_range(prefix))
-        )
+        response = self._request_idempotent(RANGE_PATH, prefix_range(prefix))
+        return decode_snapshot(response, generation=self.generation)
 
     def transact(
         self, compares: tuple[Compare, ...], operations: tuple[Operation, ...]
@@ -174,15 +183,20 @@
             StoreOutcomeUnknownError: The transaction may have taken effect.
         """
         body = {
-            "compare": [_encode_compare(compare) for compare in compares],
-            "success": [_encode_operation(operation) for operation in operations],
+            "compare": [encode_compare(compare) for compare in compares],
+            "success": [encode_operation(operation) for operation in operations],
         }
+        sent_in = self.generation
         response = self._request(TRANSACTION_PATH, body)
+        if self.generation != sent_in and sent_in != UNKNOWN_GENERATION:
+            # It may have compared revisions that mean something else now.
+            raise StoreOutcomeUnknownError("the store was restored")
         try:
             succeeded = response.get("succeeded", False)
             if not isinstance(succeeded, bool):
                 raise TypeError("succeeded is not a boolean")
-            return TransactionResult(succeeded, _decode_revision(response))
+            revision = decode_revision(response)
+            return TransactionResult(succeeded, revision, self.generation)
         except MALFORMED_ERRORS as error:
             raise StoreOutcomeUnknownError("answer can't be read") from error
 
@@ -203,7 +217,8 @@
             LEASE_GRANT_PATH, {"TTL": str(max(1, round(ttl)))}
         )
         try:
-            return Lease(int(response["ID"]), float(int(response["TTL"])))
+            ttl = float(int(response["TTL"]))
+            return Lease(int(response["ID"]), ttl, self.generation)
         except MALFORMED_ERRORS as error:
             raise StoreUnavailableError("answer can't be read") from error
 
@@ -238,21 +253,27 @@
         """
         self._request_idempotent(LEASE_REVOKE_PATH, {"ID": str(lease_id)})
 
-    def watch(self, prefix: str, start_revision: int) -> EtcdWatch:
+    def watch(
+        self, prefix: str, start_revision: int, generation: int = UNKNOWN_GENERATION
+    ) -> EtcdWatch:
         """Opens a watch.
 
         Args:
             prefix: Prefix of the keys, not empty.
             start_revision: First revision to receive.
+            generation: Generation that gave it; UNKNOWN_GENERATION if the caller
+                orders by other means.
 
         Returns:
             The watch.
 
         Raises:
             StoreUnavailableError: The watch could not be opened.
+            StoreRestoredError: The store was restored since that revision.
         """
-        create = _prefix_range(prefix) | {"start_revision": str(start_revision)}
+        create = prefix_range(prefix) | {"start_revision": str(start_revision)}
         self._admit()
+        sent_in = self.generation
         try:
             body = orjson.dumps({"create_request": create})
             stream = self._transport.stream(WATCH_PATH, body)
@@ -260,7 +281,11 @@
             self._record_failure()
             raise
         self._record_success()
-        return EtcdWatch(stream)
+        observed = self._generations.observe(stream.headers, sent_in=sent_in)
+        if generation != UNKNOWN_GENERATION and observed != generation:
+            stream.close()
+            raise StoreRestoredError("the store was restored")
+        return EtcdWatch(stream, UNKNOWN_GENERATION if observed is None else observed)
 
     def _request_idempotent(self, path: str, body: object) -> dict[str, Any]:
         # A request that can't change the configuration may be repeated, so an unknown
@@ -272,11 +297,14 @@
 
     def _request(self, path: str, body: object) -> dict[str, Any]:
         self._admit()
+        sent_in = self.generation
         try:
             response = self._transport.post(path, orjson.dumps(body))
         except (StoreUnavailableError, StoreOutcomeUnknownError):
             self._record_failure()
             raise
+        if self._generations.observe(response.headers, sent_in=sent_in) is None:
+            raise StoreOutcomeUnknownError("the store was restored")
         if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             # etcd also returns this when a write timed out after it was proposed.
             self._record_failure()
@@ -315,8 +343,9 @@
 class EtcdWatch:
     """An open watch of EtcdStore."""
 
-    def __init__(self, stream: LineStream) -> None:
+    def __init__(self, stream: LineStream, generation: int) -> None:
         self._stream = stream
+        self._generation = generation
 
     def __iter__(self) -> Iterator[WatchBatch]:
         """Yields changes until the stream ends.
@@ -330,93 +359,10 @@
         """
         try:
             for line in self._stream:
-                yield _decode_batch(line)
+                yield decode_batch(line, generation=self._generation)
         finally:
             self.close()
 
     def close(self) -> None:
         """Closes the watch, even while another thread waits on it."""
         self._stream.close()
-
-
-def _encode_base64(data: bytes) -> str:
-    return base64.b64encode(data).decode()
-
-
-def _decode_base64(text: str) -> bytes:
-    return base64.b64decode(text, validate=True)
-
-
-def _prefix_range(prefix: str) -> dict[str, str]:
-    key = prefix.encode()
-    range_end = key[:-1] + bytes([key[-1] + 1])
-    return {"key": _encode_base64(key), "range_end": _encode_base64(range_end)}
-
-
-def _encode_compare(compare: Compare) -> dict[str, str]:
-    return {
-        "key": _encode_base64(compare.key.encode()),
-        "target": "MOD",
-        "result": "EQUAL",
-        "mod_revision": str(compare.revision),
-    }
-
-
-def _encode_operation(operation: Operation) -> dict[str, Any]:
-    key = _encode_base64(operation.key.encode())
-    if not isinstance(operation, Put):
-        return {"request_delete_range": {"key": key}}
-    put = {"key": key, "value": _encode_base64(operation.value)}
-    if operation.lease_id:
-        put["lease"] = str(operation.lease_id)
-    return {"request_put": put}
-
-
-def _decode_revision(response: dict[str, Any]) -> int:
-    revision = int(response["header"]["revision"])
-    if revision <= 0:
-        raise ValueError("revision is not positive")
-    return revision
-
-
-def _decode_snapshot(response: dict[str, Any]) -> Snapshot:
-    try:
-        entries = tuple(_decode_entry(item) for item in response.get("kvs") or ())
-        return Snapshot(entries, _decode_revision(response))
-    except MALFORMED_ERRORS as error:
-        raise StoreUnavailableError("answer can't be read") from error
-
-
-def _decode_entry(item: dict[str, str]) -> Entry:
-    return Entry(
-        key=_decode_base64(item["key"]).decode(),
-        value=_decode_base64(item.get("value", "")),
-        revision=int(item["mod_revision"]),
-    )
-
-
-def _decode_batch(line: bytes) -> WatchBatch:
-    try:
-        result = orjson.loads(line)["result"]
-        if int(result.get("compact_revision", "0")):
-            raise StoreCompactedError("the start revision was compacted")
-        if result.get("canceled"):
-            raise StoreUnavailableError("the store ended the watch")
-        events = result.get("events") or ()
-        return WatchBatch(
-            entries=tuple(
-                _decode_entry(event["kv"]) for event in events if not _is_delete(event)
-            ),
-            deleted_keys=tuple(
-                _decode_base64(event["kv"]["key"]).decode()
-                for event in events
-                if _is_delete(event)
-            ),
-            revision=_decode_revision(result),
-        )
-    except MALFORMED_ERRORS as error:
-        raise StoreUnavailableError("watch can't be read") from error
-
-
-def _is_delete(event: dict[str, Any]) -> bool:
-    return bool(event.get("type", "PUT") == "DELETE")
--- a/src/siskinshift/kv/exceptions.py
+++ b/src/siskinshift/kv/exceptions.py
@@ -16,6 +16,10 @@
     """A watch requested revisions that the store has compacted; read all again."""
 
 
+class StoreRestoredError(StoreCompactedError):
+    """The store was restored from an older copy; read all again."""
+
+
 class StoreOutcomeUnknownError(SiskinshiftError):
     """The response to a write was lost; the write may have taken effect."""
 
--- a/src/siskinshift/kv/port.py
+++ b/src/siskinshift/kv/port.py
@@ -8,6 +8,9 @@
 
 from attrs import frozen
 
+from siskinshift.kv.generations import UNKNOWN_GENERATION
+from siskinshift.kv.generations import StorePosition
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -21,11 +24,13 @@
         key: The key.
         value: The value.
         revision: Revision of the store at which the value was written.
+        generation: Generation of the store of which the entry was read.
     """
 
     key: str
     value: bytes
     revision: int
+    generation: int = UNKNOWN_GENERATION
 
 
 @frozen
@@ -35,10 +40,17 @@
     Attributes:
         entries: The entries, ordered by key.
         revision: Revision of the store at the time of the read.
+        generation: Generation of the store that gave the revision.
     """
 
     entries: tuple[Entry, ...]
     revision: int
+    generation: int = UNKNOWN_GENERATION
+
+    @property
+    def position(self) -> StorePosition:
+        """Generation and revision."""
+        return StorePosition(self.generation, self.revision)
 
 
 @frozen
@@ -90,10 +102,12 @@
     Attributes:
         succeeded: Whether all conditions held and all operations were applied.
         revision: Revision of the store after it; that of the writes if it succeeded.
+        generation: Generation of the store that gave the revision.
     """
 
     succeeded: bool
     revision: int
+    generation: int = UNKNOWN_GENERATION
 
 
 @frozen
@@ -103,10 +117,13 @@
     Attributes:
         lease_id: Its id.
         ttl: Time until it expires without a keep-alive, seconds.
+        generation: Generation of the store that granted it. In a later one the same id
+            may belong to another node.
     """
 
     lease_id: int
     ttl: float
+    generation: int = UNKNOWN_GENERATION
 
 
 @frozen
@@ -117,11 +134,18 @@
         entries: Entries written, in order.
         deleted_keys: Keys removed.
         revision: Revision up to which the watch has received all changes.
+        generation: Generation of the store that gave the revision.
     """
 
     entries: tuple[Entry, ...]
     deleted_keys: tuple[str, ...]
     revision: int
+    generation: int = UNKNOWN_GENERATION
+
+    @property
+    def position(self) -> StorePosition:
+        """Generation and revision."""
+        return StorePosition(self.generation, self.revision)
 
 
 class Watch(Protocol):
@@ -131,7 +155,8 @@
         """Yields batches of changes; ends at the watch's idle timeout.
 
         Raises:
-            StoreCompactedError: The start revision was compacted.
+            StoreCompactedError: The start revision was compacted; StoreRestoredError
+                if it was given by an earlier generation.
             StoreUnavailableError: The watch failed.
         """
 
@@ -143,9 +168,22 @@
     """A store with compare-and-swap, leases and watches; each request has a timeout.
 
     Reads raise StoreUnavailableError if no valid response arrived in time. Writes raise
-    it only if they certainly did not take effect, else StoreOutcomeUnknownError.
+    it only if they certainly did not take effect, else StoreOutcomeUnknownError. A
+    write whose response is of a later generation than the last one before it has an
+    unknown outcome: its conditions and leases were given by the earlier one.
     """
 
+    @property
+    def generation(self) -> int:
+        """Newest known generation of the store; UNKNOWN_GENERATION without one."""
+
+    def confirm_generation(self, key: str) -> int:
+        """Returns the generation as of now.
+
+        A lease is renewed or revoked only after this, since its id may be given out
+        again. It reads a key, except from a store without generations.
+        """
+
     def get(self, key: str) -> Entry | None:
         """Returns the entry of a key, or None if the key is absent."""
 
@@ -169,5 +207,7 @@
     def revoke_lease(self, lease_id: int) -> None:
         """Revokes a lease and removes its keys."""
 
-    def watch(self, prefix: str, start_revision: int) -> Watch:
+    def watch(
+        self, prefix: str, start_revision: int, generation: int = UNKNOWN_GENERATION
+    ) -> Watch:
         """Opens a watch on all keys with a prefix, starting at a revision."""
--- a/src/siskinshift/kv/transport.py
+++ b/src/siskinshift/kv/transport.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from siskinshift.settings.generated import KvSettings
 
@@ -31,6 +32,10 @@
 class LineStream(Protocol):
     """A streamed response with one JSON document per line."""
 
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Headers of the response by their name in lower case."""
+
     def __iter__(self) -> Iterator[bytes]:
         """Yields lines; ends at the idle timeout or when the store closes it."""
 
@@ -72,7 +77,9 @@
         try:
             connection.request("POST", path, body=body)
             response = connection.getresponse()
-            return HttpResponse(response.status, _read_body(response, deadline))
+            headers = _lower_names(response)
+            body = _read_body(response, deadline)
+            return HttpResponse(response.status, body, headers)
         except (OSError, http.client.HTTPException) as error:
             self._endpoint_index += 1
             raise StoreOutcomeUnknownError(f"answer lost: {error}") from error
@@ -133,6 +140,12 @@
         self._connection = connection
         self._response = response
         self._socket = stream_socket
+        self._headers = _lower_names(response)
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Headers of the response; see LineStream."""
+        return self._headers
 
     def __iter__(self) -> Iterator[bytes]:
         """Yields lines; see LineStream."""
@@ -154,6 +167,10 @@
             self._socket.shutdown(socket.SHUT_RDWR)
 
 
+def _lower_names(response: http.client.HTTPResponse) -> dict[str, str]:
+    return {name.lower(): value for name, value in response.getheaders()}
+
+
 def _read_body(response: http.client.HTTPResponse, deadline: float) -> bytes:
     # A store that sends a byte occasionally would never trigger the socket timeout.
     chunks: list[bytes] = []
--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -2,37 +2,40 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 import threading
 from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING
-from typing import Any
 from urllib.parse import urlencode
 
+import attrs
 from attrs import Factory
 from attrs import define
 
 from siskinshift.control.documents import encode_json
 from siskinshift.control.documents import get_integer
 from siskinshift.control.documents import get_objects
-from siskinshift.control.documents import get_string
-from siskinshift.control.documents import parse_object
 from siskinshift.control.exceptions import BadMessageError
 from siskinshift.core.clocks import monotonic_clock
-from siskinshift.kv.exceptions import StoreCompactedError
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.generations import GENERATION_HEADER
+from siskinshift.kv.generations import UNKNOWN_GENERATION
+from siskinshift.kv.generations import GenerationTracker
+from siskinshift.kv.generations import StorePosition
 from siskinshift.kv.guard import Admission
 from siskinshift.kv.guard import CallClass
 from siskinshift.kv.guard import CallGuard
-from siskinshift.kv.port import Entry
 from siskinshift.kv.port import Lease
 from siskinshift.kv.port import Put
 from siskinshift.kv.port import Snapshot
 from siskinshift.kv.port import TransactionResult
-from siskinshift.kv.port import WatchBatch
+from siskinshift.platform.store_codec import MALFORMED_ERRORS
+from siskinshift.platform.store_codec import decode_document
+from siskinshift.platform.store_codec import decode_entry
+from siskinshift.platform.store_codec import encode_put
+from siskinshift.platform.store_codec import response_generation
+from siskinshift.platform.store_watch import PlatformWatch
 from siskinshift.runtime.http_client import HttpClient
 from siskinshift.runtime.http_client import RequestNotSentError
 from siskinshift.runtime.http_client import ResponseLostError
@@ -40,12 +43,11 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from siskinshift.connections.node_settings import StoreSettings
     from siskinshift.core.clocks import Clock
     from siskinshift.core.http import HttpResponse
     from siskinshift.kv.port import Compare
+    from siskinshift.kv.port import Entry
     from siskinshift.kv.port import Operation
     from siskinshift.runtime.http_client import TransferProgress
 
@@ -56,17 +58,10 @@
 # before a saturated link.
 CALL_TIMEOUT_SECONDS = 0.6
 CONNECT_TIMEOUT_SECONDS = 0.3
-# A watch is a long poll that the store answers after this time at the latest; the
-# protocol allows 30 s. Keep-alive probes detect a stalled connection, and peers
-# announce a newer configuration, so long waits with few requests suffice.
-WATCH_WAIT_SECONDS = 28.0
-WATCH_SLACK_SECONDS = 0.6
 # Entries that expired during an outage of the store must be restored within two seconds
 # of its recovery, so the circuit breaker admits a probe at least once a second.
 MAX_BREAKER_OPEN_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
-# Raised while decoding a document with an unexpected structure.
-MALFORMED_ERRORS = (BadMessageError, KeyError, TypeError, ValueError, binascii.Error)
 
 
 @define(eq=False)
@@ -100,6 +95,7 @@
         stopping: threading.Event,
         clock: Clock = monotonic_clock,
         random: Random | None = None,
+        generations: GenerationTracker | None = None,
     ) -> None:
         """Initializes the store, which connects with the first request.
 
@@ -108,7 +104,10 @@
             stopping: Ends watches when set.
             clock: Clock of the process.
             random: Source of the breaker's jitter; None creates one.
+            generations: Tracker that all clients of the process share; None creates
+                one.
         """
+        self.generations = generations or GenerationTracker()
         self._settings = settings
         self._stopping = stopping
         self._clock = clock
@@ -126,6 +125,17 @@
         """Progress of the latest response to a read."""
         return self._read_connection.client.transfer
 
+    @property
+    def generation(self) -> int:
+        """Newest known generation; see KeyValueStore."""
+        return self.generations.current
+
+    def confirm_generation(self, key: str) -> int:
+        """Returns the generation as of now; see KeyValueStore."""
+        if self.generation != UNKNOWN_GENERATION:
+            self.get_stale(key)
+        return self.generation
+
     def get(self, key: str) -> Entry | None:
         """Reads one entry; see KeyValueStore."""
         return self._get(key, {})
@@ -176,7 +186,7 @@
                 for compare in compares
             ],
             "set-keys": [
-                _encode_put(operation)
+                encode_put(operation)
                 for operation in operations
                 if isinstance(operation, Put)
             ],
@@ -186,40 +196,50 @@
                 if not isinstance(operation, Put)
             ],
         }
+        sent_in = self.generation
         response = self._write("POST", "/kv-txn", body)
+        generation = response_generation(response)
+        if generation != sent_in and sent_in != UNKNOWN_GENERATION:
+            # It may have compared other revisions, or used a lease of another node.
+            raise StoreOutcomeUnknownError("the store was restored")
         if response.status == HTTPStatus.PRECONDITION_FAILED:
-            return TransactionResult(succeeded=False, revision=0)
+            return TransactionResult(False, 0, generation)
         if response.status == HTTPStatus.NOT_FOUND:
             raise StoreUnavailableError("no such lease")
-        document = _decode_document(response)
+        document = decode_document(response)
         try:
             revision = get_integer(document, "revision")
         except BadMessageError as error:
             # The transaction was applied; the caller has to read its result.
             raise StoreOutcomeUnknownError("malformed response") from error
-        return TransactionResult(succeeded=True, revision=revision)
+        return TransactionResult(True, revision, generation)
 
     def grant_lease(self, ttl: float) -> Lease:
         """Grants a lease; see KeyValueStore. It expires if the response is lost."""
         ttl = max(ttl, self._settings.lease_minimum)
         body = {"ttl-ms": round(ttl * MILLISECONDS_PER_SECOND)}
-        document = _decode_document(self._request("POST", "/kv-lease", body))
+        response = self._request("POST", "/kv-lease", body)
+        document = decode_document(response)
         try:
             return Lease(
                 get_integer(document, "lease", minimum=1),
                 get_integer(document, "ttl-ms") / MILLISECONDS_PER_SECOND,
+                response_generation(response),
             )
         except MALFORMED_ERRORS as error:
             raise StoreUnavailableError("malformed response") from error
 
     def keep_alive(self, lease_id: int) -> float:
         """Renews a lease; see KeyValueStore."""
+        sent_in = self.generation
         response = self._request("POST", f"/kv-keep/{lease_id}")
         if response.status == HTTPStatus.NOT_FOUND:
             return 0.0
+        if response_generation(response) != sent_in != UNKNOWN_GENERATION:
+            return 0.0
         try:
             return (
-                get_integer(_decode_document(response), "ttl-ms")
+                get_integer(decode_document(response), "ttl-ms")
                 / MILLISECONDS_PER_SECOND
             )
         except MALFORMED_ERRORS as error:
@@ -229,9 +249,12 @@
         """Revokes a lease; see KeyValueStore."""
         self._request("DELETE", f"/kv-lease-end/{lease_id}")
 
-    def watch(self, prefix: str, start_revision: int) -> PlatformWatch:
+    def watch(
+        self, prefix: str, start_revision: int, generation: int = UNKNOWN_GENERATION
+    ) -> PlatformWatch:
         """Opens a watch; see KeyValueStore."""
-        return PlatformWatch(self, prefix, start_revision - 1)
+        position = StorePosition(generation, start_revision - 1)
+        return PlatformWatch(self, prefix, position)
 
     def close(self) -> None:
         """Aborts all requests, even those that wait in other threads."""
@@ -248,25 +271,32 @@
         response = self._read("/kv-key?" + urlencode({"key": key, **options}))
         if response.status == HTTPStatus.NOT_FOUND:
             return None
-        return _decode_entry(_decode_document(response))
+        generation = response_generation(response)
+        return decode_entry(decode_document(response), generation=generation)
 
     def _list(self, prefix: str, options: dict[str, str]) -> Snapshot:
         entries: list[Entry] = []
         revision = 0
+        generation: int | None = None
         query = {"prefix": prefix, **options}
         while True:
             response = self._read("/kv-range?" + urlencode(query))
-            document = _decode_document(response)
+            document = decode_document(response)
+            if generation is None:
+                generation = response_generation(response)
+            elif generation != response_generation(response):
+                raise StoreUnavailableError("the store was restored between two pages")
             try:
                 entries += [
-                    _decode_entry(item) for item in get_objects(document, "items")
+                    decode_entry(item, generation=generation)
+                    for item in get_objects(document, "items")
                 ]
                 revision = revision or get_integer(document, "as-of")
                 has_more = document["has-more"] is True
             except MALFORMED_ERRORS as error:
                 raise StoreUnavailableError("malformed response") from error
             if not has_more or not entries:
-                return Snapshot(tuple(entries), revision)
+                return Snapshot(tuple(entries), revision, generation)
             query["after"] = entries[-1].key
 
     def _read(self, target: str) -> HttpResponse:
@@ -330,6 +360,7 @@
             StoreUnavailableError: The request did not take effect.
             StoreOutcomeUnknownError: The request may have taken effect.
         """
+        sent_in = self.generation
         try:
             response = client.request(method, target, body, timeout=timeout)
         except RequestNotSentError as error:
@@ -338,6 +369,9 @@
         except ResponseLostError as error:
             self._guard.record_failure(now=self._clock())
             raise StoreOutcomeUnknownError(f"response lost: {error}") from error
+        generation = self.generations.observe(response.headers, sent_in=sent_in)
+        if generation is None:
+            raise StoreOutcomeUnknownError("the store was restored")
         if response.status in (
             HTTPStatus.SERVICE_UNAVAILABLE,
             HTTPStatus.TOO_MANY_REQUESTS,
@@ -345,7 +379,10 @@
             self._guard.record_failure(now=self._clock())
             raise StoreUnavailableError(f"refused with status {response.status}")
         self._guard.record_success()
-        return response
+        if generation == UNKNOWN_GENERATION:
+            return response
+        # Decoders read the last good value.
+        return attrs.evolve(response, headers={GENERATION_HEADER: str(generation)})
 
     def _admit(self) -> None:
         with self._guard_lock:
@@ -365,95 +402,3 @@
     def is_stopping(self) -> bool:
         """Whether watches must end."""
         return self._stopping.is_set()
-
-
-class PlatformWatch:
-    """A watch implemented by long polling."""
-
-    def __init__(self, store: PlatformStore, prefix: str, revision: int) -> None:
-        """Initializes the watch; the first iteration sends the first request.
-
-        Args:
-            store: The store.
-            prefix: Prefix of the keys.
-            revision: Revision up to which all changes are known.
-        """
-        self._store = store
-        self._prefix = prefix
-        self._revision = revision
-        self._client = store.new_watch_client()
-
-    def __iter__(self) -> Iterator[WatchBatch]:
-        """Yields changes until the process stops; see Watch."""
-        while not self._store.is_stopping:
-            query = urlencode(
-                {
-                    "prefix": self._prefix,
-                    "after": self._revision,
-                    "wait-ms": round(WATCH_WAIT_SECONDS * MILLISECONDS_PER_SECOND),
-                }
-            )
-            yield self._poll("/kv-watch?" + query)
-
-    @property
-    def transfer(self) -> TransferProgress:
-        """Progress of the latest response."""
-        return self._client.transfer
-
-    def close(self) -> None:
-        """Closes the watch, even while another thread waits on it."""
-        self._client.close()
-
-    def _poll(self, target: str) -> WatchBatch:
-        try:
-            response = self._store.exchange(
-                self._client,
-                "GET",
-                target,
-                b"",
-                timeout=WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS,
-            )
-        except StoreOutcomeUnknownError as error:
-            raise StoreUnavailableError(str(error)) from error
-        if response.status == HTTPStatus.GONE:
-            raise StoreCompactedError("the start revision was compacted")
-        document = _decode_document(response)
-        try:
-            events = get_objects(document, "events")
-            self._revision = max(self._revision, get_integer(document, "as-of"))
-            return WatchBatch(
-                entries=tuple(
-                    _decode_entry(event) for event in events if not event.get("removed")
-                ),
-                deleted_keys=tuple(
-                    get_string(event, "key") for event in events if event.get("removed")
-                ),
-                revision=self._revision,
-            )
-        except MALFORMED_ERRORS as error:
-            raise StoreUnavailableError("malformed response") from error
-
-
-def _decode_document(response: HttpResponse) -> dict[str, Any]:
-    if response.status != HTTPStatus.OK:
-        raise StoreUnavailableError(f"refused with status {response.status}")
-    try:
-        return parse_object(response.body)
-    except BadMessageError as error:
-        raise StoreUnavailableError("response is not a JSON object") from error
-
-
-def _decode_entry(item: dict[str, Any]) -> Entry:
-    try:
-        return Entry(
-            key=get_string(item, "key"),
-            value=base64.b64decode(item["value"], validate=True),
-            revision=get_integer(item, "revision"),
-        )
-    except MALFORMED_ERRORS as error:
-        raise StoreUnavailableError("malformed entry") from error
-
-
-def _encode_put(put: Put) -> dict[str, Any]:
-    value = base64.b64encode(put.value).decode()
-    return {"key": put.key, "value": value, "lease": put.lease_id}
--- a/src/siskinshift/runtime/http_client.py
+++ b/src/siskinshift/runtime/http_client.py
@@ -88,10 +88,14 @@
 class _ResponseCollector:
     """Collects one response from the callbacks of the parser."""
 
+    headers: dict[str, str] = Factory(dict)
     parts: list[bytes] = Factory(list)
     size: int = 0
     is_complete: bool = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, body: bytes) -> None:
         self.size += len(body)
         if self.size > MAX_RESPONSE_BYTES:
@@ -243,7 +247,8 @@
             connection.settimeout(min(timeout, MAX_PART_INTERVAL_SECONDS))
         if not parser.should_keep_alive():
             self._disconnect()
-        return HttpResponse(parser.get_status_code(), b"".join(collector.parts))
+        body = b"".join(collector.parts)
+        return HttpResponse(parser.get_status_code(), body, collector.headers)
 
 
 def _enable_keepalive(connection: socket.socket) -> None:
--- a/src/siskinshift/runtime/http_server.py
+++ b/src/siskinshift/runtime/http_server.py
@@ -11,6 +11,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
@@ -65,11 +66,13 @@
         status: HTTP status code.
         body: Response body.
         content_type: Content type of the body.
+        headers: Further headers by name.
     """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
+    headers: Mapping[str, str] = Factory(dict)
 
 
 Handler: TypeAlias = Callable[[HttpRequest], ServerResponse]
@@ -193,11 +196,12 @@
         response = self._handle(
             HttpRequest(method, collector.path, body, collector.query)
         )
+        further = "".join(f"{k}: {v}\r\n" for k, v in response.headers.items())
         head = (
             f"HTTP/1.1 {response.status} "
             f"{_REASONS_BY_STATUS.get(response.status, 'Status')}\r\n"
             f"Content-Type: {response.content_type}\r\n"
-            f"Content-Length: {len(response.body)}\r\n\r\n"
+            f"Content-Length: {len(response.body)}\r\n{further}\r\n"
         )
         connection.sendall(head.encode() + response.body)
         return bool(parser.should_keep_alive())
--- a/src/siskinshift/standins/kv.py
+++ b/src/siskinshift/standins/kv.py
@@ -51,10 +51,15 @@
 
     def _send(self, status: HTTPStatus, data: bytes) -> None:
         self.send_response(status)
+        self._send_store_headers()
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
         self.wfile.write(data)
 
+    def _send_store_headers(self) -> None:
+        for name, value in self.server.stand_in.headers.items():
+            self.send_header(name, value)
+
     def _serve_watch(self, create: dict[str, Any]) -> None:
         stand_in = self.server.stand_in
         rejection_status = stand_in.admit_watch()
@@ -63,6 +68,7 @@
             return
         self.close_connection = True
         self.send_response(HTTPStatus.OK)
+        self._send_store_headers()
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         self._send_line({"header": {"revision": "1"}, "created": True})
@@ -91,13 +97,14 @@
 class KvStandIn:
     """Serves the used subset of the etcd v3 JSON API, with injectable faults."""
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, *, era: int | None = None) -> None:
         """Binds the server.
 
         Args:
             endpoint: Endpoint to bind; port 0 chooses a free port.
+            era: First value of the header `Store-Era`; None sends none.
         """
-        self._state = KvState(monotonic_clock)
+        self._state = KvState(monotonic_clock, era=era)
         self._changed = threading.Condition()
         self._is_stopped = False
         self._server = _KvServer((endpoint.host, endpoint.port), _KvHandler)
@@ -146,6 +153,17 @@
             self._state.lapse_leases()
             self._changed.notify_all()
 
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers of all responses."""
+        return self._state.headers
+
+    def restore(self, *, age: float, pause: float = 0.0) -> None:
+        """Restores the store from a copy; watches end. See `KvState.restore`."""
+        with self._changed:
+            self._state.restore(age=age, pause=pause)
+            self._changed.notify_all()
+
     def start(self) -> None:
         """Starts serving."""
         self._executor.submit(self._server.serve_forever, 0.1)
@@ -199,7 +217,10 @@
             The "result" of a line, or None if the watch has to end.
         """
         with self._changed:
+            era = self._state.era
             while not self._is_stopped and not self._state.faults.down:
+                if self._state.era != era:
+                    return None
                 result, next_revision = self._state.events_from(create)
                 create["start_revision"] = str(next_revision)
                 if "events" in result or "canceled" in result:
--- a/src/siskinshift/standins/kv_direct.py
+++ b/src/siskinshift/standins/kv_direct.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from siskinshift.standins.kv_state import KvState
 
@@ -42,9 +43,8 @@
         except ResponseLost as error:
             raise StoreOutcomeUnknownError("lost") from error
         garbage = self._state.faults.garbage
-        return HttpResponse(
-            status, orjson.dumps(response) if garbage is None else garbage
-        )
+        encoded = orjson.dumps(response) if garbage is None else garbage
+        return HttpResponse(status, encoded, _lower_names(self._state.headers))
 
     def stream(self, path: str, body: bytes) -> OneShotStream:
         """Opens a watch.
@@ -71,6 +71,12 @@
     def __init__(self, state: KvState, create: dict[str, str]) -> None:
         self._state = state
         self._create = create
+        self._headers = _lower_names(state.headers)
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Headers of the response."""
+        return self._headers
 
     def __iter__(self) -> Iterator[bytes]:
         """Reads the pending events.
@@ -86,3 +92,7 @@
 
     def close(self) -> None:
         """Does nothing: the stream holds no resources."""
+
+
+def _lower_names(headers: Mapping[str, str]) -> dict[str, str]:
+    return {name.lower(): value for name, value in headers.items()}
--- a/src/siskinshift/standins/kv_state.py
+++ b/src/siskinshift/standins/kv_state.py
@@ -16,6 +16,8 @@
 from attrs import define
 from attrs import frozen
 
+from siskinshift.standins.store_copies import StoreCopies
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +29,7 @@
 
 MAX_VALUE_SIZE = 1 << 20
 FIRST_LEASE_ID = 7000
+ERA_HEADER = "Store-Era"
 
 
 class ResponseLost(Exception):
@@ -85,14 +88,18 @@
         request_counts_by_path: Number of requests received so far by path; a watch
             counts as one.
         revision: Current revision of the store.
+        era: Value of the header `Store-Era`; None sends none. Copies for `restore` are
+            kept while it is set.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, *, era: int | None = None) -> None:
         """Initializes an empty store.
 
         Args:
             clock: Clock of leases and of the rate limit, in seconds.
+            era: First value of the header `Store-Era`; None sends none.
         """
+        self.era = era
         self.faults = KvFaults()
         self.request_counts_by_path: Counter[str] = Counter()
         self.revision = 1
@@ -112,6 +119,39 @@
             "/v3/lease/keepalive": self._renew_lease,
             "/v3/lease/revoke": self._handle_revoke,
         }
+        self._unavailable_until = float("-inf")
+        self._copies = StoreCopies(
+            clock,
+            fields=(
+                "revision",
+                "_stored_by_key",
+                "_leases_by_id",
+                "_last_lease_id",
+                "_history",
+                "_compacted_revision",
+            ),
+        )
+        self._copies.record(self)
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers of all responses."""
+        return {} if self.era is None else {ERA_HEADER: str(self.era)}
+
+    def restore(self, *, age: float, pause: float = 0.0) -> None:
+        """Restores the store from a copy; revisions and leases are given out again.
+
+        Args:
+            age: Age of the copy, seconds.
+            pause: Time from now during which requests get no response, seconds.
+        """
+        self._copies.restore(self, age=age)
+        self._unavailable_until = self._clock() + pause
+        for lease in self._leases_by_id.values():
+            lease.expires_at = self._unavailable_until + lease.ttl
+        if self.era is not None:
+            self.era += 1
+            self._copies.record(self)
 
     def handle(self, path: str, body: Document) -> tuple[HTTPStatus, Document]:
         """Handles a request.
@@ -126,6 +166,8 @@
         Raises:
             ResponseLost: The response, or the request itself, is dropped.
         """
+        if self._clock() < self._unavailable_until:
+            raise ResponseLost
         rejection_status = self.admit_request(path)
         if rejection_status is not None:
             return rejection_status, {"error": rejection_status.phrase}
@@ -139,6 +181,8 @@
             self.faults.lose_writes -= 1
             raise ResponseLost
         response = handler(body)
+        if self.era is not None and not path.endswith("/range"):
+            self._copies.record(self)
         if is_write and self.faults.lose_write_responses:
             self.faults.lose_write_responses -= 1
             raise ResponseLost
--- a/tests/connections/test_processes.py
+++ b/tests/connections/test_processes.py
@@ -10,7 +10,7 @@
 
 from siskinshift.connections.registration import member_key
 from siskinshift.messages.core import Role
-from siskinshift.platform.store import WATCH_WAIT_SECONDS
+from siskinshift.platform.store_watch import WATCH_WAIT_SECONDS
 from siskinshift.standins.connection_ends import FlowReset
 from siskinshift.standins.connection_ends import FlowTimeout
 from tests.connections.deployment import Deployment
