--- a/src/siskinshift/configuration/read_schedule.py
+++ b/src/siskinshift/configuration/read_schedule.py
@@ -144,6 +144,15 @@
         if compacted:
             self._root_revision = NEVER_READ
 
+    def on_restored(self) -> None:
+        """Records that the store was restored from an older copy.
+
+        Revisions of the earlier generation mean something else now, so all records are
+        read again, at the pace of failed requests if there were any.
+        """
+        self._root_revision = NEVER_READ
+        self._received_revision = 0
+
     def on_failed(self, *, now: float) -> None:
         """Records a failed request.
 
--- a/src/siskinshift/configuration/reader.py
+++ b/src/siskinshift/configuration/reader.py
@@ -25,6 +25,7 @@
 from siskinshift.kv.exceptions import StoreCompactedError
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.generations import UNKNOWN_GENERATION
 from siskinshift.kv.port import Compare
 from siskinshift.kv.port import Put
 from siskinshift.messages.configuration import EntrySlotHolder
@@ -105,6 +106,7 @@
         self._slots = EntrySlots(settings, random=random)
         self._schedule = ReadSchedule(settings, random=random)
         self._notified_revision = 0
+        self._generation = store.generation
         self._watch: Watch | None = None
         self._is_stopped = False
 
@@ -140,6 +142,7 @@
 
     def step(self) -> None:
         """Executes the actions that are due."""
+        self._handle_restore()
         with self._lock:
             slot_action = self._slots.step(now=self._clock())
         if slot_action is not None:
@@ -155,6 +158,23 @@
         if read_action is not None:
             self._execute_read_action(read_action)
 
+    def _handle_restore(self) -> None:
+        """Forgets what an earlier generation of the store gave."""
+        generation = self._store.generation
+        previous, self._generation = self._generation, generation
+        if generation == previous or previous == UNKNOWN_GENERATION:
+            return
+        _log.info("The store was restored.", generation=generation, previous=previous)
+        with self._lock:
+            self._schedule.on_restored()
+            self._slots.on_restored(now=self._clock())
+            watch = self._watch
+        if watch is not None:
+            watch.close()
+
+    def _is_lease_current(self) -> bool:
+        return self._store.confirm_generation(self._slot_prefix) == self._generation
+
     def _notify_slot_change(self) -> None:
         with self._lock:
             revision = self._slots.held_revision(now=self._clock())
@@ -214,6 +234,8 @@
     def _renew_lease(self, action: RenewLease) -> None:
         requested_at = self._clock()
         try:
+            if not self._is_lease_current():
+                return
             ttl = self._store.keep_alive(action.lease_id)
         except StoreUnavailableError:
             with self._lock:
@@ -224,7 +246,8 @@
 
     def _revoke_lease(self, action: RevokeLease) -> None:
         try:
-            self._store.revoke_lease(action.lease_id)
+            if self._is_lease_current():
+                self._store.revoke_lease(action.lease_id)
         except StoreUnavailableError:
             return  # The lease expires by itself.
 
@@ -262,7 +285,9 @@
 
     def _open_watch(self, action: OpenWatch) -> None:
         try:
-            watch = self._store.watch(CONFIGURATION_PREFIX, action.start_revision)
+            watch = self._store.watch(
+                CONFIGURATION_PREFIX, action.start_revision, self._generation
+            )
         except StoreUnavailableError:
             with self._lock:
                 self._schedule.on_watch_ended()
--- a/src/siskinshift/configuration/store.py
+++ b/src/siskinshift/configuration/store.py
@@ -32,6 +32,7 @@
 from siskinshift.control.exceptions import BadMessageError
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.generations import UNKNOWN_GENERATION
 from siskinshift.kv.guard import Backoff
 from siskinshift.kv.port import Compare
 from siskinshift.kv.port import Put
@@ -182,20 +183,26 @@
         check_change_id(change_id)
         check_name("service", change.service_id)
         for _ in range(MAX_WRITE_ATTEMPTS):
+            generation = self._store.generation
             configuration = self.read()
+            if generation == UNKNOWN_GENERATION:
+                generation = self._store.generation
             applied = configuration.root.find(change_id)
             if applied is not None:
                 return _accepted_earlier(applied, change, configuration)
             record = _changed_record(change, change_id, configuration)
-            accepted = self._try_write(record, configuration)
+            accepted = self._try_write(record, configuration, generation)
             if accepted is not None:
                 return accepted
         raise StoreUnavailableError("other changes kept coming first")
 
     def _try_write(
-        self, record: Service, configuration: Configuration
+        self, record: Service, configuration: Configuration, generation: int
     ) -> AcceptedChange | None:
         """Writes a record; returns None if a conflict rules it out permanently."""
+        if self._store.generation != generation:
+            # The revisions that were read mean something else now.
+            return None
         current = configuration.services_by_id.get(record.service_id)
         key = service_key(record.service_id)
         root = configuration.root.with_change(record.change_id, record.service_id)
@@ -207,13 +214,13 @@
         try:
             result = self._store.transact(compares, puts)
         except StoreOutcomeUnknownError:
-            return self._resolve(record, configuration.root)
+            return self._resolve(record, configuration.root, generation)
         if not result.succeeded:
             return None
         return _accepted(record, result.revision)
 
     def _resolve(
-        self, record: Service, earlier_root: RootEntry
+        self, record: Service, earlier_root: RootEntry, generation: int
     ) -> AcceptedChange | None:
         """Determines the outcome of a write whose response was lost.
 
@@ -221,11 +228,14 @@
         its absence proves nothing. The write compares the root's revision: once that
         has advanced, the write can no longer take effect. If the revision has not
         advanced, a fence advances it. After that, the change history in the root is
-        conclusive.
+        conclusive. It is not if the store was restored since, as the restore may have
+        taken the write back, or the write may still arrive.
         """
         for attempt in range(1, MAX_RESOLVE_ATTEMPTS + 1):
             try:
                 root = self._read_root()
+                if self._store.generation != generation:
+                    break
                 if root.revision == earlier_root.revision:
                     self._write_fence(root)
                     continue
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -27,6 +27,7 @@
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.peer_messages import WarmUpRate
+from siskinshift.connections.put_back import PutBack
 from siskinshift.connections.registration import role_prefix
 from siskinshift.connections.snapshot_upload import SnapshotUpload
 from siskinshift.connections.snapshot_writer import choose_writer
@@ -111,6 +112,13 @@
             flows=self._collect_snapshot,
             upload=self._snapshot_upload.upload,
             log=self.log,
+            put_back=PutBack(
+                "flow list",
+                order=1,
+                spread=self.put_back_spread,
+                random=self.random,
+                log=self.log,
+            ),
         )
         self._heartbeat_schedule = self.new_heartbeat_schedule(
             interval=MIN_HEARTBEAT_INTERVAL_SECONDS
@@ -223,13 +231,14 @@
     def _on_evacuations(
         self, evacuations: Evacuations, source: tuple[str, int], *, now: float
     ) -> Iterable[Action]:
+        replies: list[Action] = []
         if self.evacuations.supersedes(evacuations):
             current = encode_evacuations_message(self.evacuations.current)
-            return [ToPeer(source, current)]
+            replies = [ToPeer(source, current)]
         self.evacuations.update(evacuations)
         is_evacuated = self.evacuations.is_evacuated(self.member.failure_domain)
         if is_evacuated == self.flows.is_evacuated:
-            return ()
+            return replies
         self.flows.is_evacuated = is_evacuated
         if not is_evacuated:
             # The upstream may have become cold since its last heartbeat.
@@ -240,7 +249,7 @@
             source=source[0],
             flows=len(self.flows),
         )
-        return ()
+        return replies
 
     def on_due(self, now: float) -> float:
         """Sends due heartbeats to balancers and checks the upstream."""
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -12,6 +12,7 @@
 from siskinshift.connections.configuration_follower import STORE_SOURCE
 from siskinshift.connections.configuration_follower import ConfigurationFollower
 from siskinshift.connections.configuration_follower import ReceivedConfiguration
+from siskinshift.connections.configuration_start import ConfigurationStart
 from siskinshift.connections.evacuation_dissemination import EvacuationDissemination
 from siskinshift.connections.evacuation_reader import EvacuationReader
 from siskinshift.connections.evacuations import EvacuationRegister
@@ -33,6 +34,7 @@
 from siskinshift.connections.snapshot_writer import SnapshotWriter
 from siskinshift.control.documents import parse_object
 from siskinshift.control.exceptions import BadMessageError
+from siskinshift.kv.generations import UNKNOWN_GENERATION
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.platform.configuration import CONFIGURATION_KEY
@@ -72,6 +74,8 @@
 BALANCER_HEARTBEAT_INTERVAL_SECONDS = 0.5
 FETCH_TIMEOUT_SECONDS = 1.0
 SHUTDOWN_CHECK_INTERVAL_SECONDS = 0.05
+# Interval at which a starting balancer checks whether its peers have replied.
+START_CHECK_INTERVAL_SECONDS = 0.02
 # Limit of datagrams in which a terminating balancer announces the owners of its flows:
 # one for each agent and successor. 400 of about 150 bytes occupy a link of 7 Mbit/s for
 # 70 ms; owners of the remaining flows are looked up.
@@ -113,7 +117,9 @@
         self.add_cleanup(self._caller_socket.close)
         # Separate connections and a separate circuit breaker: failures to read the
         # configuration must not delay lease renewal or reading the members.
-        configuration_store = PlatformStore(settings.store, stopping=self.stopping)
+        configuration_store = PlatformStore(
+            settings.store, stopping=self.stopping, generations=self.generations
+        )
         self.add_cleanup(configuration_store.close)
         self._follower = ConfigurationFollower(
             store=configuration_store,
@@ -138,6 +144,9 @@
         self._peer_client: HttpClient | None = None
         self._is_fetching = False
         self._catch_up = CatchUp()
+        self._start = ConfigurationStart[tuple["RouteTable", ReceivedConfiguration]](
+            self.fleet
+        )
         self._agent_schedule = self.new_heartbeat_schedule(
             interval=AGENT_HEARTBEAT_INTERVAL_SECONDS
         )
@@ -151,6 +160,7 @@
         """Starts to forward packets, follow the configuration and write snapshots."""
         super().on_start()
         self.add_cleanup(self._follower.stop)
+        self.generations.add_listener(self._follower.read_again)
         self.add_cleanup(self._cancel_fetch)
         self.spawn(self._follower.follow_until, self.stopping)
         self.spawn(self._snapshot_writer.write_until, self.stopping)
@@ -227,6 +237,7 @@
 
     def on_due(self, now: float) -> float:
         """Sends heartbeats to peers and handles expired timers of flows."""
+        self._continue_after_restore(now)
         self.perform(self._flows.tick(now=now))
         if now >= self._balancer_schedule.next_due:
             for heartbeat_round in self._balancer_schedule.due(
@@ -246,8 +257,20 @@
             self._balancer_schedule.next_due,
             self._agent_schedule.next_due,
             self._advance_shutdown(now),
+            now + START_CHECK_INTERVAL_SECONDS
+            if self._start.is_holding
+            else float("inf"),
         )
 
+    def _continue_after_restore(self, now: float) -> None:
+        first = self._start.take(
+            is_fetching=self._is_fetching, fetch=self._start_fetch, now=now
+        )
+        if first is not None:
+            self.configure(*first)
+        if self.evacuations.settle(now=now):
+            self._apply_evacuations(source="hold ended")
+
     def _update_state(self) -> None:
         state = MemberState.READY if self._can_place_flows else MemberState.JOINING
         if (
@@ -317,7 +340,15 @@
             )
             return
 
-        self.loop.call(lambda: self.configure(routes, received))
+        def apply() -> None:
+            is_first = self._flows.routes is None
+            has_generation = self.store.generation != UNKNOWN_GENERATION
+            if is_first and has_generation and received.source == STORE_SOURCE:
+                self._start.hold((routes, received), now=self.clock())
+            else:
+                self.configure(routes, received)
+
+        self.loop.call(apply)
 
     def configure(self, routes: RouteTable, received: ReceivedConfiguration) -> None:
         """Applies a configuration unless it is out of date; runs on the loop's thread.
@@ -326,6 +357,7 @@
             routes: The configuration.
             received: Its encoded form, for peers that can't read it from the store.
         """
+        self._start.discard()
         policies = resolve_policies(self.node_settings.policies, routes)
         is_newer = self._flows.configure(routes_with_kinds(routes, policies))
         self.log.fact(
@@ -357,12 +389,15 @@
             evacuations: The evacuated failure domains.
             source: Where they were read: the store or a peer's host.
         """
-        if not self.evacuations.update(evacuations):
-            return
+        if self.evacuations.update(evacuations):
+            self._apply_evacuations(source=source)
+
+    def _apply_evacuations(self, *, source: str) -> None:
+        current = self.evacuations.current
         self.log.fact(
             "evacuations in force",
-            domains=",".join(sorted(evacuations.domains)),
-            revision=evacuations.revision,
+            domains=",".join(sorted(current.in_force)),
+            revision=current.revision,
             source=source,
         )
         now = self.clock()
@@ -380,8 +415,11 @@
             now=now,
         )
         if is_due and not self._is_fetching:
-            self._is_fetching = True
-            self.spawn(self._fetch, peer.member.member_id, peer.member.control)
+            self._start_fetch(peer)
+
+    def _start_fetch(self, peer: Peer) -> None:
+        self._is_fetching = True
+        self.spawn(self._fetch, peer.member.member_id, peer.member.control)
 
     def _fetch(self, peer_id: str, endpoint: Endpoint) -> None:
         self._peer_client = client = HttpClient(
@@ -430,7 +468,7 @@
             value = self._configuration_value
             return ServerResponse(200, value) if value else ServerResponse(503)
         current = self.evacuations.current
-        self.log.metrics.set_gauge("evacuated_domains", len(current.domains))
+        self.log.metrics.set_gauge("evacuated_domains", len(current.in_force))
         self.log.metrics.set_gauge("evacuations_revision", current.revision)
         if request.path == EVACUATIONS_PATH:
             return ServerResponse(200, encode_evacuations(current))
--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -9,7 +9,10 @@
 
 from siskinshift.connections.store_availability import StoreAvailability
 from siskinshift.kv.exceptions import StoreCompactedError
+from siskinshift.kv.exceptions import StoreRestoredError
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.generations import UNKNOWN_GENERATION
+from siskinshift.kv.generations import StorePosition
 from siskinshift.kv.guard import Backoff
 from siskinshift.kv.port import Watch
 
@@ -65,7 +68,9 @@
     def list_prefix(self, prefix: str) -> Snapshot:
         """Reads all entries with a prefix."""
 
-    def watch(self, prefix: str, start_revision: int) -> TransferringWatch:
+    def watch(
+        self, prefix: str, start_revision: int, generation: int = UNKNOWN_GENERATION
+    ) -> TransferringWatch:
         """Opens a watch."""
 
 
@@ -105,7 +110,7 @@
             "configuration", retry=RETRY_BACKOFF, random=random, log=log
         )
         self._is_behind = False
-        self._read_revision = 0
+        self._read_position = StorePosition()
         self._watch: TransferringWatch | None = None
 
     def stop(self) -> None:
@@ -114,6 +119,12 @@
         if watch is not None:
             watch.close()
 
+    def read_again(self) -> None:
+        """Ends a watch that waits on a store that was restored."""
+        watch = self._watch
+        if watch is not None:
+            watch.close()
+
     @property
     def transfer(self) -> TransferProgress:
         """Progress of the newest response; may be read on other threads."""
@@ -134,14 +145,20 @@
         while not stopping.is_set():
             try:
                 self._follow(stopping)
+            except StoreRestoredError:
+                # Positions of the earlier generation mean something else now. The
+                # configuration itself is ordered by its version.
+                self._log.fact("configuration read again", reason="store restored")
             except StoreCompactedError:
                 self._log.fact("configuration history lost")
             except StoreUnavailableError as error:
                 stopping.wait(self._availability.record_failure(error))
 
     def _follow(self, stopping: threading.Event) -> None:
-        revision = self._read_newest(stopping)
-        self._watch = watch = self._store.watch(self._prefix, revision + 1)
+        position = self._read_newest(stopping)
+        self._watch = watch = self._store.watch(
+            self._prefix, position.revision + 1, position.generation
+        )
         try:
             for batch in watch:
                 if stopping.is_set():
@@ -159,7 +176,7 @@
             self._watch = None
             watch.close()
 
-    def _read_newest(self, stopping: threading.Event) -> int:
+    def _read_newest(self, stopping: threading.Event) -> StorePosition:
         """Reads the newest entries; repeats the read if the follower has fallen behind.
 
         Changes may arrive faster than they can be read. A watch returns all missed
@@ -168,7 +185,7 @@
         only the newest, so the balancer is never more than two reads behind.
 
         Returns:
-            Revision from which to watch.
+            Position from which to watch.
         """
         while True:
             # Read by prefix, since that returns a revision to watch from even if there
@@ -177,16 +194,16 @@
             snapshot = self._store.list_prefix(self._prefix)
             self._availability.record_success()
             self._evacuations.apply_snapshot(snapshot)
-            known = self._read_revision
+            known = self._read_position
             for entry in snapshot.entries:
                 if entry.key == self._key:
                     self._handle_entry(entry, self._store.transfer)
-            is_newer = self._read_revision > known
+            is_newer = self._read_position > known
             self._is_behind = self._is_behind and is_newer
             if not self._is_behind or stopping.is_set():
-                return snapshot.revision
+                return snapshot.position
 
     def _handle_entry(self, entry: Entry, transfer: TransferProgress) -> None:
-        self._read_revision = entry.revision
+        self._read_position = StorePosition(entry.generation, entry.revision)
         received = ReceivedConfiguration(entry.value, seconds=transfer.seconds)
         self._on_configuration(received)
--- /dev/null
+++ b/src/siskinshift/connections/configuration_start.py
@@ -0,0 +1,100 @@
+"""Decides when a starting balancer may apply the configuration of the store.
+
+A store that was restored contains an older configuration than the peers hold. A
+balancer that starts then would place its first flows by it, so it asks the peers first.
+A store without generations is never restored, and its configuration is applied at once.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinshift.connections.fleet import Fleet
+    from siskinshift.connections.fleet import Peer
+
+
+# A hello is repeated after 0.25 s, and peers reply within a round trip.
+CONFIRMATION_SECONDS = 0.35
+# Includes a fetch from a peer. Callers' packets are held for a second before the first
+# configuration.
+MAX_DELAY_SECONDS = 0.9
+
+ConfigurationT = TypeVar("ConfigurationT")
+
+
+class ConfigurationStart(Generic[ConfigurationT]):
+    """Holds the first configuration of the store until the peers have replied."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Initializes the state without a configuration.
+
+        Args:
+            fleet: Peers of the node.
+        """
+        self._fleet = fleet
+        self._held: ConfigurationT | None = None
+        self._held_at = 0.0
+        self._has_fetched = False
+
+    def hold(self, configuration: ConfigurationT, *, now: float) -> None:
+        """Holds a configuration; a later one replaces it.
+
+        Args:
+            configuration: The configuration of the store.
+            now: Clock reading, seconds.
+        """
+        if self._held is None:
+            self._held_at = now
+        self._held = configuration
+
+    def discard(self) -> None:
+        """Drops the held configuration, since one of a peer is in force."""
+        self._held = None
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether a configuration is held."""
+        return self._held is not None
+
+    def take(
+        self, *, is_fetching: bool, fetch: Callable[[Peer], object], now: float
+    ) -> ConfigurationT | None:
+        """Returns the configuration once it may be applied.
+
+        Args:
+            is_fetching: Whether a fetch from a peer is in progress.
+            fetch: Starts to fetch evacuations and configuration from a peer. Called
+                once, with the peer that holds the newest configuration.
+            now: Clock reading, seconds.
+
+        Returns:
+            The configuration; None to keep waiting.
+        """
+        if self._held is None:
+            return None
+        if now < self._held_at + MAX_DELAY_SECONDS:
+            if is_fetching:
+                return None
+            is_heard = self._fleet.is_complete(now=now) and not any(
+                peer in self._fleet.balancers()
+                for peer in self._fleet.unconfirmed(now=now)
+            )
+            if not is_heard and now < self._held_at + CONFIRMATION_SECONDS:
+                return None
+            newest = max(
+                self._fleet.balancers(),
+                key=lambda peer: peer.configuration_version,
+                default=None,
+            )
+            if newest and newest.configuration_version and not self._has_fetched:
+                self._has_fetched = True
+                fetch(newest)
+                return None
+        held, self._held = self._held, None
+        return held
--- a/src/siskinshift/connections/evacuation_dissemination.py
+++ b/src/siskinshift/connections/evacuation_dissemination.py
@@ -42,8 +42,8 @@
         """
         self._register = register
         self._key = xxhash.xxh3_64_intdigest(member_id.encode())
-        # Incarnation of each agent and the revision that it was last sent.
-        self._sent_by_member_id: dict[str, tuple[int, int]] = {}
+        # Incarnation of each agent and the evacuations that it was last sent.
+        self._sent_by_member_id: dict[str, tuple[int, Evacuations]] = {}
 
     def on_change(
         self, agents: Sequence[Peer], balancers: Sequence[Peer], *, now: float
@@ -78,12 +78,12 @@
             agent: An agent of which a message was just received.
 
         Returns:
-            A message if this balancer has not sent it this revision yet.
+            A message if this balancer has not sent it this state yet.
         """
         if not self._concerns(agent):
             return []
         sent = self._sent_by_member_id.get(agent.member.member_id)
-        if sent == (agent.member.incarnation, self._register.current.revision):
+        if sent == (agent.member.incarnation, self._register.current):
             return []
         return [self._send(agent)]
 
@@ -121,10 +121,10 @@
         return agent.member.failure_domain in self._register.changed_domains
 
     def _send(self, agent: Peer) -> ToPeer:
-        revision = self._register.current.revision
+        current = self._register.current
         member = agent.member
-        self._sent_by_member_id[member.member_id] = (member.incarnation, revision)
-        message = encode_evacuations_message(self._register.current)
+        self._sent_by_member_id[member.member_id] = (member.incarnation, current)
+        message = encode_evacuations_message(current)
         return ToPeer(agent.address, message)
 
 
--- a/src/siskinshift/connections/flow_snapshot.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -9,11 +9,14 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 
 from attrs import frozen
 
 from siskinshift.connections.incarnation import Incarnation
+from siskinshift.connections.put_back import MIN_SPREAD_SECONDS
+from siskinshift.connections.put_back import PutBack
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
 from siskinshift.kv.port import Put
@@ -23,6 +26,7 @@
     from collections.abc import Callable
 
     from siskinshift.kv.port import KeyValueStore
+    from siskinshift.kv.port import Lease
     from siskinshift.observability.event_log import EventLog
 
 
@@ -71,6 +75,7 @@
         flows: Callable[[], FlowSnapshot],
         upload: Callable[[bytes, bool], bool],
         log: EventLog,
+        put_back: PutBack | None = None,
     ) -> None:
         """Initializes the store of one agent's snapshot.
 
@@ -82,13 +87,23 @@
                 the last write was the same snapshot by a writer. Returns whether the
                 snapshot is written.
             log: Event log.
+            put_back: When to write the snapshot again after a restore of the store;
+                None for a time that does not grow with the fleet.
         """
         self._store = store
         self._key = snapshot_key(member_id)
         self._flows = flows
         self._upload = upload
         self._log = log
-        self._lease_id = 0
+        self._put_back = put_back or PutBack(
+            "flow list",
+            order=1,
+            spread=lambda: MIN_SPREAD_SECONDS,
+            random=Random(),
+            log=log,
+        )
+        self._generation = store.generation
+        self._lease: Lease | None = None
         self._renew_at = 0.0
         self._write_at = 0.0
         self._upload_again_at = 0.0
@@ -125,48 +140,72 @@
             # The instance was frozen; the next step collects the flows again.
             self._log.fact("flow list not collected")
             return
+        self._handle_restore(now=now)
+        if self._put_back.remaining(now=now):
+            return
         if not value and not self._has_entry:
             # There is neither a flow nor an entry, so a lease would serve no purpose.
             return
         if is_urgent:
             self._write(value, now=now)
             return
-        is_unchanged = value == self._written and not self._lease_id
+        is_unchanged = value == self._written and self._lease is None
         if is_unchanged and now < self._upload_again_at:
             return
         if self._upload(value, is_unchanged):
             # The entry is bound to the writer's lease from now on.
-            self._lease_id = 0
+            self._lease = None
             self._written = value
             self._has_entry = True
             self._upload_again_at = now + RENEW_INTERVAL_SECONDS
+            self._put_back.on_written(now=now)
         elif now >= self._write_at:
             self._write_at = now + WRITE_INTERVAL_SECONDS
             self._write(value, now=now)
 
+    def _handle_restore(self, *, now: float) -> None:
+        """Forgets what an earlier generation of the store gave."""
+        generation = self._store.generation
+        if generation == self._generation:
+            return
+        self._generation = generation
+        self._lease = None
+        if self._written is None:
+            return
+        self._written = None
+        self._put_back.on_restored(now=now)
+
     def _write(self, value: bytes, *, now: float) -> None:
         try:
-            self._ensure_lease(now=now)
+            lease = self._ensure_lease(now=now)
             if value != self._written:
-                put = Put(self._key, value, self._lease_id)
+                put = Put(self._key, value, lease.lease_id)
                 self._store.transact((), (put,))
                 self._written = value
                 self._has_entry = True
+                self._put_back.on_written(now=now)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             # The entry may be out of date; the next step writes it again.
             self._log.fact("flow list not written", error=str(error))
-            self._lease_id = 0
+            self._lease = None
             self._written = None
 
-    def _ensure_lease(self, *, now: float) -> None:
-        if self._lease_id and now >= self._renew_at:
-            if self._store.keep_alive(self._lease_id) <= 0:
-                self._lease_id = 0
+    def _ensure_lease(self, *, now: float) -> Lease:
+        if self._lease is not None and now >= self._renew_at:
+            if not self._is_renewed(self._lease):
+                self._lease = None
             self._renew_at = now + RENEW_INTERVAL_SECONDS
-        if not self._lease_id:
-            self._lease_id = self._store.grant_lease(LEASE_SECONDS).lease_id
+        if self._lease is None:
+            self._lease = self._store.grant_lease(LEASE_SECONDS)
             self._renew_at = now + RENEW_INTERVAL_SECONDS
             self._written = None
+        return self._lease
+
+    def _is_renewed(self, lease: Lease) -> bool:
+        # In a later generation the id may belong to another node.
+        if self._store.confirm_generation(self._key) != lease.generation:
+            return False
+        return self._store.keep_alive(lease.lease_id) > 0
 
 
 def snapshot_key(member_id: str) -> str:
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -24,11 +24,13 @@
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import PeerHeartbeat
 from siskinshift.connections.peer_messages import Status
+from siskinshift.connections.put_back import spread_seconds
 from siskinshift.connections.registration import MEMBERS_PREFIX
 from siskinshift.connections.registration import Registration
 from siskinshift.connections.segment import caller_host
 from siskinshift.core.clocks import monotonic_clock
 from siskinshift.core.clocks import unix_milliseconds
+from siskinshift.kv.generations import GenerationTracker
 from siskinshift.messages.core import Endpoint
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
@@ -108,7 +110,10 @@
         self._discovery = PeerDiscovery(self.fleet, own=self.member)
         self.peer_socket = open_datagram_socket(settings.host, settings.peer_port)
         self.add_cleanup(self.peer_socket.close)
-        self.store = PlatformStore(settings.store, stopping=self.stopping)
+        self.generations = GenerationTracker(log=self.log)
+        self.store = PlatformStore(
+            settings.store, stopping=self.stopping, generations=self.generations
+        )
         self.add_cleanup(self.store.close)
         self._registration = Registration(
             store=self.store,
@@ -118,6 +123,7 @@
             on_members=self._on_registered,
             random=self.random,
             log=self.log,
+            spread=self.put_back_spread,
         )
         self._caller_port = settings.caller_packets.port
         self._has_unresponsive = False
@@ -171,6 +177,10 @@
         """Logs the error, since a node whose task failed still appears healthy."""
         self.log.fact("task failed", error=repr(error))
 
+    def put_back_spread(self) -> float:
+        """Returns the time over which all nodes put entries back, seconds."""
+        return spread_seconds(len(self.fleet.balancers()))
+
     def deregister(self) -> None:
         """Removes the node's entry from the store, so that peers do not wait for it."""
         self._registration.deregister()
--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -17,6 +17,8 @@
 
 from siskinshift.connections.member_documents import member_document
 from siskinshift.connections.member_documents import member_from_document
+from siskinshift.connections.put_back import MIN_SPREAD_SECONDS
+from siskinshift.connections.put_back import PutBack
 from siskinshift.connections.store_availability import StoreAvailability
 from siskinshift.control.documents import encode_json
 from siskinshift.control.documents import parse_object
@@ -82,6 +84,13 @@
 class MemberStore(Protocol):
     """The operations of a store that registration needs; see KeyValueStore."""
 
+    @property
+    def generation(self) -> int:
+        """Newest known generation of the store."""
+
+    def confirm_generation(self, key: str) -> int:
+        """Returns the generation as of now."""
+
     def get(self, key: str) -> Entry | None:
         """Reads one entry."""
 
@@ -122,6 +131,7 @@
         on_members: Callable[[list[Member]], object],
         random: Random,
         log: EventLog,
+        spread: Callable[[], float] = lambda: MIN_SPREAD_SECONDS,
     ) -> None:
         """Initializes the registration without an entry.
 
@@ -134,6 +144,8 @@
             on_members: Called with the members of each complete read.
             random: Source of the jitter.
             log: Event log.
+            spread: Returns the time over which all nodes put their entries back after a
+                restore of the store, seconds.
         """
         self._store = store
         self._own = own
@@ -142,11 +154,16 @@
         self._on_members = on_members
         self._random = random
         self._log = log
+        self._spread = spread
         self._availability = StoreAvailability(
             "store", retry=RETRY_BACKOFF, random=random, log=log
         )
-        self._lease_id = 0
-        self._uncertain_lease_id = 0
+        self._lease: Lease | None = None
+        self._uncertain_lease: Lease | None = None
+        self._generation = store.generation
+        self._put_back = PutBack(
+            "entry", order=0, spread=spread, random=random, log=log
+        )
         self._renew_at = 0.0
         self._read_at = 0.0
         self._has_current_read = False
@@ -161,7 +178,11 @@
             Seconds until the next step.
         """
         try:
-            if not self._lease_id:
+            self._handle_restore(now=now)
+            pause = self._put_back.remaining(now=now)
+            if pause:
+                return pause
+            if self._lease is None:
                 self._register(now=now)
             elif now >= self._renew_at:
                 self._renew(now=now)
@@ -171,37 +192,66 @@
             self._has_current_read = False
             return self._availability.record_failure(error)
         self._availability.record_success()
-        if not self._lease_id:
-            return 0.0
+        if self._lease is None:
+            return self._put_back.remaining(now=now)
         return max(0.0, min(self._renew_at, self._read_at) - now)
 
     def deregister(self) -> None:
         """Removes the entry; if the store is unavailable, the entry expires."""
-        if not self._lease_id:
+        lease = self._lease
+        if lease is None:
             return
         try:
-            self._store.revoke_lease(self._lease_id)
+            if self._store.confirm_generation(self._own_key) != lease.generation:
+                # The id of the lease may belong to another node now.
+                self._log.fact("entry not taken away", error="the store was restored")
+                return
+            self._store.revoke_lease(lease.lease_id)
         except StoreUnavailableError as error:
             self._log.fact("entry not taken away", error=str(error))
 
+    @property
+    def _own_key(self) -> str:
+        own = self._own()
+        return member_key(own.member_id, own.role)
+
+    def _handle_restore(self, *, now: float) -> None:
+        """Forgets what an earlier generation of the store gave."""
+        generation = self._store.generation
+        if generation == self._generation:
+            return
+        self._generation = generation
+        if self._lease is None and self._uncertain_lease is None:
+            return
+        self._lease = None
+        self._uncertain_lease = None
+        due_at = self._put_back.on_restored(now=now)
+        # Until all members had the time to put their entries back, a read would show
+        # members without an entry that are only cut off for a moment.
+        self._read_at = due_at + self._spread() + RENEW_INTERVAL_SECONDS
+        self._has_current_read = True
+
     def _register(self, *, now: float) -> None:
-        lease_id = self._lease_for_entry()
+        lease = self._lease_for_entry()
         own = self._own()
         value = encode_json(member_document(own))
         key = member_key(own.member_id, own.role)
         try:
-            self._store.transact((), (Put(key, value, lease_id),))
+            self._store.transact((), (Put(key, value, lease.lease_id),))
         except StoreOutcomeUnknownError:
-            self._uncertain_lease_id = lease_id
+            self._uncertain_lease = lease
             raise
-        self._lease_id = lease_id
+        self._lease = lease
+        self._generation = lease.generation
         self._renew_at = now + RENEW_INTERVAL_SECONDS
         # A node that started while there was no entry has not discovered this one; the
-        # read finds it.
-        self._has_current_read = False
-        self._log.fact("registered", lease=lease_id)
+        # read finds it. After a restore it has to wait for the other entries.
+        if not self._put_back.is_pending:
+            self._has_current_read = False
+        self._log.fact("registered", lease=lease.lease_id)
+        self._put_back.on_written(now=now)
 
-    def _lease_for_entry(self) -> int:
+    def _lease_for_entry(self) -> Lease:
         """Returns the lease of a write whose response was lost, or a new lease.
 
         The store may apply a write seconds after its response was lost. With a new
@@ -209,17 +259,32 @@
         renewed. The entry would expire with it, and a starting balancer would not
         discover this node.
         """
-        lease_id, self._uncertain_lease_id = self._uncertain_lease_id, 0
-        if lease_id and self._store.keep_alive(lease_id) > 0:
-            return lease_id
-        return self._store.grant_lease(LEASE_SECONDS).lease_id
+        lease, self._uncertain_lease = self._uncertain_lease, None
+        if lease is not None and self._is_renewed(lease):
+            return lease
+        return self._store.grant_lease(LEASE_SECONDS)
+
+    def _is_renewed(self, lease: Lease) -> bool:
+        """Renews a lease; returns whether it has not expired.
+
+        In a later generation its id may belong to another node, which must neither be
+        renewed nor replaced.
+        """
+        if self._store.confirm_generation(self._own_key) != lease.generation:
+            return False
+        return self._store.keep_alive(lease.lease_id) > 0
 
     def _renew(self, *, now: float) -> None:
-        if self._store.keep_alive(self._lease_id) <= 0:
-            self._log.fact("entry lapsed", lease=self._lease_id)
-            self._lease_id = 0
-            self._register(now=now)
-        self._renew_at = now + RENEW_INTERVAL_SECONDS
+        assert self._lease is not None
+        if self._is_renewed(self._lease):
+            self._renew_at = now + RENEW_INTERVAL_SECONDS
+            return
+        self._handle_restore(now=now)
+        if self._put_back.is_pending:
+            return
+        self._log.fact("entry lapsed", lease=self._lease.lease_id)
+        self._lease = None
+        self._register(now=now)
 
     def _read(self, *, now: float) -> None:
         # The first read after a start or an outage must include all members that
@@ -238,12 +303,12 @@
         self._on_members(self._members_of(snapshot))
 
     def _check_own_entry(self) -> None:
-        own = self._own()
-        key = member_key(own.member_id, own.role)
+        key = self._own_key
         # A stale read is cheap but may be older than the entry.
         if self._store.get_stale(key) is None and self._store.get(key) is None:
-            self._log.fact("entry missing", lease=self._lease_id)
-            self._lease_id = 0
+            lease_id = self._lease.lease_id if self._lease else 0
+            self._log.fact("entry missing", lease=lease_id)
+            self._lease = None
 
     def _members_of(self, snapshot: Snapshot) -> list[Member]:
         members = []
--- a/src/siskinshift/connections/snapshot_writer.py
+++ b/src/siskinshift/connections/snapshot_writer.py
@@ -15,6 +15,7 @@
 from attrs import frozen
 
 from siskinshift.connections.flow_snapshot import RENEW_INTERVAL_SECONDS
+from siskinshift.connections.flow_snapshot import SNAPSHOT_PREFIX
 from siskinshift.connections.flow_snapshot import snapshot_key
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
@@ -28,6 +29,7 @@
     from siskinshift.connections.fleet import Peer
     from siskinshift.core.clocks import Clock
     from siskinshift.kv.port import KeyValueStore
+    from siskinshift.kv.port import Lease
     from siskinshift.observability.event_log import EventLog
 
 
@@ -102,7 +104,7 @@
         self._lock = threading.Lock()
         self._pending_by_member: dict[str, _PendingSnapshot] = {}
         self._written_by_member: dict[str, bytes] = {}
-        self._lease_id = 0
+        self._lease: Lease | None = None
         self._granted_at = 0.0
         self._check_lease_at = 0.0
         self._is_stopped = False
@@ -154,7 +156,7 @@
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             # The agents write them themselves.
             self._log.fact("flow lists not kept", lists=len(pending), error=str(error))
-            self._lease_id = 0
+            self._lease = None
         self._resolve(pending, is_written=False)
 
     def _take_pending(self) -> dict[str, _PendingSnapshot]:
@@ -177,19 +179,28 @@
         it the next time, and otherwise expires with the old one.
         """
         now = self._clock()
+        lease = self._lease
         is_old = now >= self._granted_at + LEASE_SECONDS / 2
-        if self._lease_id and not is_old and now >= self._check_lease_at:
-            # It may have expired during an outage, and the snapshots with it.
-            is_old = self._store.keep_alive(self._lease_id) <= 0
+        if lease is not None and lease.generation != self._store.generation:
+            is_old = True
+        if lease is not None and not is_old and now >= self._check_lease_at:
+            # It may have expired during an outage, and the snapshots with it. In a
+            # later generation of the store it may belong to another node.
+            generation = self._store.confirm_generation(SNAPSHOT_PREFIX)
+            is_old = (
+                generation != lease.generation
+                or self._store.keep_alive(lease.lease_id) <= 0
+            )
             self._check_lease_at = now + RENEW_INTERVAL_SECONDS
-        if self._lease_id and not is_old:
+        if lease is not None and not is_old:
             return
-        self._lease_id = self._store.grant_lease(LEASE_SECONDS).lease_id
+        self._lease = self._store.grant_lease(LEASE_SECONDS)
         self._granted_at = now
         self._check_lease_at = now + RENEW_INTERVAL_SECONDS
         self._written_by_member.clear()
 
     def _write(self, pending: dict[str, _PendingSnapshot]) -> None:
+        assert self._lease is not None
         new = []
         for member_id, snapshot in pending.items():
             is_same = self._written_by_member.get(member_id) == snapshot.value
@@ -203,7 +214,7 @@
                 for member_id in new[start : start + MAX_SNAPSHOTS_PER_TRANSACTION]
             }
             puts = tuple(
-                Put(snapshot_key(member_id), snapshot.value, self._lease_id)
+                Put(snapshot_key(member_id), snapshot.value, self._lease.lease_id)
                 for member_id, snapshot in batch.items()
             )
             self._store.transact((), puts)
