--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -291,21 +291,36 @@
         # registered before this node: it announces itself to them, and later ones read
         # its entry.
         if not self._has_current_read:
-            self._handle_snapshot(self._store.list_prefix(self._prefix))
+            current = self._store.list_prefix(self._prefix)
+            if not self._handle_snapshot(current, now=now):
+                return
             self._has_current_read = True
         else:
             if self._has_unresponsive():
-                self._handle_snapshot(self._store.list_prefix_stale(self._prefix))
-            self._check_own_entry()
+                stale = self._store.list_prefix_stale(self._prefix)
+                if not self._handle_snapshot(stale, now=now):
+                    return
+            self._check_own_entry(now=now)
+        if self._put_back.is_pending:
+            return
         self._read_at = now + READ_INTERVAL_SECONDS * self._random.uniform(0.8, 1.2)
 
-    def _handle_snapshot(self, snapshot: Snapshot) -> None:
+    def _handle_snapshot(self, snapshot: Snapshot, *, now: float) -> bool:
+        """Reports members; returns False for a read that tells of a restore."""
+        if snapshot.generation != self._generation:
+            self._handle_restore(now=now)
+            return False
         self._on_members(self._members_of(snapshot))
+        return True
 
-    def _check_own_entry(self) -> None:
+    def _check_own_entry(self, *, now: float) -> None:
         key = self._own_key
         # A stale read is cheap but may be older than the entry.
-        if self._store.get_stale(key) is None and self._store.get(key) is None:
+        is_missing = self._store.get_stale(key) is None and self._store.get(key) is None
+        if self._store.generation != self._generation:
+            self._handle_restore(now=now)
+            return
+        if is_missing:
             lease_id = self._lease.lease_id if self._lease else 0
             self._log.fact("entry missing", lease=lease_id)
             self._lease = None
