--- a/src/siskinshift/connections/evacuation_reader.py
+++ b/src/siskinshift/connections/evacuation_reader.py
@@ -70,17 +70,17 @@
         self._domains_by_key.clear()
         for entry in snapshot.entries:
             self._put(entry)
-        if self._has_read:
-            # An entry with the revision that was read before comes from the copy; any
-            # other was written since. An entry that is missing after a restore was
-            # lost with the copy or removed since, which the store does not tell.
-            written = {
-                domain
-                for key, domain in self._domains_by_key.items()
-                if self._revisions_by_key[key] != known.get(key)
-            }
-            removed = set(before.values()) - set(self._domains_by_key.values())
-            self._decided |= written if is_restored else written | removed
+        # An entry with the revision that was read before comes from the copy; any other
+        # may have been written since, also if this process has just started. An entry
+        # that is missing after a restore was lost with the copy or removed since, which
+        # the store does not tell.
+        written = {
+            domain
+            for key, domain in self._domains_by_key.items()
+            if self._revisions_by_key[key] != known.get(key)
+        }
+        removed = set(before.values()) - set(self._domains_by_key.values())
+        self._decided |= written if is_restored else written | removed
         self._has_read = True
         self._publish(snapshot.position)
 
