--- a/src/siskinshift/connections/evacuation_reader.py
+++ b/src/siskinshift/connections/evacuation_reader.py
@@ -98,18 +98,28 @@
         written = [e for e in batch.entries if e.key.startswith(self._prefix)]
         removed = [k for k in batch.deleted_keys if k.startswith(self._prefix)]
         if {entry.key for entry in written} & set(removed):
+            # The read that follows may not show an order that has ended already.
+            for entry in written:
+                self._put(entry)
+                self._decide(entry.key)
             return False
         if not written and not removed:
             return True
         for entry in written:
             self._put(entry)
-            self._decided |= {self._domains_by_key.get(entry.key, "")}
+            self._decide(entry.key)
         for key in removed:
-            self._decided |= {self._domains_by_key.pop(key, "")}
-        self._decided.discard("")
+            self._decide(key)
+            self._domains_by_key.pop(key, None)
         self._publish(batch.position)
         return True
 
+    def _decide(self, key: str) -> None:
+        """Records that operators have written or removed an entry."""
+        domain = self._domains_by_key.get(key)
+        if domain is not None:
+            self._decided.add(domain)
+
     def _put(self, entry: Entry) -> None:
         if not entry.key.startswith(self._prefix):
             return
--- a/tests/connections/test_store_restored_evacuations.py
+++ b/tests/connections/test_store_restored_evacuations.py
@@ -124,6 +124,23 @@
     assert balancer.domains == ""
 
 
+def test_an_order_that_ends_within_one_batch_is_not_held() -> None:
+    """Guards against a hold of a domain that operators have decided since.
+
+    The batch is read again, and the read does not show the order.
+    """
+    balancer = _Balancer()
+    balancer.read(1, 100)
+    balancer.see(1, 120, put="a")
+    balancer.read(2, 100)
+    batch = WatchBatch((Entry("e/a", b"", 101, 2),), ("e/a",), 102, 2)
+
+    assert not balancer.reader.apply(batch)
+    balancer.read(2, 102)
+
+    assert balancer.domains == ""
+
+
 def test_nodes_that_saw_different_parts_agree() -> None:
     """Guards against a fleet whose nodes hold different evacuations for good."""
     informed, outdated, started = _Balancer(), _Balancer(), _Balancer()
