--- a/src/siskinshift/kv/generations.py
+++ b/src/siskinshift/kv/generations.py
@@ -30,7 +30,7 @@
 _MAX_DIGITS = 15
 
 
-@frozen(order=True)
+@frozen
 class StorePosition:
     """A revision with the generation of the store that gave it.
 
@@ -42,6 +42,9 @@
     generation: int = UNKNOWN_GENERATION
     revision: int = 0
 
+    def __lt__(self, other: StorePosition) -> bool:
+        return (self.generation, self.revision) < (other.generation, other.revision)
+
 
 class GenerationTracker:
     """Learns the generation of a store from its responses; thread-safe."""
