--- a/src/siskinshift/standins/kv_direct.py
+++ b/src/siskinshift/standins/kv_direct.py
@@ -59,7 +59,11 @@
         Raises:
             StoreUnavailableError: The watch was rejected.
         """
-        if self._state.admit_request(path) is not None:
+        try:
+            rejection_status = self._state.admit_request(path)
+        except ResponseLost as error:
+            raise StoreUnavailableError("lost") from error
+        if rejection_status is not None:
             raise StoreUnavailableError("refused")
         create = orjson.loads(body)["create_request"]
         return OneShotStream(self._state, create)
--- a/src/siskinshift/standins/kv_state.py
+++ b/src/siskinshift/standins/kv_state.py
@@ -167,8 +167,6 @@
         Raises:
             ResponseLost: The response, or the request itself, is dropped.
         """
-        if self._clock() < self._unavailable_until:
-            raise ResponseLost
         rejection_status = self.admit_request(path)
         if rejection_status is not None:
             return rejection_status, {"error": rejection_status.phrase}
@@ -197,8 +195,13 @@
 
         Returns:
             None, or the status to reject it with.
+
+        Raises:
+            ResponseLost: The store is being restored.
         """
         self.request_counts_by_path[path] += 1
+        if self._clock() < self._unavailable_until:
+            raise ResponseLost
         self._expire_leases()
         if self.faults.down:
             return HTTPStatus.SERVICE_UNAVAILABLE
