--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -498,7 +498,7 @@
         attempt.verdict = verdict
         if attempt.left_at is not None:
             # The wait in this balancer is no property of the agent.
-            agent.record_round_trip(max(0.0, now - attempt.left_at))
+            agent.record_round_trip(max(0.0, now - attempt.left_at), now=now)
         self._log.decision(
             "opening answered",
             flow=format_flow(record.flow),
--- a/src/siskinshift/connections/fleet.py
+++ b/src/siskinshift/connections/fleet.py
@@ -52,6 +52,9 @@
 REMOVE_AFTER_SECONDS = 6.0
 # Weight of a new round trip in the moving mean.
 ROUND_TRIP_SMOOTHING_FACTOR = 0.1
+# Age from which the mean does not describe the present state. An ejected agent gets at
+# most one probe a second from a balancer.
+MAX_ROUND_TRIP_AGE_SECONDS = 3.0
 NEVER = float("-inf")
 NO_LOAD = Load()
 
@@ -77,6 +80,7 @@
         unanswered_openings: Consecutive opening packets that it did not answer.
         round_trip: Moving mean of the time from an opening packet to its verdict,
             seconds; 0 before the first.
+        round_trip_at: Time of the newest round trip, seconds.
         key: Hash of its member id, used to choose agents by a flow's hash.
     """
 
@@ -93,6 +97,7 @@
     queried_at: float = float("inf")
     unanswered_openings: int = 0
     round_trip: float = 0.0
+    round_trip_at: float = NEVER
     key: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -106,14 +111,16 @@
             + DELAY_ALLOWANCE_SECONDS
         )
 
-    def record_round_trip(self, seconds: float) -> None:
-        """Updates the moving mean of the round trip.
+    def record_round_trip(self, seconds: float, *, now: float) -> None:
+        """Updates the moving mean of the round trip; an outdated one starts again.
 
         Args:
             seconds: Time from an opening packet to its verdict.
+            now: Clock reading, seconds.
         """
-        if not self.round_trip:
+        if now - self.round_trip_at > MAX_ROUND_TRIP_AGE_SECONDS:
             self.round_trip = seconds
+        self.round_trip_at = now
         self.round_trip += ROUND_TRIP_SMOOTHING_FACTOR * (seconds - self.round_trip)
 
     @property
@@ -379,6 +386,8 @@
             return peer
         if member.incarnation != peer.member.incarnation:
             peer.discovered_at = now
+            peer.round_trip = 0.0
+            peer.round_trip_at = NEVER
         has_moved = peer.member.data != member.data
         has_changed_service = peer.member.upstream_class != member.upstream_class
         peer.member = member
--- a/src/siskinshift/connections/health/agent_record.py
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -10,6 +10,7 @@
 
 from attrs import define
 
+from siskinshift.connections.fleet import MAX_ROUND_TRIP_AGE_SECONDS
 from siskinshift.connections.fleet import Peer
 from siskinshift.connections.health.criteria import HEALTHY
 from siskinshift.connections.health.criteria import Finding
@@ -55,8 +56,8 @@
         probed_at: Time of the last probe, seconds.
         judged_report: Newest report that was counted.
         stalled_reports: Consecutive reports with stalled requests.
-        judged_round_trip: Newest moving mean of round trips that was counted, seconds.
-        round_trip_count: Different moving means that were counted.
+        judged_round_trip_at: Time of the newest round trip that was counted, seconds.
+        round_trip_count: Evaluations with a new round trip since the last gap.
     """
 
     agent: Peer
@@ -71,7 +72,7 @@
     probed_at: float = float("-inf")
     judged_report: LoadReport | None = None
     stalled_reports: int = 0
-    judged_round_trip: float = 0.0
+    judged_round_trip_at: float = float("-inf")
     round_trip_count: int = 0
 
     def is_about(self, agent: Peer) -> bool:
@@ -120,8 +121,10 @@
             The evidence; without a report if it is missing or out of date.
         """
         agent = self.agent
-        if agent.round_trip != self.judged_round_trip:
-            self.judged_round_trip = agent.round_trip
+        if now - agent.round_trip_at > MAX_ROUND_TRIP_AGE_SECONDS:
+            self.round_trip_count = 0
+        elif agent.round_trip_at != self.judged_round_trip_at:
+            self.judged_round_trip_at = agent.round_trip_at
             self.round_trip_count += 1
         report = agent.load.report
         stale_after = max(
@@ -139,7 +142,7 @@
             failure_domain=agent.member.failure_domain,
             stalled_reports=self.stalled_reports if report is not None else 0,
             unanswered_openings=agent.unanswered_openings,
-            round_trip=self.judged_round_trip if has_round_trips else 0,
+            round_trip=agent.round_trip if has_round_trips else 0,
             is_repeat=self.consecutive > 0,
         )
 
--- a/tests/connections/health/test_service_health.py
+++ b/tests/connections/health/test_service_health.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
+from siskinshift.connections.health.agent_record import BASE_EJECTION_SECONDS
 from siskinshift.connections.health.agent_record import MAX_EJECTION_SECONDS
 from siskinshift.connections.health.agent_record import SLOW_START_SECONDS
 from siskinshift.connections.peer_messages import Load
@@ -174,3 +175,18 @@
     assert not record.is_ejected
     service.step(100.0)
     assert record.consecutive == 0
+
+
+def test_an_old_round_trip_neither_prolongs_nor_repeats_an_ejection() -> None:
+    """Guards against an agent that stays ejected because no opening reaches it."""
+    service = _Service()
+    for _ in range(10):
+        for peer in service.fleet.agents():
+            slow = peer.member.member_id == "editor-1"
+            peer.record_round_trip(0.3 if slow else 0.002, now=service.now)
+        eligible = service.step()
+    assert "editor-1" not in eligible
+    assert "editor-1" in service.step(2 * BASE_EJECTION_SECONDS)
+    peer = service.fleet.peers_by_id["editor-1"]
+    peer.record_round_trip(0.002, now=service.now)
+    assert peer.round_trip == 0.002
