--- a/src/siskinshift/connections/health/agent_record.py
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -11,6 +11,7 @@
 from attrs import define
 
 from siskinshift.connections.fleet import MAX_ROUND_TRIP_AGE_SECONDS
+from siskinshift.connections.fleet import NEVER
 from siskinshift.connections.fleet import Peer
 from siskinshift.connections.health.criteria import HEALTHY
 from siskinshift.connections.health.criteria import Finding
@@ -142,6 +143,7 @@
             failure_domain=agent.member.failure_domain,
             stalled_reports=self.stalled_reports if report is not None else 0,
             unanswered_openings=agent.unanswered_openings,
+            has_answered_opening=agent.round_trip_at > NEVER,
             round_trip=agent.round_trip if has_round_trips else 0,
             is_repeat=self.consecutive > 0,
         )
@@ -157,14 +159,16 @@
         self.ejected_until = now + self.ejection_seconds
         self.probed_at = now
 
-    def end_ejection(self, *, now: float) -> None:
-        """Lets the agent return with slow start.
+    def end_ejection(self, *, now: float, slow_start: bool = True) -> None:
+        """Lets the agent return.
 
         Args:
             now: Clock reading, seconds.
+            slow_start: Whether its share of new flows grows gradually.
         """
         self.ejected_until = 0.0
-        self.returned_at = self.good_since = now
+        self.good_since = now
+        self.returned_at = now if slow_start else float("-inf")
         self.slow_start_credit = 0.0
 
     def lift(self, *, now: float) -> None:
@@ -173,9 +177,8 @@
         Args:
             now: Clock reading, seconds.
         """
-        self.end_ejection(now=now)
+        self.end_ejection(now=now, slow_start=False)
         self.consecutive = max(0, self.consecutive - 1)
-        self.returned_at = float("-inf")
 
     def record_service(self, *, now: float) -> None:
         """Reduces the consecutive ejections after a period of good service.
--- a/src/siskinshift/connections/health/evidence.py
+++ b/src/siskinshift/connections/health/evidence.py
@@ -42,6 +42,7 @@
         stalled_reports: Consecutive reports with at least as many stalled requests as
             count as hanging.
         unanswered_openings: Consecutive opening packets without a reply.
+        has_answered_opening: Whether its present incarnation has answered an opening.
         round_trip: Mean time from an opening packet to its verdict, seconds; 0 if there
             are not enough of them.
         is_repeat: Whether the agent was ejected before and has not yet served well for
@@ -52,10 +53,21 @@
     failure_domain: str = ""
     stalled_reports: int = 0
     unanswered_openings: int = 0
+    has_answered_opening: bool = False
     round_trip: float = 0.0
     is_repeat: bool = False
 
 
+    @property
+    def is_judged(self) -> bool:
+        """Whether there is anything to judge the agent by."""
+        return (
+            self.report is not NO_REPORT
+            or self.unanswered_openings > 0
+            or self.has_answered_opening
+        )
+
+
 @frozen
 class ServiceStatistics:
     """Figures of a service to which each of its agents is compared.
--- a/src/siskinshift/connections/health/service_health.py
+++ b/src/siskinshift/connections/health/service_health.py
@@ -110,8 +110,7 @@
         judged = unhealthy = 0
         for record, known in zip(usable, evidence, strict=True):
             record.finding = judge(known, statistics)
-            has_evidence = known.report is not NO_REPORT or known.unanswered_openings
-            judged += bool(has_evidence)
+            judged += known.is_judged
             unhealthy += record.is_unhealthy
         fraction = PANIC_END_FRACTION if self.is_panicking else PANIC_FRACTION
         self._set_panic(unhealthy > fraction * judged, unhealthy, judged)
@@ -123,7 +122,7 @@
                 for r, e in zip(usable, evidence, strict=True)
             }
             self._update_ejections(usable, evidence_by_id, statistics, now=now)
-        self._index(records, usable, now=now)
+        self._index(usable or records, now=now)
 
     def next_probe(self, *, now: float) -> Peer | None:
         """Returns the ejected agent that gets the new flow as a probe, if one is due.
@@ -162,13 +161,14 @@
         if not run_seconds:
             return statistics
         usual = self._usual_run_seconds or run_seconds
+        if run_seconds < usual / MAX_SHIFT_FACTOR:
+            # Most upstreams may fail fast, so their run times never become usual.
+            return _without_run_times(statistics)
         weight = min(1.0, elapsed / USUAL_RUN_SMOOTHING_SECONDS)
         self._usual_run_seconds = usual + weight * (run_seconds - usual)
-        if usual / MAX_SHIFT_FACTOR <= run_seconds <= usual * MAX_SHIFT_FACTOR:
+        if run_seconds <= usual * MAX_SHIFT_FACTOR:
             return statistics
-        return attrs.evolve(
-            statistics, run_seconds=0.0, fast_run_seconds=0.0, has_shifted=True
-        )
+        return _without_run_times(statistics)
 
     def _update_records(self, agents: list[Peer]) -> list[AgentRecord]:
         known = self._records_by_id
@@ -214,7 +214,8 @@
                 ejected.append(record)
         ejected.sort(key=lambda r: r.finding.severity, reverse=True)
         for record in ejected[limit:]:
-            self._return(record, "limit", now=now)
+            # Its share is needed at once: too few others are usable.
+            self._return(record, "limit", slow_start=False, now=now)
         del ejected[limit:]
         candidates = [
             r
@@ -232,8 +233,10 @@
             known = evidence_by_id[record.agent.member.member_id]
             self._log_ejection(record, known, statistics, now=now)
 
-    def _return(self, record: AgentRecord, cause: str, *, now: float) -> None:
-        record.end_ejection(now=now)
+    def _return(
+        self, record: AgentRecord, cause: str, *, slow_start: bool = True, now: float
+    ) -> None:
+        record.end_ejection(now=now, slow_start=slow_start)
         self._log_return(record, cause)
 
     def _log_return(self, record: AgentRecord, cause: str) -> None:
@@ -267,9 +270,7 @@
             ejected=len(self.ejected),
         )
 
-    def _index(
-        self, records: list[AgentRecord], usable: list[AgentRecord], *, now: float
-    ) -> None:
+    def _index(self, records: list[AgentRecord], *, now: float) -> None:
         self.eligible = []
         self.slow_starting = []
         for record in records:
@@ -280,7 +281,11 @@
                 self.slow_starting.append((record, fraction))
             else:
                 self.eligible.append(record.agent)
-        self.ejected = [record for record in usable if record.is_ejected]
+        if not self.eligible:
+            # No other agent takes what slow start withholds.
+            self.eligible = [record.agent for record, _ in self.slow_starting]
+            self.slow_starting = []
+        self.ejected = [record for record in records if record.is_ejected]
 
     def _log_ejection(
         self,
@@ -314,3 +319,9 @@
             service_round_trip=round(usual_round_trip, 4),
             report_age=round(now - record.agent.last_seen_at, 3),
         )
+
+
+def _without_run_times(statistics: ServiceStatistics) -> ServiceStatistics:
+    return attrs.evolve(
+        statistics, run_seconds=0.0, fast_run_seconds=0.0, has_shifted=True
+    )
--- a/tests/connections/health/test_service_health.py
+++ b/tests/connections/health/test_service_health.py
@@ -190,3 +190,37 @@
     peer = service.fleet.peers_by_id["editor-1"]
     peer.record_round_trip(0.002, now=service.now)
     assert peer.round_trip == 0.002
+
+
+def test_one_unresponsive_agent_among_agents_without_reports_is_ejected() -> None:
+    """Guards against a panic where only openings judge: agents of an older version."""
+    fleet, detector = fleet_of(*agents(COUNT)), new_detector()
+    silent, *others = everyone = fleet.agents_of("editor")
+    silent.unanswered_openings = 9
+    for peer in others:
+        peer.record_round_trip(0.002, now=0.0)
+    assert detector.eligible("editor", everyone, now=0.1) == others
+
+
+def test_returning_agents_get_all_flows_if_only_they_respond() -> None:
+    """Guards against slow start that sends flows to agents which have gone silent."""
+    service = _Service()
+    service.step(1.0)
+    for number in range(1, 4):
+        service.report_by_id[f"editor-{number}"] = BAD_REPORTS[3]
+    service.step(1.0)
+    alive = {f"editor-{number}" for number in range(1, 4)}
+    service.report_by_id = dict.fromkeys(alive, GOOD)
+    service.step(3.0)
+    for _ in range(20):
+        # The placement itself prefers responsive agents among those it gets.
+        assert alive <= set(service.step())
+
+
+def test_a_long_fault_of_most_agents_ejects_no_healthy_one() -> None:
+    """Guards against a usual run time that adapts to the fault of most upstreams."""
+    service = _Service()
+    service.step(1.0)
+    for number in range(1, 7):
+        service.report_by_id[f"editor-{number}"] = BAD_REPORTS[1]
+    assert len(service.step(300.0)) == COUNT
