--- a/src/siskinshift/connections/health/agent_record.py
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -20,6 +20,7 @@
 from siskinshift.connections.health.evidence import NO_REPORT
 from siskinshift.connections.health.evidence import Evidence
 from siskinshift.connections.peer_messages import LoadReport
+from siskinshift.messages.core import MemberState
 
 
 # Time of the first ejection. Reports cover four seconds, so at its end they no longer
@@ -55,6 +56,9 @@
         good_seconds: Time of good service since the last change of `consecutive`.
         slow_start_credit: Fraction of a flow that it may get during slow start.
         probed_at: Time of the last probe, seconds.
+        weight: Its weight at the last evaluation; it falls when a cold upstream starts.
+        was_leaving: Whether its upstream was draining or gone at the last evaluation.
+        previous_report: Report about the predecessor of its upstream.
         judged_report: Newest report that was counted.
         stalled_reports: Consecutive reports with stalled requests.
         judged_round_trip_at: Time of the newest round trip that was counted, seconds.
@@ -71,6 +75,9 @@
     good_seconds: float = 0.0
     slow_start_credit: float = 0.0
     probed_at: float = float("-inf")
+    weight: int = 0
+    was_leaving: bool = False
+    previous_report: LoadReport | None = None
     judged_report: LoadReport | None = None
     stalled_reports: int = 0
     judged_round_trip_at: float = float("-inf")
@@ -84,6 +91,16 @@
         """
         return self.agent is agent and self.incarnation == agent.member.incarnation
 
+    def has_new_upstream(self) -> bool:
+        """Returns whether the agent's upstream was replaced since the last call."""
+        member = self.agent.member
+        is_leaving = member.state in (MemberState.DRAINING, MemberState.GONE)
+        has_returned = self.was_leaving and member.state is MemberState.READY
+        has_cooled = member.weight < self.weight
+        self.was_leaving = is_leaving
+        self.weight = member.weight
+        return has_returned or has_cooled
+
     @property
     def is_ejected(self) -> bool:
         """Whether the agent is ejected."""
@@ -131,7 +148,11 @@
         stale_after = max(
             STALE_AFTER_INTERVALS * agent.next_heartbeat_within, MIN_STALE_AFTER_SECONDS
         )
-        if now - agent.last_seen_at > stale_after:
+        if (
+            now - agent.last_seen_at > stale_after
+            or agent.last_seen_at < agent.discovered_at
+            or report is self.previous_report
+        ):
             report = None
         if report is not None and report is not self.judged_report:
             is_hanging = report.stalled >= stalled_limit(report.samples)
--- a/src/siskinshift/connections/health/service_health.py
+++ b/src/siskinshift/connections/health/service_health.py
@@ -103,7 +103,7 @@
         elapsed = now - self.evaluated_at
         self.agents = agents
         self.evaluated_at = now
-        records = self._update_records(agents)
+        records = self._update_records(agents, now=now)
         usable = [r for r in records if self._is_usable(r.agent, now=now)]
         evidence = [record.collect(now=now) for record in usable]
         statistics = self._without_shift(summarize(evidence), elapsed)
@@ -171,7 +171,7 @@
             return statistics
         return _without_run_times(statistics)
 
-    def _update_records(self, agents: list[Peer]) -> list[AgentRecord]:
+    def _update_records(self, agents: list[Peer], *, now: float) -> list[AgentRecord]:
         known = self._records_by_id
         self._records_by_id = {}
         for agent in agents:
@@ -179,9 +179,20 @@
             record = known.get(member.member_id)
             if record is None or not record.is_about(agent):
                 record = AgentRecord(agent, member.incarnation)
+            if record.has_new_upstream():
+                record = self._successor(record, now=now)
             self._records_by_id[member.member_id] = record
         return list(self._records_by_id.values())
 
+    def _successor(self, record: AgentRecord, *, now: float) -> AgentRecord:
+        agent = record.agent
+        successor = AgentRecord(agent, record.incarnation)
+        successor.has_new_upstream()
+        successor.previous_report = agent.load.report
+        if record.is_ejected:
+            self._return(successor, "upstream replaced", now=now)
+        return successor
+
     def _is_usable(self, agent: Peer, *, now: float) -> bool:
         return (
             agent.member.state is MemberState.READY
@@ -209,8 +220,8 @@
                 self._log_return(record, "service changed")
             is_over = record.is_ejected and record.ejected_until <= now
             if is_over and not record.is_unhealthy:
-                self._return(record, "served its time", now=now)
-            if record.is_ejected:
+                self._return(record, "ejection expired", now=now)
+            if record.is_ejected and record.ejected_until > now:
                 ejected.append(record)
         ejected.sort(key=lambda r: r.finding.severity, reverse=True)
         for record in ejected[limit:]:
@@ -222,13 +233,14 @@
             for r in usable
             if r.is_unhealthy and (not r.is_ejected or r.ejected_until <= now)
         ]
-        candidates.sort(key=lambda r: r.finding.severity, reverse=True)
-        count = len(ejected)
-        for record in candidates:
-            if not record.is_ejected:
-                if count >= limit:
-                    break
-                count += 1
+        candidates.sort(
+            key=lambda r: (r.finding.severity, r.is_ejected), reverse=True
+        )
+        for rank, record in enumerate(candidates, start=len(ejected)):
+            if rank >= limit:
+                if record.is_ejected:
+                    self._return(record, "limit", slow_start=False, now=now)
+                continue
             record.eject(now=now)
             known = evidence_by_id[record.agent.member.member_id]
             self._log_ejection(record, known, statistics, now=now)
--- a/tests/connections/health/test_service_health.py
+++ b/tests/connections/health/test_service_health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 from hypothesis import settings
 from hypothesis import strategies
 from hypothesis.stateful import RuleBasedStateMachine
@@ -16,6 +17,7 @@
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import LoadReport
 from siskinshift.connections.peer_messages import Status
+from siskinshift.messages.core import MemberState
 from tests.connections.builders import agents
 from tests.connections.builders import fleet_of
 from tests.connections.health.service_model import new_detector
@@ -259,3 +261,53 @@
     service.report_by_id["editor-1"] = GOOD
     service.step(GOOD_SERVICE_SECONDS + 1.0)
     assert record.consecutive == 5
+
+
+def _change_member(service: _Service, **changes: object) -> None:
+    known = service.fleet.peers_by_id["editor-1"].member
+    new = attrs.evolve(known, version=known.version + 1, **changes)
+    service.fleet.handle_status(Status(new, Load()), now=service.now)
+
+
+@pytest.mark.parametrize("is_announced", [True, False])
+def test_a_replaced_upstream_returns_with_slow_start(*, is_announced: bool) -> None:
+    """Guards against the ejection of an upstream for its predecessor's faults."""
+    service = _eject_first(BAD_REPORTS[3])
+    if is_announced:
+        _change_member(service, state=MemberState.DRAINING)
+        service.step()
+        _change_member(service, state=MemberState.READY)
+    else:
+        _change_member(service, weight=800)
+    service.report_by_id["editor-1"] = GOOD
+    service.step()
+    health = service.detector._services_by_id["editor"]
+    ((record, _),) = health.slow_starting
+    assert record.agent.member.member_id == "editor-1"
+    assert record.consecutive == 0
+
+
+def test_a_report_of_the_previous_incarnation_judges_nobody() -> None:
+    """Guards against ejecting a restarted agent that only the store has announced."""
+    service = _eject_first(BAD_REPORTS[3])
+    known = service.fleet.peers_by_id["editor-1"].member
+    del service.report_by_id["editor-1"]
+    new = attrs.evolve(known, incarnation=known.incarnation + 1)
+    # The agent's last report is still fresh.
+    service.fleet.apply_registrations([new], now=service.now + 0.1)
+    assert "editor-1" in service.step()
+
+
+def test_an_expired_mild_ejection_gives_way_to_a_severe_fault() -> None:
+    """Guards against mild outliers that occupy the limit by being ejected again."""
+    service = _Service()
+    service.step(1.0)
+    for number in range(1, 4):
+        report = attrs.evolve(GOOD, failure_fraction=0.2)
+        service.report_by_id[f"editor-{number}"] = report
+    service.step(1.0)
+    for number in range(4, 6):
+        report = attrs.evolve(GOOD, failure_fraction=0.9)
+        service.report_by_id[f"editor-{number}"] = report
+    eligible = service.step(BASE_EJECTION_SECONDS)
+    assert not {"editor-4", "editor-5"} & set(eligible)
