--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -158,11 +158,13 @@
             return [self._reject_foreign(forward, segment, sender)]
         flow.last_balancer = sender
         actions: list[Action] = []
+        previous_sequence = flow.next_caller_sequence
         if self._record_caller_packet(
             flow, segment, forward.request_parameters, now=now
         ):
             actions.append(ToUpstream(segment.datagram))
-            if segment.length and self._queue.is_running(segment.flow):
+            has_new_data = flow.next_caller_sequence != previous_sequence
+            if has_new_data and self._queue.is_running(segment.flow):
                 kind = forward.request_parameters.kind
                 self._observer.on_forwarded(segment.flow, now=now, kind=kind)
         if forward.purpose is Purpose.LOOKUP:
@@ -344,6 +346,9 @@
         self._queue.slots = self._upstream.slots
         if self.report_recipients:
             self.refresh_report(now=now)
+        elif self._observer.is_active:
+            self._observer.stop(now=now)
+            self.load_report = LoadReport()
         expired = self._queue.drop_expired(now=now)
         if expired:
             self._log.decision("given up", reason="waited too long", requests=expired)
@@ -394,7 +399,8 @@
             if not self.warm_up.admits(is_cold=is_cold, now=now):
                 return [self._refuse(Verdict.FULL, segment.flow, sender)]
             flow = self._flows.add(segment.flow, now=now)
-        self._observer.on_opening(segment.flow, now=now)
+        if not flow.is_confirmed:
+            self._observer.on_opening(segment.flow, now=now)
         flow.opening_balancer = flow.last_balancer = sender
         return [ToUpstream(segment.datagram)]
 
--- a/src/siskinshift/connections/health/upstream_observer.py
+++ b/src/siskinshift/connections/health/upstream_observer.py
@@ -46,6 +46,8 @@
 # Below the shortest deadline of the users' deployments, 1.33 s: after it callers give
 # up.
 MAX_STALLED_AFTER_SECONDS = 1.2
+# Usual work of a service that takes seconds exceeds the limit above.
+MIN_STALLED_AFTER_MEDIANS = 3.0
 # A one-slot upstream has at most two requests, so the number of overdue ones alone
 # drops to zero whenever their callers give up. Abandoned ones count for this time.
 # Those that were answered late do not count: a long request and the one that waits
@@ -60,6 +62,9 @@
 # Fewer outcomes count as this number, so that one failure among few requests does not
 # look like a failing upstream.
 MIN_OUTCOMES = 32
+# A reset counts as a failed request if the flow was used within this time: a response
+# may have been cut. Upstreams close flows that are idle for longer.
+IDLE_AFTER_SECONDS = 1.0
 # A request or opening without a first byte is forgotten after this time: its flow may
 # have ended without a packet.
 MAX_RUNNING_SECONDS = 10.0
@@ -113,11 +118,14 @@
 
     It records nothing until `observe` is called for the first time, so that packets
     cost nothing where no balancer requests reports.
+
+    Attributes:
+        is_active: Whether it records anything.
     """
 
     def __init__(self) -> None:
         """Initializes the observer without a history."""
-        self._is_active = False
+        self.is_active = False
         self._incarnation: Incarnation | None = None
         self._observed_at = float("-inf")
         self._resumed_at = float("-inf")
@@ -137,9 +145,19 @@
         self._openings = _OutcomeWindow()
         self._stalled_at: deque[float] = deque(maxlen=MAX_SAMPLES)
         self._stalled_after = MAX_STALLED_AFTER_SECONDS
+        self._responded_at = float("-inf")
         self._observation = UpstreamObservation()
         self._computed_at = float("-inf")
 
+    def stop(self, *, now: float) -> None:
+        """Discards the history and records nothing until `observe` is called again.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        self.clear(now=now)
+        self.is_active = False
+
     def on_opening(self, flow: bytes, *, now: float) -> None:
         """Records that an opening packet was forwarded to the upstream.
 
@@ -147,18 +165,22 @@
             flow: The flow.
             now: Clock reading, seconds.
         """
-        if self._is_active and len(self._opened_at_by_flow) < MAX_TRACKED:
+        if self.is_active and len(self._opened_at_by_flow) < MAX_TRACKED:
             self._opened_at_by_flow.setdefault(flow, now)
 
     def on_opening_refused(self, flow: bytes, *, now: float) -> None:
         """Records that the upstream returned an opening packet.
 
+        An upstream that answers requests meanwhile is full, which is no failure.
+
         Args:
             flow: The flow.
             now: Clock reading, seconds.
         """
-        self._opened_at_by_flow.pop(flow, None)
-        self._openings.add(is_failure=True, now=now)
+        if self._opened_at_by_flow.pop(flow, None) is None:
+            return
+        if now - self._responded_at > self._stalled_after:
+            self._openings.add(is_failure=True, now=now)
 
     def on_forwarded(
         self, flow: bytes, *, now: float, kind: RequestKind = RequestKind.UNKNOWN
@@ -173,7 +195,7 @@
             now: Clock reading, seconds.
             kind: Kind of the request.
         """
-        if not self._is_active:
+        if not self.is_active:
             return
         is_known = flow in self._started_at_by_flow
         if is_known and kind is not RequestKind.UPLOAD:
@@ -191,7 +213,7 @@
             flow: State of its flow.
             now: Clock reading, seconds.
         """
-        if not self._is_active:
+        if not self.is_active:
             return
         flags = segment.flags
         if flags & SYN:
@@ -208,6 +230,7 @@
             return
         if segment.length:
             self._run_times.append((now, now - started_at))
+            self._responded_at = now
         # Closing without a response is a failure unless the caller closed first.
         is_failure = not segment.length and not flow.fins_seen
         self._requests.add(is_failure=is_failure, now=now)
@@ -259,11 +282,13 @@
         if now - self._observed_at > PAUSED_AFTER_SECONDS:
             self._resumed_at = now
         self._observed_at = self._computed_at = now
-        self._is_active = True
+        self.is_active = True
         self._forget_old(now=now)
         run_times = sorted(seconds for _, seconds in self._run_times)
         run_seconds = median(run_times) if run_times else 0.0
-        self._stalled_after = _stalled_after(run_seconds)
+        if run_times:
+            # Without recent responses the last known run time remains the measure.
+            self._stalled_after = _stalled_after(run_seconds)
         started = self._started_at_by_flow.values()
         self._observation = UpstreamObservation(
             run_seconds=run_seconds,
@@ -285,7 +310,9 @@
             return
         if was_opening:
             self._openings.add(is_failure=True, now=now)
-        elif was_running or not flow.fins_seen:
+        elif was_running or (
+            not flow.fins_seen and now - flow.used_at <= IDLE_AFTER_SECONDS
+        ):
             self._requests.add(is_failure=True, now=now)
 
     def _is_stalled(self, started_at: float, *, now: float) -> bool:
@@ -308,10 +335,9 @@
 
 
 def _stalled_after(run_seconds: float) -> float:
-    if not run_seconds:
-        return MAX_STALLED_AFTER_SECONDS
     overdue = STALLED_AFTER_MEDIANS * run_seconds
-    return min(max(overdue, MIN_STALLED_AFTER_SECONDS), MAX_STALLED_AFTER_SECONDS)
+    overdue = min(max(overdue, MIN_STALLED_AFTER_SECONDS), MAX_STALLED_AFTER_SECONDS)
+    return max(overdue, MIN_STALLED_AFTER_MEDIANS * run_seconds)
 
 
 def _fast_quantile(sorted_run_times: list[float]) -> float:
