--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -356,6 +356,12 @@
             )
         detector = self._outlier_detector if policies.outlier_detection else None
         self._flows.outlier_detector = detector
+        judged = {
+            service_id
+            for route in routes.routes_by_address.values()
+            for service_id in route.service_ids
+        }
+        self._outlier_detector.retain(judged if detector is not None else ())
         self.policies = policies
         self.schedule_egress(policies.bulk_scheduling)
         self._flows.is_link_scheduled = policies.bulk_scheduling
--- a/src/siskinshift/connections/health/evidence.py
+++ b/src/siskinshift/connections/health/evidence.py
@@ -57,7 +57,6 @@
     round_trip: float = 0.0
     is_repeat: bool = False
 
-
     @property
     def is_judged(self) -> bool:
         """Whether there is anything to judge the agent by."""
--- a/src/siskinshift/connections/health/outlier_detector.py
+++ b/src/siskinshift/connections/health/outlier_detector.py
@@ -98,6 +98,21 @@
         eligible = [*service.eligible, *starting] if starting else service.eligible
         return eligible or agents
 
+    def retain(self, service_ids: Collection[str]) -> None:
+        """Discards the records of all other services.
+
+        Args:
+            service_ids: Services that the policy applies to.
+        """
+        if not self._services_by_id:
+            return
+        self._services_by_id = {
+            service_id: service
+            for service_id, service in self._services_by_id.items()
+            if service_id in service_ids
+        }
+        self._on_evaluated()
+
     def _on_evaluated(self) -> None:
         services = self._services_by_id.values()
         agent_count = sum(len(service.agents) for service in services)
--- a/src/siskinshift/connections/health/service_health.py
+++ b/src/siskinshift/connections/health/service_health.py
@@ -233,9 +233,7 @@
             for r in usable
             if r.is_unhealthy and (not r.is_ejected or r.ejected_until <= now)
         ]
-        candidates.sort(
-            key=lambda r: (r.finding.severity, r.is_ejected), reverse=True
-        )
+        candidates.sort(key=lambda r: (r.finding.severity, r.is_ejected), reverse=True)
         for rank, record in enumerate(candidates, start=len(ejected)):
             if rank >= limit:
                 if record.is_ejected:
