--- a/src/siskinshift/connections/health/agent_record.py
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -24,8 +24,7 @@
 
 
 # Time of the first ejection. Reports cover four seconds, so at its end they no longer
-# contain what led to it. With an ejection shorter than that, an upstream that had
-# recovered was ejected again.
+# contain what led to it.
 BASE_EJECTION_SECONDS = 5.0
 # An upstream that has recovered stays unused for at most this time.
 MAX_EJECTION_SECONDS = 60.0
--- a/src/siskinshift/connections/health/criteria.py
+++ b/src/siskinshift/connections/health/criteria.py
@@ -33,16 +33,14 @@
 # Work may vary so much that a tenth of it takes less than a quarter of the median. So
 # the fastest tenth and the median are also compared with those of the other agents:
 # limit of the product of the two ratios. Responses of 1 ms to 40 % of the requests
-# where work takes 22 ms gave 0.08 to 0.14. With exponential work, 25 requests a second
-# at each agent, a limit of 0.3 on the fastest tenth alone ejected a healthy agent by
-# chance once in 95 s of an agent's service, the product once in 160 s.
+# where work takes 22 ms give 0.08 to 0.14.
 FAST_RATIO_PRODUCT = 0.15
 # With fewer, the 0.1 quantile is one of the four fastest responses, which a group of
 # trivial requests may determine.
 MIN_FAST_SAMPLES = 40
 # An agent that was ejected before is judged by a fraction of the samples: it gets few
 # requests, and it has shown the fault before.
-# With a quarter, one old sample of the time before a recovery was enough.
+# Less than half lets single samples from before a recovery decide.
 REPEAT_SAMPLE_FRACTION = 0.5
 # Resolution of run times in a report.
 MIN_RUN_SECONDS = 0.0001
@@ -86,7 +84,7 @@
 
 HEALTHY = Finding()
 # Criteria that compare run times with those of the service.
-RUN_TIME_REASONS = frozenset({"slow_upstream", "slow_machine", "failing_fast"})
+RUN_TIME_REASONS = frozenset({"slow_upstream", "slow_openings", "failing_fast"})
 Criterion: TypeAlias = "Callable[[Evidence, ServiceStatistics], float]"
 _criteria_by_name: dict[str, Criterion] = {}
 
@@ -132,19 +130,19 @@
 
     Requests at it miss their objective although the other upstreams have free slots.
     """
-    if _has_slow_machine(evidence, service):
+    if _has_slow_openings(evidence, service):
         return 0.0
     return _slow_run(evidence, service)
 
 
-@register_criterion("slow_machine")
-def _slow_machine(evidence: Evidence, service: ServiceStatistics) -> float:
-    """Returns the severity of an agent whose whole machine is slow.
+@register_criterion("slow_openings")
+def _slow_openings(evidence: Evidence, service: ServiceStatistics) -> float:
+    """Returns the severity of an agent that is slow to answer openings.
 
-    A machine that is short of processor time delays openings as well as requests. Its
-    upstream is not the cause, and operators have to look at the machine.
+    An opening is answered by the upstream through its agent, so the machine, the agent,
+    the link or a slowly accepting upstream may be the cause.
     """
-    if not _has_slow_machine(evidence, service):
+    if not _has_slow_openings(evidence, service):
         return 0.0
     excess = evidence.round_trip / MAX_ROUND_TRIP_SECONDS
     return max(_slow_run(evidence, service), excess)
@@ -218,7 +216,7 @@
     return report.run_seconds / (factor * service.run_seconds)
 
 
-def _has_slow_machine(evidence: Evidence, service: ServiceStatistics) -> bool:
+def _has_slow_openings(evidence: Evidence, service: ServiceStatistics) -> bool:
     usual = service.round_trip_by_domain.get(evidence.failure_domain, 0.0)
     if not usual:
         return False
--- a/src/siskinshift/connections/peer_messages.py
+++ b/src/siskinshift/connections/peer_messages.py
@@ -102,7 +102,8 @@
         fast_run_seconds: The 0.1 quantile of the same.
         wait_seconds: Expected wait of a new request of middle urgency.
         busy_fraction: Fraction of the slots in use over the last seconds, 0 to 1.
-        stalled: Running requests without a first byte for longer than expected.
+        stalled: Running requests without a first byte for longer than expected, and for
+            3 s those that their callers abandoned while overdue.
         failure_fraction: Fraction of recent requests that ended by a reset of the
             upstream, a returned packet or a refused opening, 0 to 1.
         samples: Recent responses behind the figures, at most 255.
--- a/tests/connections/health/test_service_health.py
+++ b/tests/connections/health/test_service_health.py
@@ -157,6 +157,7 @@
 
 
 def test_another_incarnation_starts_with_a_clean_record() -> None:
+    """Guards against ejecting a restarted agent for its previous process."""
     service = _eject_first()
     known = service.fleet.peers_by_id["editor-1"].member
     new = attrs.evolve(known, incarnation=known.incarnation + 1)
@@ -166,6 +167,7 @@
 
 
 def test_consecutive_ejections_last_longer_and_good_service_makes_up_for_them() -> None:
+    """Guards against returns of an upstream that stays bad, and lasting distrust."""
     service = _eject_first()
     health = service.detector._services_by_id["editor"]
     record = health._records_by_id["editor-1"]
--- a/tests/connections/health/test_upstream_observer.py
+++ b/tests/connections/health/test_upstream_observer.py
@@ -68,6 +68,7 @@
 
 
 def test_run_times_count_from_the_request_to_its_first_byte() -> None:
+    """Guards against judging by the wait at the agent or by old responses."""
     flows = agent_flows()
     _report(flows, now=0.0)
     for port in range(1, 11):
@@ -107,6 +108,7 @@
 
 
 def test_refused_and_unanswered_openings_are_failures() -> None:
+    """Guards against an upstream that refuses openings and looks idle."""
     flows = agent_flows()
     _report(flows, now=0.9)
     _open(flows, 1, now=1.0)
