--- a/src/siskinshift/connections/health/agent_record.py
+++ b/src/siskinshift/connections/health/agent_record.py
@@ -10,6 +10,8 @@
 
 from attrs import define
 
+from siskinshift.connections.fleet import MAX_ROUND_TRIP_AGE_SECONDS
+from siskinshift.connections.fleet import NEVER
 from siskinshift.connections.fleet import Peer
 from siskinshift.connections.health.criteria import HEALTHY
 from siskinshift.connections.health.criteria import Finding
@@ -18,11 +20,11 @@
 from siskinshift.connections.health.evidence import NO_REPORT
 from siskinshift.connections.health.evidence import Evidence
 from siskinshift.connections.peer_messages import LoadReport
+from siskinshift.messages.core import MemberState
 
 
 # Time of the first ejection. Reports cover four seconds, so at its end they no longer
-# contain what led to it. With an ejection shorter than that, an upstream that had
-# recovered was ejected again.
+# contain what led to it.
 BASE_EJECTION_SECONDS = 5.0
 # An upstream that has recovered stays unused for at most this time.
 MAX_EJECTION_SECONDS = 60.0
@@ -50,13 +52,16 @@
         ejected_until: End of the ejection, seconds; 0 if it is not ejected.
         consecutive: Ejections less those made up for by good service.
         returned_at: Time of its last return, seconds.
-        good_since: Time since which it has served well, seconds.
+        good_seconds: Time of good service since the last change of `consecutive`.
         slow_start_credit: Fraction of a flow that it may get during slow start.
         probed_at: Time of the last probe, seconds.
+        weight: Its weight at the last evaluation; it falls when a cold upstream starts.
+        was_leaving: Whether its upstream was draining or gone at the last evaluation.
+        previous_report: Report about the predecessor of its upstream.
         judged_report: Newest report that was counted.
         stalled_reports: Consecutive reports with stalled requests.
-        judged_round_trip: Newest moving mean of round trips that was counted, seconds.
-        round_trip_count: Different moving means that were counted.
+        judged_round_trip_at: Time of the newest round trip that was counted, seconds.
+        round_trip_count: Evaluations with a new round trip since the last gap.
     """
 
     agent: Peer
@@ -66,12 +71,15 @@
     ejected_until: float = 0.0
     consecutive: int = 0
     returned_at: float = float("-inf")
-    good_since: float = 0.0
+    good_seconds: float = 0.0
     slow_start_credit: float = 0.0
     probed_at: float = float("-inf")
+    weight: int = 0
+    was_leaving: bool = False
+    previous_report: LoadReport | None = None
     judged_report: LoadReport | None = None
     stalled_reports: int = 0
-    judged_round_trip: float = 0.0
+    judged_round_trip_at: float = float("-inf")
     round_trip_count: int = 0
 
     def is_about(self, agent: Peer) -> bool:
@@ -82,6 +90,16 @@
         """
         return self.agent is agent and self.incarnation == agent.member.incarnation
 
+    def has_new_upstream(self) -> bool:
+        """Returns whether the agent's upstream was replaced since the last call."""
+        member = self.agent.member
+        is_leaving = member.state in (MemberState.DRAINING, MemberState.GONE)
+        has_returned = self.was_leaving and member.state is MemberState.READY
+        has_cooled = member.weight < self.weight
+        self.was_leaving = is_leaving
+        self.weight = member.weight
+        return has_returned or has_cooled
+
     @property
     def is_ejected(self) -> bool:
         """Whether the agent is ejected."""
@@ -120,14 +138,20 @@
             The evidence; without a report if it is missing or out of date.
         """
         agent = self.agent
-        if agent.round_trip != self.judged_round_trip:
-            self.judged_round_trip = agent.round_trip
+        if now - agent.round_trip_at > MAX_ROUND_TRIP_AGE_SECONDS:
+            self.round_trip_count = 0
+        elif agent.round_trip_at != self.judged_round_trip_at:
+            self.judged_round_trip_at = agent.round_trip_at
             self.round_trip_count += 1
         report = agent.load.report
         stale_after = max(
             STALE_AFTER_INTERVALS * agent.next_heartbeat_within, MIN_STALE_AFTER_SECONDS
         )
-        if now - agent.last_seen_at > stale_after:
+        if (
+            now - agent.last_seen_at > stale_after
+            or agent.last_seen_at < agent.discovered_at
+            or report is self.previous_report
+        ):
             report = None
         if report is not None and report is not self.judged_report:
             is_hanging = report.stalled >= stalled_limit(report.samples)
@@ -139,7 +163,8 @@
             failure_domain=agent.member.failure_domain,
             stalled_reports=self.stalled_reports if report is not None else 0,
             unanswered_openings=agent.unanswered_openings,
-            round_trip=self.judged_round_trip if has_round_trips else 0,
+            has_answered_opening=agent.round_trip_at > NEVER,
+            round_trip=agent.round_trip if has_round_trips else 0,
             is_repeat=self.consecutive > 0,
         )
 
@@ -154,14 +179,16 @@
         self.ejected_until = now + self.ejection_seconds
         self.probed_at = now
 
-    def end_ejection(self, *, now: float) -> None:
-        """Lets the agent return with slow start.
+    def end_ejection(self, *, now: float, slow_start: bool = True) -> None:
+        """Lets the agent return.
 
         Args:
             now: Clock reading, seconds.
+            slow_start: Whether its share of new flows grows gradually.
         """
         self.ejected_until = 0.0
-        self.returned_at = self.good_since = now
+        self.good_seconds = 0.0
+        self.returned_at = now if slow_start else float("-inf")
         self.slow_start_credit = 0.0
 
     def lift(self, *, now: float) -> None:
@@ -170,21 +197,23 @@
         Args:
             now: Clock reading, seconds.
         """
-        self.end_ejection(now=now)
+        self.end_ejection(now=now, slow_start=False)
         self.consecutive = max(0, self.consecutive - 1)
-        self.returned_at = float("-inf")
 
-    def record_service(self, *, now: float) -> None:
+    def record_service(self, samples: int, *, elapsed: float) -> None:
         """Reduces the consecutive ejections after a period of good service.
 
         Args:
-            now: Clock reading, seconds.
+            samples: Recent responses of its upstream; without any it shows nothing.
+            elapsed: Time since the last evaluation, seconds.
         """
-        if self.is_unhealthy:
-            self.good_since = now
-        elif self.consecutive and now - self.good_since >= GOOD_SERVICE_SECONDS:
-            self.consecutive -= 1
-            self.good_since = now
+        if self.is_unhealthy or self.is_ejected:
+            self.good_seconds = 0.0
+        elif samples and self.consecutive:
+            self.good_seconds += min(elapsed, MIN_STALE_AFTER_SECONDS)
+            if self.good_seconds >= GOOD_SERVICE_SECONDS:
+                self.consecutive -= 1
+                self.good_seconds = 0.0
 
     def admits_flow(self, fraction: float) -> bool:
         """Returns whether the agent may get the next new flow during slow start.
--- a/src/siskinshift/connections/health/service_health.py
+++ b/src/siskinshift/connections/health/service_health.py
@@ -103,15 +103,15 @@
         elapsed = now - self.evaluated_at
         self.agents = agents
         self.evaluated_at = now
-        records = self._update_records(agents)
+        records = self._update_records(agents, now=now)
         usable = [r for r in records if self._is_usable(r.agent, now=now)]
         evidence = [record.collect(now=now) for record in usable]
         statistics = self._without_shift(summarize(evidence), elapsed)
         judged = unhealthy = 0
         for record, known in zip(usable, evidence, strict=True):
             record.finding = judge(known, statistics)
-            has_evidence = known.report is not NO_REPORT or known.unanswered_openings
-            judged += bool(has_evidence)
+            record.record_service(known.report.samples, elapsed=elapsed)
+            judged += known.is_judged
             unhealthy += record.is_unhealthy
         fraction = PANIC_END_FRACTION if self.is_panicking else PANIC_FRACTION
         self._set_panic(unhealthy > fraction * judged, unhealthy, judged)
@@ -123,7 +123,7 @@
                 for r, e in zip(usable, evidence, strict=True)
             }
             self._update_ejections(usable, evidence_by_id, statistics, now=now)
-        self._index(records, usable, now=now)
+        self._index(usable or records, now=now)
 
     def next_probe(self, *, now: float) -> Peer | None:
         """Returns the ejected agent that gets the new flow as a probe, if one is due.
@@ -162,15 +162,16 @@
         if not run_seconds:
             return statistics
         usual = self._usual_run_seconds or run_seconds
+        if run_seconds < usual / MAX_SHIFT_FACTOR:
+            # Most upstreams may fail fast, so their run times never become usual.
+            return _without_run_times(statistics)
         weight = min(1.0, elapsed / USUAL_RUN_SMOOTHING_SECONDS)
         self._usual_run_seconds = usual + weight * (run_seconds - usual)
-        if usual / MAX_SHIFT_FACTOR <= run_seconds <= usual * MAX_SHIFT_FACTOR:
+        if run_seconds <= usual * MAX_SHIFT_FACTOR:
             return statistics
-        return attrs.evolve(
-            statistics, run_seconds=0.0, fast_run_seconds=0.0, has_shifted=True
-        )
+        return _without_run_times(statistics)
 
-    def _update_records(self, agents: list[Peer]) -> list[AgentRecord]:
+    def _update_records(self, agents: list[Peer], *, now: float) -> list[AgentRecord]:
         known = self._records_by_id
         self._records_by_id = {}
         for agent in agents:
@@ -178,9 +179,20 @@
             record = known.get(member.member_id)
             if record is None or not record.is_about(agent):
                 record = AgentRecord(agent, member.incarnation)
+            if record.has_new_upstream():
+                record = self._successor(record, now=now)
             self._records_by_id[member.member_id] = record
         return list(self._records_by_id.values())
 
+    def _successor(self, record: AgentRecord, *, now: float) -> AgentRecord:
+        agent = record.agent
+        successor = AgentRecord(agent, record.incarnation)
+        successor.has_new_upstream()
+        successor.previous_report = agent.load.report
+        if record.is_ejected:
+            self._return(successor, "upstream replaced", now=now)
+        return successor
+
     def _is_usable(self, agent: Peer, *, now: float) -> bool:
         return (
             agent.member.state is MemberState.READY
@@ -199,7 +211,6 @@
         limit = int(self._settings.max_ejected_fraction * len(usable))
         ejected = []
         for record in usable:
-            record.record_service(now=now)
             if (
                 record.is_ejected
                 and statistics.has_shifted
@@ -209,31 +220,33 @@
                 self._log_return(record, "service changed")
             is_over = record.is_ejected and record.ejected_until <= now
             if is_over and not record.is_unhealthy:
-                self._return(record, "served its time", now=now)
-            if record.is_ejected:
+                self._return(record, "ejection expired", now=now)
+            if record.is_ejected and record.ejected_until > now:
                 ejected.append(record)
         ejected.sort(key=lambda r: r.finding.severity, reverse=True)
         for record in ejected[limit:]:
-            self._return(record, "limit", now=now)
+            # Its share is needed at once: too few others are usable.
+            self._return(record, "limit", slow_start=False, now=now)
         del ejected[limit:]
         candidates = [
             r
             for r in usable
             if r.is_unhealthy and (not r.is_ejected or r.ejected_until <= now)
         ]
-        candidates.sort(key=lambda r: r.finding.severity, reverse=True)
-        count = len(ejected)
-        for record in candidates:
-            if not record.is_ejected:
-                if count >= limit:
-                    break
-                count += 1
+        candidates.sort(key=lambda r: (r.finding.severity, r.is_ejected), reverse=True)
+        for rank, record in enumerate(candidates, start=len(ejected)):
+            if rank >= limit:
+                if record.is_ejected:
+                    self._return(record, "limit", slow_start=False, now=now)
+                continue
             record.eject(now=now)
             known = evidence_by_id[record.agent.member.member_id]
             self._log_ejection(record, known, statistics, now=now)
 
-    def _return(self, record: AgentRecord, cause: str, *, now: float) -> None:
-        record.end_ejection(now=now)
+    def _return(
+        self, record: AgentRecord, cause: str, *, slow_start: bool = True, now: float
+    ) -> None:
+        record.end_ejection(now=now, slow_start=slow_start)
         self._log_return(record, cause)
 
     def _log_return(self, record: AgentRecord, cause: str) -> None:
@@ -253,7 +266,7 @@
         for record in records:
             if record.is_ejected:
                 record.lift(now=now)
-            record.good_since = now
+            record.good_seconds = 0.0
 
     def _set_panic(self, is_panicking: bool, unhealthy: int, judged: int) -> None:
         if is_panicking == self.is_panicking:
@@ -267,9 +280,7 @@
             ejected=len(self.ejected),
         )
 
-    def _index(
-        self, records: list[AgentRecord], usable: list[AgentRecord], *, now: float
-    ) -> None:
+    def _index(self, records: list[AgentRecord], *, now: float) -> None:
         self.eligible = []
         self.slow_starting = []
         for record in records:
@@ -280,7 +291,11 @@
                 self.slow_starting.append((record, fraction))
             else:
                 self.eligible.append(record.agent)
-        self.ejected = [record for record in usable if record.is_ejected]
+        if not self.eligible:
+            # No other agent takes what slow start withholds.
+            self.eligible = [record.agent for record, _ in self.slow_starting]
+            self.slow_starting = []
+        self.ejected = [record for record in records if record.is_ejected]
 
     def _log_ejection(
         self,
@@ -314,3 +329,9 @@
             service_round_trip=round(usual_round_trip, 4),
             report_age=round(now - record.agent.last_seen_at, 3),
         )
+
+
+def _without_run_times(statistics: ServiceStatistics) -> ServiceStatistics:
+    return attrs.evolve(
+        statistics, run_seconds=0.0, fast_run_seconds=0.0, has_shifted=True
+    )
--- a/tests/connections/health/test_service_health.py
+++ b/tests/connections/health/test_service_health.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
+import pytest
 from hypothesis import settings
 from hypothesis import strategies
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
+from siskinshift.connections.health.agent_record import BASE_EJECTION_SECONDS
+from siskinshift.connections.health.agent_record import GOOD_SERVICE_SECONDS
 from siskinshift.connections.health.agent_record import MAX_EJECTION_SECONDS
 from siskinshift.connections.health.agent_record import SLOW_START_SECONDS
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import LoadReport
 from siskinshift.connections.peer_messages import Status
+from siskinshift.messages.core import MemberState
 from tests.connections.builders import agents
 from tests.connections.builders import fleet_of
 from tests.connections.health.service_model import new_detector
@@ -151,6 +157,7 @@
 
 
 def test_another_incarnation_starts_with_a_clean_record() -> None:
+    """Guards against ejecting a restarted agent for its previous process."""
     service = _eject_first()
     known = service.fleet.peers_by_id["editor-1"].member
     new = attrs.evolve(known, incarnation=known.incarnation + 1)
@@ -160,6 +167,7 @@
 
 
 def test_consecutive_ejections_last_longer_and_good_service_makes_up_for_them() -> None:
+    """Guards against returns of an upstream that stays bad, and lasting distrust."""
     service = _eject_first()
     health = service.detector._services_by_id["editor"]
     record = health._records_by_id["editor-1"]
@@ -174,3 +182,148 @@
     assert not record.is_ejected
     service.step(100.0)
     assert record.consecutive == 0
+
+
+def test_an_old_round_trip_neither_prolongs_nor_repeats_an_ejection() -> None:
+    """Guards against an agent that stays ejected because no opening reaches it."""
+    service = _Service()
+    for _ in range(10):
+        for peer in service.fleet.agents():
+            slow = peer.member.member_id == "editor-1"
+            peer.record_round_trip(0.3 if slow else 0.002, now=service.now)
+        eligible = service.step()
+    assert "editor-1" not in eligible
+    assert "editor-1" in service.step(2 * BASE_EJECTION_SECONDS)
+    peer = service.fleet.peers_by_id["editor-1"]
+    peer.record_round_trip(0.002, now=service.now)
+    assert peer.round_trip == 0.002
+
+
+def test_one_unresponsive_agent_among_agents_without_reports_is_ejected() -> None:
+    """Guards against a panic where only openings judge: agents of an older version."""
+    fleet, detector = fleet_of(*agents(COUNT)), new_detector()
+    silent, *others = everyone = fleet.agents_of("editor")
+    silent.unanswered_openings = 9
+    for peer in others:
+        peer.record_round_trip(0.002, now=0.0)
+    assert detector.eligible("editor", everyone, now=0.1) == others
+
+
+def test_returning_agents_get_all_flows_if_only_they_respond() -> None:
+    """Guards against slow start that sends flows to agents which have gone silent."""
+    service = _Service()
+    service.step(1.0)
+    for number in range(1, 4):
+        service.report_by_id[f"editor-{number}"] = BAD_REPORTS[3]
+    service.step(1.0)
+    alive = {f"editor-{number}" for number in range(1, 4)}
+    service.report_by_id = dict.fromkeys(alive, GOOD)
+    service.step(3.0)
+    for _ in range(20):
+        # The placement itself prefers responsive agents among those it gets.
+        assert alive <= set(service.step())
+
+
+def test_a_long_fault_of_most_agents_ejects_no_healthy_one() -> None:
+    """Guards against a usual run time that adapts to the fault of most upstreams."""
+    service = _Service()
+    service.step(1.0)
+    for number in range(1, 7):
+        service.report_by_id[f"editor-{number}"] = BAD_REPORTS[1]
+    assert len(service.step(300.0)) == COUNT
+
+
+def test_evaluations_of_all_services_share_one_budget() -> None:
+    """Guards against processor time that grows with the fleet or its services."""
+    fleet, detector = fleet_of(*agents(50), *agents(100, service="map")), new_detector()
+    evaluations: set[tuple[str, float]] = set()
+    for step in range(1000):
+        for service_id in ("editor", "map"):
+            everyone = fleet.agents_of(service_id)
+            detector.eligible(service_id, everyone, now=step / 100)
+            health = detector._services_by_id[service_id]
+            evaluations.add((service_id, health.evaluated_at))
+    judged = sum(50 if service_id == "editor" else 100 for service_id, _ in evaluations)
+    # Each agent takes 8 to 14 us; ten seconds at half a percent are 50 ms.
+    assert judged * 14e-6 < 0.05
+    assert {service_id for service_id, _ in evaluations} == {"editor", "map"}
+
+
+def test_good_service_counts_only_in_use_and_with_responses() -> None:
+    """Guards against an ejection that makes up for itself, or an idle agent's time."""
+    service = _eject_first()
+    record = service.detector._services_by_id["editor"]._records_by_id["editor-1"]
+    record.consecutive = 5
+    record.eject(now=service.now)
+    service.report_by_id["editor-1"] = GOOD
+    service.step(59.0)
+    assert record.consecutive == 6
+    service.report_by_id["editor-1"] = LoadReport()
+    service.step(40.0)
+    assert not record.is_ejected
+    assert record.consecutive == 6
+    service.report_by_id["editor-1"] = GOOD
+    service.step(GOOD_SERVICE_SECONDS + 1.0)
+    assert record.consecutive == 5
+
+
+def _change_member(service: _Service, **changes: Any) -> None:
+    known = service.fleet.peers_by_id["editor-1"].member
+    new = attrs.evolve(known, version=known.version + 1, **changes)
+    service.fleet.handle_status(Status(new, Load()), now=service.now)
+
+
+@pytest.mark.parametrize("is_announced", [True, False])
+def test_a_replaced_upstream_returns_with_slow_start(*, is_announced: bool) -> None:
+    """Guards against the ejection of an upstream for its predecessor's faults."""
+    service = _eject_first(BAD_REPORTS[3])
+    if is_announced:
+        _change_member(service, state=MemberState.DRAINING)
+        service.step()
+        _change_member(service, state=MemberState.READY)
+    else:
+        _change_member(service, weight=800)
+    service.report_by_id["editor-1"] = GOOD
+    service.step()
+    health = service.detector._services_by_id["editor"]
+    ((record, _),) = health.slow_starting
+    assert record.agent.member.member_id == "editor-1"
+    assert record.consecutive == 0
+
+
+def test_a_report_of_the_previous_incarnation_judges_nobody() -> None:
+    """Guards against ejecting a restarted agent that only the store has announced."""
+    service = _eject_first(BAD_REPORTS[3])
+    known = service.fleet.peers_by_id["editor-1"].member
+    del service.report_by_id["editor-1"]
+    new = attrs.evolve(known, incarnation=known.incarnation + 1)
+    # The agent's last report is still fresh.
+    service.fleet.apply_registrations([new], now=service.now + 0.1)
+    assert "editor-1" in service.step()
+
+
+def test_an_expired_mild_ejection_gives_way_to_a_severe_fault() -> None:
+    """Guards against mild outliers that occupy the limit by being ejected again."""
+    service = _Service()
+    service.step(1.0)
+    for number in range(1, 4):
+        report = attrs.evolve(GOOD, failure_fraction=0.2)
+        service.report_by_id[f"editor-{number}"] = report
+    service.step(1.0)
+    for number in range(4, 6):
+        report = attrs.evolve(GOOD, failure_fraction=0.9)
+        service.report_by_id[f"editor-{number}"] = report
+    eligible = service.step(BASE_EJECTION_SECONDS)
+    assert not {"editor-4", "editor-5"} & set(eligible)
+
+
+def test_services_and_gauges_end_with_the_policy() -> None:
+    """Guards against gauges of ejections that are no longer in force."""
+    service = _eject_first()
+    detector = service.detector
+    assert "siskinshift_ejected_agents 1" in detector._log.metrics.render()
+    detector.retain({"editor"})
+    assert detector._services_by_id
+    detector.retain(())
+    assert not detector._services_by_id
+    assert "siskinshift_ejected_agents 0" in detector._log.metrics.render()
