--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -18,6 +18,7 @@
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.actions import ToUpstream
 from siskinshift.connections.foreign_flows import ForeignFlows
+from siskinshift.connections.node_settings import PolicySettings
 from siskinshift.connections.owned_flows import OwnedFlows
 from siskinshift.connections.ownership_probes import OwnershipProbe
 from siskinshift.connections.ownership_probes import OwnershipProbes
@@ -28,17 +29,15 @@
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.peer_messages import Verdict
-from siskinshift.connections.request_queue import RequestQueue
 from siskinshift.connections.routes import service_tag
+from siskinshift.connections.scheduling.agent_requests import AgentRequests
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import FIN
 from siskinshift.connections.segment import RESET
-from siskinshift.connections.segment import SEQUENCE_SPACE
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import Segment
 from siskinshift.connections.segment import format_flow
-from siskinshift.connections.segment import is_at_or_after
 from siskinshift.connections.warm_up import WarmUpLimit
 
 
@@ -54,10 +53,12 @@
     from siskinshift.connections.request_queue import RequestParameters
     from siskinshift.connections.upstream_state import UpstreamState
     from siskinshift.observability.event_log import EventLog
+    from siskinshift.observability.event_log import EventValue
 
 
 # Interval at which expired flows are removed.
 SWEEP_INTERVAL_SECONDS = 2.0
+DEFAULT_SETTINGS = PolicySettings()
 
 
 class AgentFlows:
@@ -68,30 +69,35 @@
         is_evacuated: Whether new flows are refused because operators have evacuated
             the failure domain.
         warm_up: Limits new flows while the upstream is cold.
-        policy: Load policies in force; the default without any.
         report_recipients: Balancers that requested load reports.
         load_report: What the agent observes of its upstream.
         upstream_last_seen_at: Time of the upstream's last packet, seconds.
     """
 
-    def __init__(self, *, upstream: UpstreamState, log: EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        upstream: UpstreamState,
+        log: EventLog,
+        settings: PolicySettings = DEFAULT_SETTINGS,
+    ) -> None:
         """Initializes the agent's flows.
 
         Args:
             upstream: State of the upstream.
             log: Log of the decisions.
+            settings: Policy settings of the node.
         """
         self._upstream = upstream
         self._log = log
-        self._queue = RequestQueue()
-        self._flows = OwnedFlows(self._queue)
+        self._requests = AgentRequests(settings=settings, log=log)
+        self._flows = OwnedFlows(self._requests)
         self._foreign_flows = ForeignFlows()
         self._probes = OwnershipProbes()
         self._swept_at = 0.0
         self.is_draining = False
         self.is_evacuated = False
         self.warm_up = WarmUpLimit()
-        self.policy = ServicePolicy()
         self.report_recipients: set[tuple[str, int]] = set()
         self.load_report = LoadReport()
         self.upstream_last_seen_at = float("-inf")
@@ -99,6 +105,15 @@
     def __len__(self) -> int:
         return self._flows.open_count
 
+    @property
+    def policy(self) -> ServicePolicy:
+        """Load policies in force; the default without any."""
+        return self._requests.policy
+
+    @policy.setter
+    def policy(self, policy: ServicePolicy) -> None:
+        self._requests.apply(policy)
+
     @property
     def is_awaiting_upstream(self) -> bool:
         """Whether the upstream holds flows or has not responded to a probe."""
@@ -109,7 +124,7 @@
         """Open flows, unanswered requests, and whether all flows are tracked."""
         return Load(
             self._flows.open_count,
-            len(self._queue),
+            len(self._requests),
             self._foreign_flows.treats_unknown_as_foreign,
         )
 
@@ -119,7 +134,7 @@
         Args:
             now: Clock reading, seconds.
         """
-        self.load_report = LoadReport()
+        self.load_report = self._requests.report(now=now)
 
     def on_forward(
         self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
@@ -148,11 +163,10 @@
                 return []
             return [self._reject_foreign(forward, segment, sender)]
         flow.last_balancer = sender
-        actions: list[Action] = []
-        if self._record_caller_packet(
+        packets = self._record_caller_packet(
             flow, segment, forward.request_parameters, now=now
-        ):
-            actions.append(ToUpstream(segment.datagram))
+        )
+        actions: list[Action] = [ToUpstream(packet) for packet in packets]
         if forward.purpose is Purpose.LOOKUP:
             actions.append(self._verdict_to(Verdict.MINE, segment.flow, sender))
         if segment.flags & (FIN | RESET):
@@ -218,9 +232,7 @@
         flow.record_upstream_packet(segment)
         flow.used_at = now
         if segment.length:
-            run_seconds = self._queue.finish(segment.flow, now=now)
-            if run_seconds is not None:
-                self._log.metrics.observe("request_run", run_seconds)
+            self._requests.on_response(segment.flow, now=now)
         if segment.flags & RESET:
             self._flows.end(segment.flow, flow, now=now)
         elif segment.flags & FIN:
@@ -283,13 +295,7 @@
         if self._foreign_flows.treats_unknown_as_foreign:
             return [ResetCaller(r.segment.flow, r.segment.ack) for r in new]
         for restored in new:
-            segment = restored.segment
-            flow = self._flows.add(segment.flow, now=now)
-            flow.last_balancer = restored.last_balancer
-            flow.adopt_at(segment.ack)
-            flow.is_confirmed = True
-            flow.acknowledged = segment.ack
-            flow.verification_packet = segment.datagram
+            self._flows.restore(restored, now=now)
         return []
 
     def mark_all_known(self) -> None:
@@ -313,6 +319,7 @@
             for flow, probe in self._probes.pop_all()
         ]
         ended = self._flows.end_all(now=now)
+        self._requests.clear()
         actions += [ResetCaller(key, flow.acknowledged) for key, flow in ended]
         if ended:
             self._log.decision("flows reset", reason="upstream gone", flows=len(ended))
@@ -327,28 +334,24 @@
         Returns:
             Packets for the upstream.
         """
-        self._queue.slots = self._upstream.slots
+        self._requests.queue.slots = self._upstream.slots
         if self.report_recipients:
             self.refresh_report(now=now)
-        expired = self._queue.drop_expired(now=now)
-        if expired:
-            self._log.decision("given up", reason="waited too long", requests=expired)
+        self._drop_requests(now=now)
         self._sweep(now=now)
-        return self._start_requests(now=now)
+        packets = self._requests.start(now=now)
+        return [ToUpstream(packet) for packet in packets]
 
     def _start_requests(self, *, now: float) -> list[Action]:
-        actions: list[Action] = []
-        for request in self._queue.next_requests(now=now):
-            self._log.decision(
-                "request started",
-                flow=format_flow(request.flow),
-                waited=round(now - request.arrived_at, 4),
-            )
-            self._log.metrics.observe("request_wait", now - request.arrived_at)
-            actions += [
-                ToUpstream(packet) for packet in request.packets_by_sequence.values()
-            ]
-        return actions
+        if self.policy.uses_admission and self._requests.can_start(now=now):
+            self._drop_requests(now=now)
+        return [ToUpstream(packet) for packet in self._requests.start(now=now)]
+
+    def _drop_requests(self, *, now: float) -> None:
+        for key, expires_at in self._requests.drop_expired(now=now):
+            flow = self._flows.get(key)
+            if flow is not None:
+                flow.dropped_until = expires_at
 
     def _sweep(self, *, now: float) -> None:
         if now - self._swept_at < SWEEP_INTERVAL_SECONDS:
@@ -376,10 +379,37 @@
             is_cold = self._upstream.may_be_cold(now=now)
             if not self.warm_up.admits(is_cold=is_cold, now=now):
                 return [self._refuse(Verdict.FULL, segment.flow, sender)]
+            refusal = self._check_admission(forward, segment, sender, now=now)
+            if refusal is not None:
+                self._requests.record_refusal(segment.flow, now=now)
+                return [refusal]
             flow = self._flows.add(segment.flow, now=now)
+            self._requests.on_flow_opened(
+                flow, segment, forward.request_parameters, now=now
+            )
         flow.opening_balancer = flow.last_balancer = sender
         return [ToUpstream(segment.datagram)]
 
+    def _check_admission(
+        self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
+    ) -> ToPeer | None:
+        limit = self.policy.max_connections
+        if limit and self._flows.open_count >= limit:
+            return self._refuse(
+                Verdict.FULL,
+                segment.flow,
+                sender,
+                reason="connection limit",
+                flows=self._flows.open_count,
+                limit=limit,
+            )
+        refusal = self._requests.check_opening(
+            segment.flow, forward.request_parameters, now=now
+        )
+        if refusal is None:
+            return None
+        return self._refuse(Verdict.FULL, segment.flow, sender, **attrs.asdict(refusal))
+
     def _probe_ownership(
         self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
     ) -> list[Action]:
@@ -462,44 +492,42 @@
         parameters: RequestParameters,
         *,
         now: float,
-    ) -> bool:
-        """Records a caller's packet; returns whether to forward it now."""
+    ) -> list[bytes]:
+        """Records a caller's packet; returns the packets to forward now."""
         flow.used_at = now
         flow.acknowledged = segment.ack
         if segment.flags & RESET:
             self._flows.end(segment.flow, flow, now=now)
-            return True
+            return [segment.datagram]
         if segment.flags & FIN:
             flow.fins_seen |= 1
             self._flows.end_if_closed(segment.flow, flow, now=now)
-            return True
+            return [segment.datagram]
         if not segment.length:
             flow.verification_packet = segment.datagram
-            return True
+            return [segment.datagram]
         if flow.ended_at:
             # Delayed data of a caller that has given up. The upstream responds with a
             # reset or not at all, so the request must not occupy a slot until it
             # counts as stuck.
-            return True
-        is_new = flow.next_caller_sequence is None or is_at_or_after(
-            segment.seq, flow.next_caller_sequence
-        )
-        if is_new:
-            flow.next_caller_sequence = (segment.seq + segment.length) % SEQUENCE_SPACE
-        is_retransmission = not is_new and segment.flow not in self._queue
-        if is_retransmission or self._queue.is_running(segment.flow):
-            return True
-        return self._queue.submit(
-            segment.flow, segment.seq, segment.datagram, parameters, now=now
-        )
+            return [segment.datagram]
+        return self._requests.on_data(flow, segment, parameters, now=now)
 
-    def _refuse(self, verdict: Verdict, flow: bytes, sender: tuple[str, int]) -> ToPeer:
+    def _refuse(
+        self,
+        verdict: Verdict,
+        flow: bytes,
+        sender: tuple[str, int],
+        reason: str = "",
+        **inputs: EventValue,
+    ) -> ToPeer:
         self._log.decision(
             "refused",
             flow=format_flow(flow),
-            reason=verdict.name.lower(),
+            reason=reason or verdict.name.lower(),
             evacuated=self.is_evacuated,
             upstream=self._upstream.upstream_id,
+            **inputs,
         )
         return self._verdict_to(verdict, flow, sender)
 
--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -95,7 +95,9 @@
             service_id=settings.service_id,
             heartbeat_interval=settings.heartbeat_interval,
         )
-        self.flows = AgentFlows(upstream=self.upstream, log=self.log)
+        self.flows = AgentFlows(
+            upstream=self.upstream, log=self.log, settings=settings.policies
+        )
         self.evacuations = EvacuationRegister()
         outlet = settings.upstream_outlet
         self._upstream_socket = open_datagram_socket(outlet.host, outlet.port)
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -55,6 +55,10 @@
 # Limit of agents to which one flow is offered: three simultaneous failures of agents
 # are an outage.
 MAX_ATTEMPTS = 4
+# Limit of agents that refuse one opening with FULL while admission control is in force.
+# The placement offers it to the least loaded ones first; more offers of each refused
+# opening would take a large part of a 5 Mbit/s link during a burst.
+MAX_FULL_REFUSALS = 8
 # Longest time that an opening packet is held while no agent can accept it. Callers
 # retransmit after 200 ms, which offers the flow again.
 MAX_HOLD_SECONDS = 0.25
@@ -67,7 +71,12 @@
 
 
 class BalancerFlows:
-    """The flows of one balancer: their cache, placement and retries."""
+    """The flows of one balancer: their cache, placement and retries.
+
+    Attributes:
+        refuses_when_full: Whether an opening that all attempted agents refused with
+            FULL is reset at once, because their admission control is in force.
+    """
 
     def __init__(
         self,
@@ -87,6 +96,7 @@
             link_bytes_per_second: Capacity of its link.
             log: Records each decision.
         """
+        self.refuses_when_full = False
         self._fleet = fleet
         self._placement = placement
         self._log = log
@@ -436,6 +446,8 @@
             return []
         if self._is_evacuated(record.service_id, now=now):
             return self._refuse(record)
+        if self._is_refused_as_full(record):
+            return self._refuse(record, reason="all agents are full")
         if (
             len(self._held_records) >= MAX_HELD_PACKETS
             or now - record.opened_at > MAX_HOLD_SECONDS
@@ -446,6 +458,18 @@
         self._held_records.append(record)
         return []
 
+    def _is_refused_as_full(self, record: FlowRecord) -> bool:
+        """Returns whether every attempted agent refused with FULL under admission.
+
+        Their queueing delay exceeds the deadline, so holding the opening for
+        `MAX_HOLD_SECONDS` only delays the caller's answer.
+        """
+        return (
+            self.refuses_when_full
+            and bool(record.attempts)
+            and all(a.verdict is Verdict.FULL for a in record.attempts)
+        )
+
     def _is_evacuated(self, service_id: str, *, now: float) -> bool:
         """Returns whether all agents of a service are evacuated.
 
@@ -455,14 +479,17 @@
         has_all_agents = bool(agents) and self._fleet.is_complete(now=now)
         return has_all_agents and all(self._placement.is_evacuated(a) for a in agents)
 
-    def _refuse(self, record: FlowRecord) -> list[Action]:
+    def _refuse(
+        self, record: FlowRecord, *, reason: str = "no agent takes it"
+    ) -> list[Action]:
         if self._records.find(record.flow) is not record or record.owner is not None:
             return []
         self._records.drop(record.flow)
         self._log.decision(
             "reset",
             flow=format_flow(record.flow),
-            reason="no agent takes it",
+            reason=reason,
+            attempts=len(record.attempts),
             agents=len(self._fleet.agents_of(record.service_id)),
         )
         return [ResetCaller(record.flow, 0)]
@@ -487,4 +514,8 @@
             return []
         if any(a.verdict in (None, Verdict.ACCEPTED) for a in record.attempts):
             return []
+        if len(record.attempts) >= MAX_FULL_REFUSALS and self._is_refused_as_full(
+            record
+        ):
+            return self._refuse(record, reason="all agents are full")
         return self._offer_to_next_agent(record, now=now)
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -347,6 +347,7 @@
         if policies != self.policies:
             self.log.fact("load policies", **attrs.asdict(policies))
         self.policies = policies
+        self._flows.refuses_when_full = policies.admission
         self._policy_dissemination.configure(policies, routes)
         self.perform(self._policy_dissemination.to_uninformed(self.fleet.agents()))
 
--- a/src/siskinshift/connections/owned_flow.py
+++ b/src/siskinshift/connections/owned_flow.py
@@ -38,6 +38,9 @@
         next_caller_sequence: Sequence number that follows the caller's newest data.
         fins_seen: FIN of the caller (1) and of the upstream (2).
         ended_at: Time at which the flow ended; 0 while it is open.
+        is_retry: Whether the flow is probably a retry of another one.
+        dropped_until: Time until which retransmissions of a dropped request are
+            discarded, seconds; 0 if none was dropped.
     """
 
     opened_at: float
@@ -52,6 +55,8 @@
     next_caller_sequence: int | None = None
     fins_seen: int = 0
     ended_at: float = 0.0
+    is_retry: bool = False
+    dropped_until: float = 0.0
 
     def matches_acknowledgement(self, ack: int) -> bool:
         """Returns whether a caller's packet belongs to this upstream's flow.
--- a/src/siskinshift/connections/owned_flows.py
+++ b/src/siskinshift/connections/owned_flows.py
@@ -9,7 +9,8 @@
 
 
 if TYPE_CHECKING:
-    from siskinshift.connections.request_queue import RequestQueue
+    from siskinshift.connections.owned_flow import RestoredFlow
+    from siskinshift.connections.scheduling.agent_requests import AgentRequests
 
 
 # Ended flows are kept this long for delayed retransmissions of their last packets.
@@ -29,14 +30,14 @@
         open_count: Number of flows that have not ended.
     """
 
-    def __init__(self, queue: RequestQueue) -> None:
+    def __init__(self, requests: AgentRequests) -> None:
         """Initializes an empty store.
 
         Args:
-            queue: Queue of the requests; those of ended flows are removed from it.
+            requests: The requests; those of ended flows are removed.
         """
         self.open_count = 0
-        self._queue = queue
+        self._requests = requests
         self._flows_by_key: dict[bytes, OwnedFlow] = {}
 
     def __contains__(self, key: bytes) -> bool:
@@ -65,6 +66,21 @@
         self.open_count += 1
         return flow
 
+    def restore(self, restored: RestoredFlow, *, now: float) -> None:
+        """Adds a flow of the previous process.
+
+        Args:
+            restored: The flow.
+            now: Clock reading, seconds.
+        """
+        segment = restored.segment
+        flow = self.add(segment.flow, now=now)
+        flow.last_balancer = restored.last_balancer
+        flow.adopt_at(segment.ack)
+        flow.is_confirmed = True
+        flow.acknowledged = segment.ack
+        flow.verification_packet = segment.datagram
+
     def end(self, key: bytes, flow: OwnedFlow, *, now: float) -> None:
         """Marks a flow as ended; its state is kept for `LINGER_SECONDS`.
 
@@ -73,7 +89,7 @@
             flow: State of the flow.
             now: Clock reading, seconds.
         """
-        self._queue.finish(key, now=now)
+        self._requests.finish(key, now=now)
         if flow.ended_at:
             return
         flow.ended_at = now
--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -5,7 +5,8 @@
 and refuses the rest, so callers use up their retries within a second, and each new
 request becomes late behind late ones. The agent therefore forwards as many requests as
 there are slots, and one more so that no slot idles, and queues the rest. A flow carries
-one request at a time. The next request is, in this order:
+one request at a time. The scheduling policy selects the next request; see
+`scheduling.policies`. By default it is, in this order:
 
 1. one that is late and has used up most of the time until its deadline, so that late
    work is still done;
@@ -22,6 +23,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from attrs import Factory
@@ -29,11 +31,16 @@
 from attrs import frozen
 
 from siskinshift.connections.request_kind import RequestKind
+from siskinshift.connections.scheduling.policies import ObjectivePolicy
+from siskinshift.connections.scheduling.run_times import RunTimes
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterator
 
+    from siskinshift.connections.scheduling.policies import SchedulingPolicy
+
 
 # Forwarded beyond the slots: the upstream starts it while the response before it is in
 # transit.
@@ -42,11 +49,6 @@
 # have been lost with its upstream, and the slot must not stay occupied forever.
 # Requests in the users' deployments take 0.6 s at most.
 STUCK_AFTER_SECONDS = 1.5
-# Fraction of the time until the deadline after which a late request goes first. A late
-# response is still useful, but each one that goes first makes a new request late.
-DUE_FRACTION = 0.8
-# Time that a request needs to meet its objective, in mean run times.
-OBJECTIVE_MARGIN_MEAN_TIMES = 2.0
 # Weight of a new run time in the moving mean: about the last twenty requests count.
 MEAN_SMOOTHING_FACTOR = 0.05
 # Requests beyond this limit go to the upstream, which refuses them.
@@ -80,12 +82,14 @@
         flow: The flow of the request.
         arrived_at: Time of arrival, seconds.
         parameters: Request parameters of its route.
+        is_retry: Whether it is probably a retry.
         packets_by_sequence: Packets by sequence number, in order of arrival.
     """
 
     flow: bytes
     arrived_at: float
     parameters: RequestParameters
+    is_retry: bool = False
     packets_by_sequence: dict[int, bytes] = Factory(dict)
 
     @property
@@ -101,14 +105,19 @@
         slots: Requests that the upstream runs at once.
         mean_run_seconds: Moving mean of the time from forwarding to response; 0 before
             the first response.
+        policy: Selects the next request.
+        run_times: Run times by kind of request, and use of the slots.
     """
 
     def __init__(self) -> None:
         """Initializes an empty queue with one slot."""
         self.slots = 1
         self.mean_run_seconds = 0.0
+        self.policy: SchedulingPolicy = ObjectivePolicy()
+        self.run_times = RunTimes()
         self._started_at_by_flow: dict[bytes, float] = {}
         self._waiting_by_flow: dict[bytes, WaitingRequest] = {}
+        self._urgencies: set[int] = set()
 
     def __len__(self) -> int:
         """Returns the number of waiting and running requests."""
@@ -118,6 +127,37 @@
         """Returns whether a request of the flow is waiting."""
         return flow in self._waiting_by_flow
 
+    @property
+    def waiting(self) -> Collection[WaitingRequest]:
+        """The waiting requests, in order of arrival."""
+        return self._waiting_by_flow.values()
+
+    def waiting_by_urgency(self) -> Counter[int]:
+        """Returns the number of waiting requests of each urgency seen so far."""
+        counts = Counter(dict.fromkeys(self._urgencies, 0))
+        counts.update(r.parameters.urgency for r in self._waiting_by_flow.values())
+        return counts
+
+    def free_places(self, *, now: float) -> int:
+        """Returns how many requests could be forwarded now.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        stuck_before = now - STUCK_AFTER_SECONDS
+        running = sum(at > stuck_before for at in self._started_at_by_flow.values())
+        return max(0, self.slots + EXTRA_REQUESTS - running)
+
+    def remaining_seconds(self, *, now: float) -> float:
+        """Returns the expected slot seconds that forwarded requests still need.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        return self.run_times.remaining_seconds(
+            oldest=now - STUCK_AFTER_SECONDS, now=now
+        )
+
     def is_running(self, flow: bytes) -> bool:
         """Returns whether a forwarded request of the flow has no response yet.
 
@@ -134,6 +174,7 @@
         parameters: RequestParameters,
         *,
         now: float,
+        is_retry: bool = False,
     ) -> bool:
         """Handles the first packet of a request, or a further one of a waiting request.
 
@@ -143,6 +184,7 @@
             packet: The packet.
             parameters: Request parameters of its route.
             now: Clock reading, seconds.
+            is_retry: Whether the request is probably a retry.
 
         Returns:
             Whether to forward the packet now; otherwise it has been queued.
@@ -153,19 +195,23 @@
             return False
         can_forward = self._has_free_slot(now=now) and not self._waiting_by_flow
         if can_forward or len(self._waiting_by_flow) >= MAX_WAITING_REQUESTS:
-            self._started_at_by_flow[flow] = now
+            self._start(flow, parameters, now=now)
             return True
-        request = WaitingRequest(flow, now, parameters)
+        request = WaitingRequest(flow, now, parameters, is_retry)
+        self._urgencies.add(parameters.urgency)
         request.packets_by_sequence[seq] = packet
         self._waiting_by_flow[flow] = request
         return False
 
-    def finish(self, flow: bytes, *, now: float) -> float | None:
+    def finish(
+        self, flow: bytes, *, now: float, was_answered: bool = True
+    ) -> float | None:
         """Removes a request that has a response or whose flow has ended.
 
         Args:
             flow: The flow of the request.
             now: Clock reading, seconds.
+            was_answered: Whether the upstream responded.
 
         Returns:
             Seconds since the request was forwarded; None if it was not.
@@ -174,6 +220,9 @@
         started_at = self._started_at_by_flow.pop(flow, None)
         if started_at is None:
             return None
+        self.run_times.finish(
+            flow, slots=self.slots, now=now, was_answered=was_answered
+        )
         elapsed = now - started_at
         if not self.mean_run_seconds:
             self.mean_run_seconds = elapsed
@@ -192,13 +241,17 @@
             Requests whose packets are to be forwarded, in order.
         """
         while self._waiting_by_flow and self._has_free_slot(now=now):
-            request = min(
-                self._waiting_by_flow.values(), key=lambda r: self._rank(r, now=now)
+            request = self.policy.choose(
+                self._waiting_by_flow.values(),
+                mean_run_seconds=self.mean_run_seconds,
+                now=now,
             )
             del self._waiting_by_flow[request.flow]
             if request.expires_at <= now + self.mean_run_seconds:
                 continue
-            self._started_at_by_flow[request.flow] = now
+            cost = self.run_times.expected(request.parameters)
+            self.policy.record_start(request, cost=cost)
+            self._start(request.flow, request.parameters, now=now)
             yield request
 
     def drop_expired(self, *, now: float) -> int:
@@ -210,15 +263,37 @@
         Returns:
             The number of dropped requests.
         """
-        expired = [f for f, r in self._waiting_by_flow.items() if r.expires_at <= now]
-        for flow in expired:
-            del self._waiting_by_flow[flow]
-        return len(expired)
+        return len(self.take_expired(now=now))
+
+    def take_expired(
+        self, *, now: float, includes_run: bool = False
+    ) -> list[WaitingRequest]:
+        """Removes and returns waiting requests that are too late.
+
+        Args:
+            now: Clock reading, seconds.
+            includes_run: Whether those are too late that could not be answered by their
+                deadline if they started now.
+        """
+        expired = [
+            r
+            for r in self._waiting_by_flow.values()
+            if r.expires_at
+            <= now + (self.run_times.expected(r.parameters) if includes_run else 0.0)
+        ]
+        for request in expired:
+            del self._waiting_by_flow[request.flow]
+        return expired
 
     def clear(self) -> None:
         """Removes all requests, since the upstream has ended."""
         self._waiting_by_flow.clear()
         self._started_at_by_flow.clear()
+        self.run_times.clear()
+
+    def _start(self, flow: bytes, parameters: RequestParameters, *, now: float) -> None:
+        self._started_at_by_flow[flow] = now
+        self.run_times.start(flow, parameters, slots=self.slots, now=now)
 
     def _has_free_slot(self, *, now: float) -> bool:
         limit = self.slots + EXTRA_REQUESTS
@@ -227,13 +302,3 @@
         stuck_before = now - STUCK_AFTER_SECONDS
         running = sum(at > stuck_before for at in self._started_at_by_flow.values())
         return running < limit
-
-    def _rank(self, request: WaitingRequest, *, now: float) -> tuple[int, int, float]:
-        waited = now - request.arrived_at
-        time_limit = request.expires_at - request.arrived_at
-        margin = OBJECTIVE_MARGIN_MEAN_TIMES * self.mean_run_seconds
-        if waited + margin <= request.parameters.objective:
-            return (1, request.parameters.urgency, request.arrived_at)
-        if waited >= DUE_FRACTION * time_limit:
-            return (0, request.parameters.urgency, request.arrived_at)
-        return (2, request.parameters.urgency, request.arrived_at)
--- /dev/null
+++ b/src/siskinshift/connections/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control and scheduling of the requests for an agent's upstream."""
--- /dev/null
+++ b/tests/connections/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission control and scheduling at the agent."""
