--- a/src/siskinshift/connections/scheduling/fair_policy.py
+++ b/src/siskinshift/connections/scheduling/fair_policy.py
@@ -8,7 +8,9 @@
 ones, since a late response is worth less; among the late ones those that are due go
 first. More urgent classes go first within each group. Two written shares bound this
 order: due requests together get `MIN_DUE_FRACTION` of the starts, and each urgency gets
-`MIN_URGENCY_FRACTION`, as long as they wait. Within a class first attempts precede
+`MIN_URGENCY_FRACTION`, as long as they wait. Due requests that may run once at most go
+before all others: their callers cannot repeat them once their flow is open, and
+admission control bounds their number. Within a class first attempts precede
 retries, and callers are served by start-time fair queueing.
 """
 
@@ -16,6 +18,7 @@
 
 from typing import TYPE_CHECKING
 
+from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.scheduling.policies import Timeliness
 from siskinshift.connections.scheduling.policies import scheduling_policy
 from siskinshift.connections.scheduling.policies import timeliness
@@ -39,6 +42,8 @@
 # Largest credit of a share, in costs of one request: a share that was not used for long
 # must not block the others for long.
 MAX_CREDIT_COSTS = 2.0
+# Kinds whose requests a caller cannot repeat on an open flow.
+UNREPEATABLE_KINDS = frozenset({RequestKind.NON_IDEMPOTENT, RequestKind.UPLOAD})
 # Number of starts between two removals of idle callers from the virtual times.
 STARTS_BETWEEN_SWEEPS = 256
 
@@ -98,9 +103,15 @@
     ) -> WaitingRequest:
         """Returns the next request; see the module."""
         by_class: dict[tuple[Timeliness, int], list[WaitingRequest]] = {}
+        unrepeatable: list[WaitingRequest] = []
         for request in requests:
             group = timeliness(request, mean_run_seconds=mean_run_seconds, now=now)
             by_class.setdefault((group, request.parameters.urgency), []).append(request)
+            kind = request.parameters.kind
+            if group is Timeliness.DUE and kind in UNREPEATABLE_KINDS:
+                unrepeatable.append(request)
+        if unrepeatable:
+            return min(unrepeatable, key=lambda request: request.expires_at)
         fractions_by_key: dict[Hashable, float] = {
             urgency: MIN_URGENCY_FRACTION for _, urgency in by_class
         }
