--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -11,34 +11,28 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToCaller
-from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.agent_openings import AgentOpenings
+from siskinshift.connections.agent_replies import AgentReplies
 from siskinshift.connections.foreign_flows import ForeignFlows
 from siskinshift.connections.node_settings import PolicySettings
 from siskinshift.connections.owned_flows import OwnedFlows
-from siskinshift.connections.ownership_probes import OwnershipProbe
+from siskinshift.connections.ownership_checks import OwnershipChecks
 from siskinshift.connections.ownership_probes import OwnershipProbes
-from siskinshift.connections.peer_codec import encode_verdict
-from siskinshift.connections.peer_messages import FlowVerdict
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import LoadReport
 from siskinshift.connections.peer_messages import Purpose
 from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.peer_messages import Verdict
-from siskinshift.connections.routes import service_tag
 from siskinshift.connections.scheduling.agent_requests import AgentRequests
-from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
 from siskinshift.connections.segment import FIN
 from siskinshift.connections.segment import RESET
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import Segment
 from siskinshift.connections.segment import format_flow
-from siskinshift.connections.warm_up import WarmUpLimit
 
 
 if TYPE_CHECKING:
@@ -53,7 +47,6 @@
     from siskinshift.connections.request_queue import RequestParameters
     from siskinshift.connections.upstream_state import UpstreamState
     from siskinshift.observability.event_log import EventLog
-    from siskinshift.observability.event_log import EventValue
 
 
 # Interval at which expired flows are removed.
@@ -65,12 +58,8 @@
     """Flows of one agent's upstream.
 
     Attributes:
-        is_draining: Whether new flows are refused because the agent is shutting down.
-        is_evacuated: Whether new flows are refused because operators have evacuated
-            the failure domain.
         warm_up: Limits new flows while the upstream is cold.
         report_recipients: Balancers that requested load reports.
-        load_report: What the agent observes of its upstream.
         upstream_last_seen_at: Time of the upstream's last packet, seconds.
     """
 
@@ -94,17 +83,48 @@
         self._flows = OwnedFlows(self._requests)
         self._foreign_flows = ForeignFlows()
         self._probes = OwnershipProbes()
+        self._replies = AgentReplies(load=lambda: self.load)
+        self._ownership = OwnershipChecks(
+            self._foreign_flows, self._probes, replies=self._replies, log=log
+        )
         self._swept_at = 0.0
-        self.is_draining = False
-        self.is_evacuated = False
-        self.warm_up = WarmUpLimit()
-        self.report_recipients: set[tuple[str, int]] = set()
-        self.load_report = LoadReport()
+        self._openings = AgentOpenings(
+            upstream=upstream,
+            flows=self._flows,
+            requests=self._requests,
+            replies=self._replies,
+            log=log,
+        )
+        self.warm_up = self._openings.warm_up
+        self.report_recipients = self._replies.report_recipients
         self.upstream_last_seen_at = float("-inf")
 
     def __len__(self) -> int:
         return self._flows.open_count
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether new flows are refused because the agent is shutting down."""
+        return self._openings.is_draining
+
+    @is_draining.setter
+    def is_draining(self, is_draining: bool) -> None:
+        self._openings.is_draining = is_draining
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether new flows are refused because the failure domain is evacuated."""
+        return self._openings.is_evacuated
+
+    @is_evacuated.setter
+    def is_evacuated(self, is_evacuated: bool) -> None:
+        self._openings.is_evacuated = is_evacuated
+
+    @property
+    def load_report(self) -> LoadReport:
+        """What the agent observes of its upstream."""
+        return self._replies.load_report
+
     @property
     def policy(self) -> ServicePolicy:
         """Load policies in force; the default without any."""
@@ -134,7 +154,10 @@
         Args:
             now: Clock reading, seconds.
         """
-        self.load_report = self._requests.report(now=now)
+        self._replies.load_report = LoadReport(
+            wait_seconds=self._requests.expected_wait(now=now),
+            busy_fraction=self._requests.busy_fraction(now=now),
+        )
 
     def on_forward(
         self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
@@ -151,24 +174,24 @@
             The resulting actions.
         """
         if forward.purpose is Purpose.OPEN:
-            return self._on_opening(forward, segment, sender, now=now)
+            return self._openings.on_opening(forward, segment, sender, now=now)
         if segment.flags & (SYN | BOUNCED):
             return []
         flow = self._flows.get(segment.flow)
         if flow is None:
-            return self._probe_ownership(forward, segment, sender, now=now)
+            return self._ownership.probe(forward, segment, sender, now=now)
         if not flow.matches_acknowledgement(segment.ack):
             # The caller accepted the response of another upstream.
             if segment.flags & RESET:
                 return []
-            return [self._reject_foreign(forward, segment, sender)]
+            return [self._ownership.reject(forward, segment, sender)]
         flow.last_balancer = sender
         packets = self._record_caller_packet(
             flow, segment, forward.request_parameters, now=now
         )
         actions: list[Action] = [ToUpstream(packet) for packet in packets]
         if forward.purpose is Purpose.LOOKUP:
-            actions.append(self._verdict_to(Verdict.MINE, segment.flow, sender))
+            actions.append(self._replies.verdict(Verdict.MINE, segment.flow, sender))
         if segment.flags & (FIN | RESET):
             # The caller may have cancelled a request that occupied a slot.
             actions += self._start_requests(now=now)
@@ -195,7 +218,7 @@
             verdict = Verdict.NOT_MINE
         else:
             verdict = Verdict.UNSURE
-        return [self._verdict_to(verdict, query.flow, sender)]
+        return [self._replies.verdict(verdict, query.flow, sender)]
 
     def on_upstream_segment(self, segment: Segment, *, now: float) -> list[Action]:
         """Handles a packet of the upstream.
@@ -216,17 +239,21 @@
         if flow is None and probe is not None and not probe.is_confirmed_by(segment):
             # Not sent to the caller, which uses another upstream's sequence numbers: a
             # reset would break its flow with that upstream.
-            return [self._on_foreign_reply(segment, probe, now=now)]
+            return [self._ownership.on_foreign_reply(segment, probe, now=now)]
         if flow is None:
             if segment.flags & RESET:
                 return actions
             flow = self._flows.add(segment.flow, now=now)
             self._foreign_flows.discard(segment.flow)
         if probe is not None:
-            actions.append(self._verdict_to(Verdict.MINE, segment.flow, probe.balancer))
+            actions.append(
+                self._replies.verdict(Verdict.MINE, segment.flow, probe.balancer)
+            )
         if flow.opening_balancer is not None and segment.flags & SYN:
             actions.append(
-                self._verdict_to(Verdict.ACCEPTED, segment.flow, flow.opening_balancer)
+                self._replies.verdict(
+                    Verdict.ACCEPTED, segment.flow, flow.opening_balancer
+                )
             )
             flow.opening_balancer = None
         flow.record_upstream_packet(segment)
@@ -315,7 +342,7 @@
         """
         self._foreign_flows.treats_unknown_as_foreign = True
         actions: list[Action] = [
-            self._verdict_to(Verdict.NOT_MINE, flow, probe.balancer)
+            self._replies.verdict(Verdict.NOT_MINE, flow, probe.balancer)
             for flow, probe in self._probes.pop_all()
         ]
         ended = self._flows.end_all(now=now)
@@ -357,103 +384,11 @@
         if now - self._swept_at < SWEEP_INTERVAL_SECONDS:
             return
         self._swept_at = now
+        self._requests.update_metrics()
         self._flows.sweep(now=now)
         self._foreign_flows.sweep(now=now)
         self._probes.sweep(now=now)
 
-    def _on_opening(
-        self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
-    ) -> list[Action]:
-        if segment.flags & (SYN | ACK | BOUNCED) != SYN:
-            return []
-        if forward.service_tag != service_tag(self._upstream.service_id):
-            return [self._refuse(Verdict.WRONG_SERVICE, segment.flow, sender)]
-        flow = self._flows.get(segment.flow)
-        if self.is_evacuated and (flow is None or not flow.is_confirmed):
-            # Also refuses a retransmission, since the upstream may not have received
-            # the earlier packets.
-            return [self._refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
-        if flow is None and (self.is_draining or not self._upstream.accepts(now=now)):
-            return [self._refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
-        if flow is None:
-            is_cold = self._upstream.may_be_cold(now=now)
-            if not self.warm_up.admits(is_cold=is_cold, now=now):
-                return [self._refuse(Verdict.FULL, segment.flow, sender)]
-            refusal = self._check_admission(forward, segment, sender, now=now)
-            if refusal is not None:
-                self._requests.record_refusal(segment.flow, now=now)
-                return [refusal]
-            flow = self._flows.add(segment.flow, now=now)
-            self._requests.on_flow_opened(
-                flow, segment, forward.request_parameters, now=now
-            )
-        flow.opening_balancer = flow.last_balancer = sender
-        return [ToUpstream(segment.datagram)]
-
-    def _check_admission(
-        self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
-    ) -> ToPeer | None:
-        limit = self.policy.max_connections
-        if limit and self._flows.open_count >= limit:
-            return self._refuse(
-                Verdict.FULL,
-                segment.flow,
-                sender,
-                reason="connection limit",
-                flows=self._flows.open_count,
-                limit=limit,
-            )
-        refusal = self._requests.check_opening(
-            segment.flow, forward.request_parameters, now=now
-        )
-        if refusal is None:
-            return None
-        return self._refuse(Verdict.FULL, segment.flow, sender, **attrs.asdict(refusal))
-
-    def _probe_ownership(
-        self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
-    ) -> list[Action]:
-        if segment.flags & RESET:
-            return []
-        if self._foreign_flows.has(segment.flow, now=now):
-            return [self._reject_foreign(forward, segment, sender)]
-        is_lookup = forward.purpose is Purpose.LOOKUP
-        probe = self._probes.add(
-            segment.flow, sender, segment.ack, is_lookup=is_lookup, now=now
-        )
-        actions: list[Action] = [ToUpstream(segment.datagram)]
-        if probe.is_overdue(now=now):
-            unanswered = round(now - probe.started_at, 3)
-            self._log.decision(
-                "flow doubted", flow=format_flow(segment.flow), silent=unanswered
-            )
-            verdict = Verdict.UNSURE
-            actions.append(
-                self._verdict_to(verdict, segment.flow, sender, segment.datagram)
-            )
-        return actions
-
-    def _reject_foreign(
-        self, forward: Forward, segment: Segment, sender: tuple[str, int]
-    ) -> ToPeer:
-        # A balancer that runs an owner lookup keeps the packet. One that treats this
-        # agent as the owner gets it back for other agents.
-        packet = b"" if forward.purpose is Purpose.LOOKUP else segment.datagram
-        return self._verdict_to(Verdict.NOT_MINE, segment.flow, sender, packet)
-
-    def _on_foreign_reply(
-        self, segment: Segment, probe: OwnershipProbe, *, now: float
-    ) -> Action:
-        self._foreign_flows.mark(segment.flow, now=now)
-        self._log.decision(
-            "foreign answer",
-            flow=format_flow(segment.flow),
-            flags=segment.flags,
-            seq=segment.seq,
-            caller_acknowledged=probe.acknowledged,
-        )
-        return self._verdict_to(Verdict.NOT_MINE, segment.flow, probe.balancer)
-
     def _on_bounce(self, segment: Segment, *, now: float) -> list[Action]:
         flow = self._flows.get(segment.flow)
         if segment.flags & SYN:
@@ -461,13 +396,15 @@
                 return []
             sender = flow.opening_balancer
             self._flows.remove(segment.flow, now=now)
-            return [self._refuse(Verdict.FULL, segment.flow, sender)]
+            return [self._openings.refuse(Verdict.FULL, segment.flow, sender)]
         probe = self._probes.pop(segment.flow)
         if probe is not None:
             self._foreign_flows.mark(segment.flow, now=now)
             packet = b"" if probe.is_lookup else segment.datagram
             return [
-                self._verdict_to(Verdict.NOT_MINE, segment.flow, probe.balancer, packet)
+                self._replies.verdict(
+                    Verdict.NOT_MINE, segment.flow, probe.balancer, packet
+                )
             ]
         if flow is None or flow.ended_at:
             return []
@@ -512,34 +449,3 @@
             # counts as stuck.
             return [segment.datagram]
         return self._requests.on_data(flow, segment, parameters, now=now)
-
-    def _refuse(
-        self,
-        verdict: Verdict,
-        flow: bytes,
-        sender: tuple[str, int],
-        reason: str = "",
-        **inputs: EventValue,
-    ) -> ToPeer:
-        self._log.decision(
-            "refused",
-            flow=format_flow(flow),
-            reason=reason or verdict.name.lower(),
-            evacuated=self.is_evacuated,
-            upstream=self._upstream.upstream_id,
-            **inputs,
-        )
-        return self._verdict_to(verdict, flow, sender)
-
-    def _verdict_to(
-        self,
-        verdict: Verdict,
-        flow: bytes,
-        address: tuple[str, int],
-        packet: bytes = b"",
-    ) -> ToPeer:
-        load = self.load
-        if address in self.report_recipients:
-            load = attrs.evolve(load, report=self.load_report)
-        message = encode_verdict(FlowVerdict(verdict, flow, load, packet))
-        return ToPeer(address, message)
--- a/src/siskinshift/connections/scheduling/agent_requests.py
+++ b/src/siskinshift/connections/scheduling/agent_requests.py
@@ -8,7 +8,6 @@
 
 from typing import TYPE_CHECKING
 
-from siskinshift.connections.peer_messages import LoadReport
 from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.request_queue import RequestQueue
@@ -245,22 +244,28 @@
         self._receipt.clear()
         self._estimates_by_flow.clear()
 
-    def report(self, *, now: float) -> LoadReport:
-        """Returns the load report and updates the metrics.
+    def expected_wait(self, *, now: float) -> float:
+        """Returns the queueing delay of a new request of middle urgency, seconds.
 
         Args:
             now: Clock reading, seconds.
         """
+        return self._admission.reported_wait(now=now)
+
+    def busy_fraction(self, *, now: float) -> float:
+        """Returns the fraction of the slots in use over the last seconds.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        return self.queue.run_times.busy_fraction(slots=self.queue.slots, now=now)
+
+    def update_metrics(self) -> None:
+        """Sets the gauges of waiting requests and transfers in progress."""
         metrics = self._log.metrics
         for urgency, count in self.queue.waiting_by_urgency().items():
             metrics.set_gauge(f"requests_waiting_urgency_{urgency}", count)
         metrics.set_gauge("transfers_in_progress", len(self._receipt))
-        return LoadReport(
-            wait_seconds=self._admission.reported_wait(now=now),
-            busy_fraction=self.queue.run_times.busy_fraction(
-                slots=self.queue.slots, now=now
-            ),
-        )
 
     def _submit(
         self,
--- /dev/null
+++ b/tests/connections/scheduling/test_openings.py
@@ -0,0 +1,172 @@
+"""Tests of new flows at an agent and a balancer while load policies are in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from siskinshift.connections.actions import ResetCaller
+from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.peer_codec import decode_peer_message
+from siskinshift.connections.peer_messages import FlowVerdict
+from siskinshift.connections.peer_messages import Forward
+from siskinshift.connections.peer_messages import Load
+from siskinshift.connections.peer_messages import Purpose
+from siskinshift.connections.peer_messages import ServicePolicy
+from siskinshift.connections.peer_messages import Verdict
+from siskinshift.connections.request_kind import RequestKind
+from siskinshift.connections.request_queue import RequestParameters
+from siskinshift.connections.routes import service_tag
+from siskinshift.connections.segment import ACK
+from siskinshift.connections.segment import FIN
+from siskinshift.connections.segment import RESET
+from siskinshift.connections.segment import SYN
+from siskinshift.connections.segment import Segment
+from tests.connections.builders import BALANCER
+from tests.connections.builders import agent_flows
+from tests.connections.builders import agents
+from tests.connections.builders import balancer_flows
+from tests.connections.builders import fleet_of
+from tests.connections.builders import flow_of
+from tests.connections.builders import opening
+from tests.connections.builders import segment
+from tests.connections.scheduling.load import PURCHASE
+from tests.connections.scheduling.load import STATUS
+
+
+if TYPE_CHECKING:
+    from siskinshift.connections.agent_flows import AgentFlows
+
+
+UPLOAD = RequestParameters(0.945, 9.5, 2, RequestKind.UPLOAD)
+UPSTREAM_SEQ = 5_000_000
+
+
+def _forward(
+    flows: AgentFlows,
+    packet: Segment,
+    parameters: RequestParameters,
+    purpose: Purpose = Purpose.OWNED,
+    *,
+    now: float = 0.0,
+) -> list[object]:
+    forward = Forward(purpose, service_tag("editor"), packet.datagram, parameters)
+    return list(flows.on_forward(forward, packet, BALANCER, now=now))
+
+
+def _open(
+    flows: AgentFlows, port: int, parameters: RequestParameters, *, now: float = 0.0
+) -> list[object]:
+    actions = _forward(flows, opening(port), parameters, Purpose.OPEN, now=now)
+    if actions == [ToUpstream(opening(port).datagram)]:
+        reply = segment(port, SYN | ACK, seq=UPSTREAM_SEQ, ack=2)
+        flows.on_upstream_segment(reply, now=now)
+    return actions
+
+
+def _data(port: int, seq: int = 2, length: int = 900) -> Segment:
+    return segment(port, ACK, seq=seq, ack=UPSTREAM_SEQ + 1, length=length)
+
+
+def _verdict(actions: list[object]) -> Verdict:
+    (action,) = actions
+    assert isinstance(action, ToPeer)
+    message = decode_peer_message(action.datagram)
+    assert isinstance(message, FlowVerdict)
+    return message.verdict
+
+
+def test_max_connections_is_enforced_without_admission() -> None:
+    """Guards against an upstream that has to return openings."""
+    flows = agent_flows()
+    flows.policy = ServicePolicy(max_connections=2)
+    _open(flows, 1, STATUS)
+    _open(flows, 2, STATUS)
+
+    assert _verdict(_open(flows, 3, STATUS)) is Verdict.FULL
+    assert _open(flows, 2, STATUS) == [ToUpstream(opening(2).datagram)]
+    _forward(flows, segment(1, RESET, ack=UPSTREAM_SEQ + 1), STATUS)
+    assert _open(flows, 3, STATUS) == [ToUpstream(opening(3).datagram)]
+
+
+def test_a_refused_purchase_has_not_reached_the_upstream() -> None:
+    """Guards against a request that is reported as not run and has run."""
+    flows = agent_flows()
+    flows.policy = ServicePolicy(uses_admission=True)
+    _open(flows, 1, STATUS)
+    _forward(flows, _data(1), STATUS)
+    flows.on_upstream_segment(
+        segment(1, ACK, seq=UPSTREAM_SEQ + 1, length=100), now=0.5
+    )
+
+    actions = [_open(flows, port, PURCHASE, now=0.5) for port in range(2, 12)]
+
+    refused = [a for a in actions if isinstance(a[0], ToPeer)]
+    assert refused
+    assert {_verdict(a) for a in refused} == {Verdict.FULL}
+    assert not any(isinstance(a, ToUpstream) for each in refused for a in each)
+
+
+@pytest.mark.parametrize("ending", [FIN, RESET])
+def test_a_transfer_that_its_caller_ends_leaves_nothing(ending: int) -> None:
+    """Guards against a held last packet that runs after its caller has gone."""
+    flows = agent_flows()
+    flows.policy = ServicePolicy(uses_admission=True, receives_without_slot=True)
+    _open(flows, 1, UPLOAD)
+    _forward(flows, _data(1, 1202, 300), UPLOAD)
+    _forward(flows, segment(1, ending, ack=UPSTREAM_SEQ + 1), UPLOAD)
+    flows.on_upstream_segment(segment(1, FIN | ACK, seq=UPSTREAM_SEQ + 1), now=0.1)
+
+    assert flows.load.running == 0
+    assert flows.tick(now=0.2) == []
+
+
+def test_a_transfer_of_an_earlier_process_passes_as_before() -> None:
+    """Guards against holding packets of a transfer whose start was not observed."""
+    flows = agent_flows()
+    flows.policy = ServicePolicy(receives_without_slot=True)
+    flows.on_upstream_segment(segment(1, ACK, seq=UPSTREAM_SEQ, ack=1202), now=0.0)
+
+    actions = _forward(flows, _data(1, 1202, 300), UPLOAD)
+
+    assert actions == [ToUpstream(_data(1, 1202, 300).datagram)]
+
+
+def test_requests_of_an_upstream_that_has_ended_are_not_sent_to_the_next() -> None:
+    """Guards against requests that run at an upstream that holds no flow of them."""
+    flows = agent_flows()
+    flows.policy = ServicePolicy(uses_admission=True, receives_without_slot=True)
+    for port in range(1, 6):
+        _open(flows, port, STATUS)
+        _forward(flows, _data(port), STATUS)
+    _open(flows, 6, UPLOAD)
+    _forward(flows, _data(6, length=300), UPLOAD)
+
+    resets = flows.on_upstream_gone(now=0.1)
+
+    assert len([a for a in resets if isinstance(a, ResetCaller)]) == 6
+    assert flows.load.running == 0
+    assert flows.tick(now=0.2) == []
+
+
+@pytest.mark.parametrize("refuses_when_full", [False, True])
+def test_an_opening_that_all_agents_refuse_is_reset_at_once(
+    refuses_when_full: bool,
+) -> None:
+    """Guards against holding a caller for 250 ms that nobody can serve in time."""
+    members = agents(2)
+    fleet = fleet_of(*members)
+    flows = balancer_flows(fleet)
+    flows.refuses_when_full = refuses_when_full
+    actions = flows.on_segment(opening(1), now=0.0)
+    for _ in members:
+        (sent,) = actions
+        assert isinstance(sent, ToPeer)
+        agent = next(a for a in fleet.agents_of("editor") if a.address == sent.address)
+        verdict = FlowVerdict(Verdict.FULL, flow_of(1), Load())
+        actions = flows.on_verdict(agent, verdict, now=0.004)
+
+    expected = [ResetCaller(flow_of(1), 0)] if refuses_when_full else []
+    assert actions == expected
