--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -370,6 +370,8 @@
         return [ToUpstream(packet) for packet in packets]
 
     def _start_requests(self, *, now: float) -> list[Action]:
+        if not self._requests.queue.waiting:
+            return []
         if self.policy.uses_admission and self._requests.can_start(now=now):
             self._drop_requests(now=now)
         return [ToUpstream(packet) for packet in self._requests.start(now=now)]
--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -107,6 +107,7 @@
             the first response.
         policy: Selects the next request.
         run_times: Run times by kind of request, and use of the slots.
+        observes_runs: Whether run times are observed; only load policies need them.
     """
 
     def __init__(self) -> None:
@@ -115,6 +116,7 @@
         self.mean_run_seconds = 0.0
         self.policy: SchedulingPolicy = ObjectivePolicy()
         self.run_times = RunTimes()
+        self.observes_runs = False
         self._started_at_by_flow: dict[bytes, float] = {}
         self._waiting_by_flow: dict[bytes, WaitingRequest] = {}
         self._urgencies: set[int] = set()
@@ -220,9 +222,10 @@
         started_at = self._started_at_by_flow.pop(flow, None)
         if started_at is None:
             return None
-        self.run_times.finish(
-            flow, slots=self.slots, now=now, was_answered=was_answered
-        )
+        if self.observes_runs:
+            self.run_times.finish(
+                flow, slots=self.slots, now=now, was_answered=was_answered
+            )
         elapsed = now - started_at
         if not self.mean_run_seconds:
             self.mean_run_seconds = elapsed
@@ -293,7 +296,8 @@
 
     def _start(self, flow: bytes, parameters: RequestParameters, *, now: float) -> None:
         self._started_at_by_flow[flow] = now
-        self.run_times.start(flow, parameters, slots=self.slots, now=now)
+        if self.observes_runs:
+            self.run_times.start(flow, parameters, slots=self.slots, now=now)
 
     def _has_free_slot(self, *, now: float) -> bool:
         limit = self.slots + EXTRA_REQUESTS
--- a/src/siskinshift/connections/scheduling/agent_requests.py
+++ b/src/siskinshift/connections/scheduling/agent_requests.py
@@ -66,6 +66,9 @@
             self.queue.policy = SCHEDULING_POLICIES[name]()
             self._admission.clear()
         self.policy = policy
+        self.queue.observes_runs = policy.uses_admission or policy.wants_reports
+        if not self.queue.observes_runs:
+            self.queue.run_times.clear()
 
     def check_opening(
         self, flow: bytes, parameters: RequestParameters, *, now: float
@@ -138,7 +141,7 @@
             # Retransmission of a request that was dropped: it must not run outside the
             # slots, and its caller gives up at that time.
             return []
-        receipt = self._receipt.receive(segment, now=now)
+        receipt = self._receipt.receive(segment, now=now) if self._receipt else None
         if receipt is not None:
             forwarded = list(receipt.forwarded)
             last = receipt.last
@@ -275,9 +278,8 @@
         *,
         now: float,
     ) -> bool:
-        self._admission.record_request(segment.flow)
-        is_first = segment.flow not in self.queue
-        if is_first and self.policy.uses_admission:
+        if self.policy.uses_admission and segment.flow not in self.queue:
+            self._admission.record_request(segment.flow)
             self._estimates_by_flow[segment.flow] = self._admission.estimate_wait(
                 parameters.urgency, now=now
             )
--- a/src/siskinshift/connections/scheduling/upload_receipt.py
+++ b/src/siskinshift/connections/scheduling/upload_receipt.py
@@ -110,6 +110,10 @@
         """Returns the number of transfers in the window."""
         return self._places
 
+    def __bool__(self) -> bool:
+        """Returns whether any flow has a transfer, with or without a place."""
+        return bool(self._transfers_by_flow)
+
     def open(self, flow: bytes, first_seq: int, *, now: float) -> None:
         """Starts a transfer, if the window has a place.
 
--- a/tests/connections/scheduling/test_fair_policy.py
+++ b/tests/connections/scheduling/test_fair_policy.py
@@ -31,6 +31,7 @@
     """Returns a queue with `fair` whose two places are taken until time 0."""
     queue = RequestQueue()
     queue.policy = SCHEDULING_POLICIES["fair"]()
+    queue.observes_runs = True
     for number in (1, 2):
         queue.submit(flow_key(number, 999), 1, b"", STATUS, now=-0.01)
     queue.finish(flow_key(1, 999), now=0.0)
--- a/tests/connections/scheduling/test_opening_admission.py
+++ b/tests/connections/scheduling/test_opening_admission.py
@@ -23,6 +23,7 @@
 def _admission() -> tuple[RequestQueue, OpeningAdmission]:
     """Returns the admission of a queue with a known run time and two running."""
     queue = RequestQueue()
+    queue.observes_runs = True
     for number in (1, 2):
         queue.submit(flow_key(number, 999), 1, b"", PURCHASE, now=0.0)
     queue.finish(flow_key(1, 999), now=RUN_SECONDS)
