--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -186,9 +186,8 @@
                 return []
             return [self._ownership.reject(forward, segment, sender)]
         flow.last_balancer = sender
-        packets = self._record_caller_packet(
-            flow, segment, forward.request_parameters, now=now
-        )
+        parameters = forward.request_parameters
+        packets = self._record_caller_packet(flow, segment, parameters, now=now)
         actions: list[Action] = [ToUpstream(packet) for packet in packets]
         if forward.purpose is Purpose.LOOKUP:
             actions.append(self._replies.verdict(Verdict.MINE, segment.flow, sender))
@@ -366,8 +365,7 @@
             self.refresh_report(now=now)
         self._drop_requests(now=now)
         self._sweep(now=now)
-        packets = self._requests.start(now=now)
-        return [ToUpstream(packet) for packet in packets]
+        return self._start_requests(now=now)
 
     def _start_requests(self, *, now: float) -> list[Action]:
         if not self._requests.queue.waiting:
@@ -378,8 +376,7 @@
 
     def _drop_requests(self, *, now: float) -> None:
         for key, expires_at in self._requests.drop_expired(now=now):
-            flow = self._flows.get(key)
-            if flow is not None:
+            if (flow := self._flows.get(key)) is not None:
                 flow.dropped_until = expires_at
 
     def _sweep(self, *, now: float) -> None:
--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -276,13 +276,11 @@
         Args:
             now: Clock reading, seconds.
             includes_run: Whether those are too late that could not be answered by their
-                deadline if they started now.
+                deadline if they started now; `next_requests` would not start them.
         """
+        margin = self.mean_run_seconds if includes_run else 0.0
         expired = [
-            r
-            for r in self._waiting_by_flow.values()
-            if r.expires_at
-            <= now + (self.run_times.expected(r.parameters) if includes_run else 0.0)
+            r for r in self._waiting_by_flow.values() if r.expires_at <= now + margin
         ]
         for request in expired:
             del self._waiting_by_flow[request.flow]
--- a/src/siskinshift/connections/scheduling/agent_requests.py
+++ b/src/siskinshift/connections/scheduling/agent_requests.py
@@ -210,9 +210,7 @@
             self._log.metrics.observe("request_wait", waited)
             estimate = self._estimates_by_flow.pop(request.flow, None)
             if estimate is not None:
-                error = abs(waited - estimate)
-                self._log.metrics.observe("request_wait_estimated", estimate)
-                self._log.metrics.observe("request_wait_estimate_error", error)
+                self._observe_estimate(estimate, waited=waited)
             self._receipt.release(request.flow)
             packets += request.packets_by_sequence.values()
         return packets
@@ -278,11 +276,9 @@
         *,
         now: float,
     ) -> bool:
-        if self.policy.uses_admission and segment.flow not in self.queue:
-            self._admission.record_request(segment.flow)
-            self._estimates_by_flow[segment.flow] = self._admission.estimate_wait(
-                parameters.urgency, now=now
-            )
+        estimate = None
+        if self.policy.uses_admission:
+            estimate = self._admission.record_request(segment.flow)
         started = self.queue.submit(
             segment.flow,
             segment.seq,
@@ -291,6 +287,14 @@
             now=now,
             is_retry=flow.is_retry,
         )
-        if started:
-            self._estimates_by_flow.pop(segment.flow, None)
+        if estimate is not None:
+            if started:
+                self._observe_estimate(estimate, waited=0.0)
+            else:
+                self._estimates_by_flow[segment.flow] = estimate
         return started
+
+    def _observe_estimate(self, estimate: float, *, waited: float) -> None:
+        metrics = self._log.metrics
+        metrics.observe("request_wait_estimated", estimate)
+        metrics.observe("request_wait_estimate_error", abs(waited - estimate))
--- a/src/siskinshift/connections/scheduling/fair_policy.py
+++ b/src/siskinshift/connections/scheduling/fair_policy.py
@@ -137,7 +137,16 @@
         if group is Timeliness.DUE:
             served.add("due")
         self._shares.charge(served, fractions_by_key)
-        return self._choose_by_caller(urgency, by_class[group, urgency])
+        chosen = self._choose_by_caller(urgency, by_class[group, urgency])
+        in_time = by_class.get((Timeliness.IN_TIME, urgency))
+        if owed != "due" or in_time is None:
+            return chosen
+        # A caller beyond its fair share gets no slot ahead of others because its own
+        # requests have become due.
+        other = self._choose_by_caller(urgency, in_time)
+        callers = (caller_host(chosen.flow), caller_host(other.flow))
+        is_within_share = self._order(urgency).choose(callers) == callers[0]
+        return chosen if is_within_share else other
 
     def record_start(self, request: WaitingRequest, *, cost: float) -> None:
         """Charges the caller of a request.
--- a/src/siskinshift/connections/scheduling/opening_admission.py
+++ b/src/siskinshift/connections/scheduling/opening_admission.py
@@ -74,6 +74,7 @@
 class _Expected:
     parameters: RequestParameters
     admitted_at: float
+    estimated_wait: float
 
 
 class OpeningAdmission:
@@ -140,16 +141,21 @@
         )
         if error is not None:
             return Refusal(error.name.lower(), wait, run, limit, is_refusing)
-        self._expected_by_flow[flow] = _Expected(parameters, now)
+        self._expected_by_flow[flow] = _Expected(parameters, now, wait)
         return None
 
-    def record_request(self, flow: bytes) -> None:
+    def record_request(self, flow: bytes) -> float | None:
         """Records that the request of an admitted flow has arrived or will not.
 
         Args:
             flow: The flow.
+
+        Returns:
+            The wait that was estimated at its opening, seconds; None if it was not
+            judged or took too long to arrive.
         """
-        self._expected_by_flow.pop(flow, None)
+        expected = self._expected_by_flow.pop(flow, None)
+        return expected.estimated_wait if expected is not None else None
 
     def clear(self) -> None:
         """Forgets admitted flows, since the upstream has ended."""
--- a/src/siskinshift/connections/scheduling/run_times.py
+++ b/src/siskinshift/connections/scheduling/run_times.py
@@ -150,12 +150,12 @@
         if self._samples:
             self._busy_seconds += (now - self._counted_until) * in_use / max(1, slots)
         self._counted_until = now
-        if not self._samples or now - self._samples[-1][0] >= BUSY_SAMPLE_SECONDS:
-            self._samples.append((now, self._busy_seconds))
+        if self._samples and now - self._samples[-1][0] < BUSY_SAMPLE_SECONDS:
+            return
+        self._samples.append((now, self._busy_seconds))
         # The first sample is the newest one that is at least the period old.
-        while len(self._samples) > 1 and self._samples[1][0] <= (
-            now - BUSY_PERIOD_SECONDS
-        ):
+        oldest = now - BUSY_PERIOD_SECONDS
+        while len(self._samples) > 1 and self._samples[1][0] <= oldest:
             self._samples.popleft()
 
 
