--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -462,12 +462,17 @@
         """Returns whether every attempted agent refused with FULL under admission.
 
         Their queueing delay exceeds the deadline, so holding the opening for
-        `MAX_HOLD_SECONDS` only delays the caller's answer.
+        `MAX_HOLD_SECONDS` only delays the caller's answer. A cold agent refuses because
+        of its warm-up rate and accepts a moment later: after a power failure resets
+        would use up the callers' retries within milliseconds.
         """
         return (
             self.refuses_when_full
             and bool(record.attempts)
-            and all(a.verdict is Verdict.FULL for a in record.attempts)
+            and all(
+                a.verdict is Verdict.FULL and a.agent.member.weight >= FULL_WEIGHT
+                for a in record.attempts
+            )
         )
 
     def _is_evacuated(self, service_id: str, *, now: float) -> bool:
