--- a/src/siskinshift/connections/scheduling/retries.py
+++ b/src/siskinshift/connections/scheduling/retries.py
@@ -24,8 +24,8 @@
 
     def __init__(self) -> None:
         """Initializes the detector without flows."""
-        self._ended: deque[tuple[float, bytes]] = deque(maxlen=MAX_REMEMBERED_FLOWS)
-        self._hosts_by_flow: dict[bytes, str] = {}
+        self._ended: deque[tuple[float, bytes]] = deque()
+        self._flows_by_host: dict[str, set[bytes]] = {}
 
     def record_end(self, flow: bytes, *, now: float) -> None:
         """Remembers a flow that was refused or whose request was dropped.
@@ -35,10 +35,13 @@
             now: Clock reading, seconds.
         """
         self._expire(now=now)
-        if flow in self._hosts_by_flow or len(self._ended) == MAX_REMEMBERED_FLOWS:
+        if len(self._ended) >= MAX_REMEMBERED_FLOWS:
+            return
+        flows = self._flows_by_host.setdefault(caller_host(flow), set())
+        if flow in flows:
             return
         self._ended.append((now, flow))
-        self._hosts_by_flow[flow] = caller_host(flow)
+        flows.add(flow)
 
     def is_retry(self, flow: bytes, *, now: float) -> bool:
         """Returns whether a new flow is probably a retry.
@@ -49,15 +52,20 @@
             now: Clock reading, seconds.
         """
         self._expire(now=now)
-        if not self._hosts_by_flow or self._hosts_by_flow.pop(flow, ""):
+        flows = self._flows_by_host.get(caller_host(flow))
+        if not flows:
+            return False
+        if flow in flows:
+            flows.remove(flow)
             return False
-        host = caller_host(flow)
-        for ended, ended_host in self._hosts_by_flow.items():
-            if ended_host == host:
-                del self._hosts_by_flow[ended]
-                return True
-        return False
+        flows.pop()
+        return True
 
     def _expire(self, *, now: float) -> None:
         while self._ended and now - self._ended[0][0] > RETRY_WINDOW_SECONDS:
-            self._hosts_by_flow.pop(self._ended.popleft()[1], None)
+            _, flow = self._ended.popleft()
+            host = caller_host(flow)
+            flows = self._flows_by_host.get(host, set())
+            flows.discard(flow)
+            if not flows:
+                self._flows_by_host.pop(host, None)
