--- a/src/siskinshift/connections/scheduling/opening_admission.py
+++ b/src/siskinshift/connections/scheduling/opening_admission.py
@@ -123,7 +123,7 @@
         if not is_refusing and now - state.changed_at < MIN_DWELL_SECONDS:
             # Refusing has just ended and may not begin again yet; only a request that
             # would miss its deadline is refused.
-            limit = deadline
+            limit = begins
         wait = self.estimate_wait(parameters.urgency, now=now, caller=caller_host(flow))
         error = check_admission(
             Arrival(
