--- a/src/siskinshift/connections/scheduling/opening_admission.py
+++ b/src/siskinshift/connections/scheduling/opening_admission.py
@@ -23,7 +23,6 @@
 from siskinshift.connections.request_queue import MAX_WAITING_REQUESTS
 from siskinshift.connections.request_queue import RequestParameters
 from siskinshift.connections.scheduling.fair_policy import MIN_URGENCY_FRACTION
-from siskinshift.connections.scheduling.hysteresis import MIN_DWELL_SECONDS
 from siskinshift.connections.scheduling.hysteresis import RefusalState
 from siskinshift.connections.segment import caller_host
 from siskinshift.load.admission import Arrival
@@ -120,10 +119,6 @@
             now=now,
         )
         limit = ends if is_refusing else begins
-        if not is_refusing and now - state.changed_at < MIN_DWELL_SECONDS:
-            # Refusing has just ended and may not begin again yet; only a request that
-            # would miss its deadline is refused.
-            limit = begins
         wait = self.estimate_wait(parameters.urgency, now=now, caller=caller_host(flow))
         error = check_admission(
             Arrival(
