--- a/src/siskinshift/connections/scheduling/hysteresis.py
+++ b/src/siskinshift/connections/scheduling/hysteresis.py
@@ -2,8 +2,9 @@
 
 Load: a burst holds the queueing delay at the limit, where it moves above and below it
 with each response. With a single threshold refusals would alternate with admissions,
-and balancers would place flows by a state that is over when they act on it. While refusing is in force, the lower delay
-is the limit of each new flow; otherwise it is the upper one.
+and balancers would place flows by a state that is over when they act on it. While
+refusing is in force, the lower delay is the limit of each new flow; otherwise it is the
+upper one.
 """
 
 from __future__ import annotations
