--- a/src/siskinshift/observability/explanation.py
+++ b/src/siskinshift/observability/explanation.py
@@ -48,6 +48,9 @@
         "refused under load or without agents: each agent refused, none was ready, or"
         " their failure domains are evacuated"
     ),
+    ("reset", "all agents are full"): (
+        "refused under load: no attempted agent could answer before the deadline"
+    ),
     ("not tried again", "retry budget"): (
         "an agent did not answer, and the balancer was too loaded to ask another one"
     ),
@@ -60,6 +63,12 @@
         " unresponsive, or the link had no room for a packet to each of them"
     ),
     ("refused", "full"): "refused under load: the upstream accepts no more flows",
+    ("refused", "overloaded"): (
+        "refused under load: its request would have waited too long at the upstream"
+    ),
+    ("refused", "connection limit"): (
+        "refused: the upstream has as many open flows as max-conns allows"
+    ),
     ("refused", "unavailable"): (
         "the upstream leaves or is unresponsive, its agent ends, or its failure domain"
         " is evacuated"
--- a/tests/observability/test_explanation.py
+++ b/tests/observability/test_explanation.py
@@ -26,6 +26,9 @@
         ("not tried again", "retry budget", "too loaded to ask another"),
         ("not searched", "link budget", "searches had used up their link"),
         ("reset", "no agent takes it", "refused under load"),
+        ("reset", "all agents are full", "could answer before the deadline"),
+        ("refused", "overloaded", "waited too long"),
+        ("refused", "connection limit", "max-conns"),
         ("refused", "unavailable", "its agent ends"),
     ],
 )
