--- a/src/siskinshift/agent/application.py
+++ b/src/siskinshift/agent/application.py
@@ -11,6 +11,7 @@
 from siskinshift.agent.life_cycle import AgentLifeCycle
 from siskinshift.agent.request_flows import RequestFlows
 from siskinshift.agent.request_runner import RequestRunner
+from siskinshift.agent.service_refusals import ServiceRefusals
 from siskinshift.agent.upstream_connections import UpstreamConnections
 from siskinshift.core.clocks import monotonic_clock
 from siskinshift.core.errors import ErrorKind
@@ -87,9 +88,11 @@
                 now=monotonic_clock()
             ),
         )
+        self._refusals = ServiceRefusals()
         self._request_flows = RequestFlows(
             settings=settings.agent,
             runner=self._runner,
+            refusals=self._refusals,
             spawn=self.spawn,
             clock=monotonic_clock,
             counters=self.counters,
@@ -194,6 +197,8 @@
             if service.upstream_class == self.settings.agent.upstream_class:
                 self.telemetry.record_slot_time(service.service_id, seconds=0.0)
         self._runner.update(view, upstream_class=self.settings.agent.upstream_class)
+        # Before the router, which may create flows whose requests must be refused.
+        self._refusals.update(view, self.membership.own)
         with self._lock:
             actions = self._router.update(view, now=monotonic_clock())
         self._execute(actions)
--- a/src/siskinshift/agent/request_connection.py
+++ b/src/siskinshift/agent/request_connection.py
@@ -54,6 +54,7 @@
     from aioquic.quic.configuration import QuicConfiguration
 
     from siskinshift.agent.request_runner import RequestRunner
+    from siskinshift.agent.service_refusals import ServiceRefusals
     from siskinshift.core.clocks import Clock
     from siskinshift.messages.core import Endpoint
     from siskinshift.messages.core import Service
@@ -68,6 +69,8 @@
 # A caller that received neither GOAWAY gets a "not run" response until then.
 GOAWAY_GRACE_SECONDS = 2.0
 MAX_BATCH_SIZE = 64
+# Operators end an evacuation after minutes, and a change is in force within 5 s.
+NO_UPSTREAM_RETRY_AFTER_SECONDS = 5.0
 
 request_ids = itertools.count(1)
 
@@ -93,6 +96,7 @@
         service: Service,
         settings: AgentSettings,
         runner: RequestRunner,
+        refusals: ServiceRefusals,
         clock: Clock,
         counters: Counters,
         send: Callable[[bytes], None],
@@ -107,6 +111,7 @@
             service: The service that the flow belongs to.
             settings: Settings of the agent.
             runner: Receives the requests.
+            refusals: Services whose new requests are refused.
             clock: Clock of the process.
             counters: Counters of the process.
             send: Sends a datagram to the caller.
@@ -123,6 +128,11 @@
         self._peer_address = (caller.host, caller.port)
         self._settings = settings
         self._runner = runner
+        self._refusals = refusals
+        # An older connection is an open flow, which an evacuation does not end.
+        self._opened_to_refuse = (
+            refusals.error_of(service.service_id) is ErrorKind.NO_UPSTREAM
+        )
         self._clock = clock
         self._counters = counters
         self._send = send
@@ -304,8 +314,9 @@
         if head is None:
             self._send_failure(stream, ErrorKind.INVALID_ARGUMENT, None)
             return
-        if stream.stream_id >= self._goaway_stream_id:
-            self._send_failure(stream, ErrorKind.DRAINING, 0.0)
+        refusal = self._find_refusal(stream)
+        if refusal is ErrorKind.DRAINING:
+            self._send_failure(stream, refusal, 0.0)
             return
         try:
             group_id = find_group_id(self.service, head.authorization)
@@ -327,6 +338,10 @@
                 head.path, head.headers, body_size=len(stream.body)
             ),
         )
+        if refusal is not None:
+            self._runner.record_refusal(request)
+            self._send_failure(stream, refusal, NO_UPSTREAM_RETRY_AFTER_SECONDS)
+            return
         http_request = HttpRequest(
             request=request,
             method=head.method,
@@ -338,6 +353,12 @@
         stream.body.clear()
         self._runner.submit(http_request)
 
+    def _find_refusal(self, stream: _Stream) -> ErrorKind | None:
+        error = self._refusals.error_of(self.service.service_id)
+        if stream.stream_id >= self._goaway_stream_id:
+            return error or ErrorKind.DRAINING
+        return error if self._opened_to_refuse else None
+
     def _start_goaway(self) -> None:
         if self._goaway_started_at is not None or self._is_terminated:
             return
--- a/src/siskinshift/agent/request_flows.py
+++ b/src/siskinshift/agent/request_flows.py
@@ -28,6 +28,7 @@
     from siskinshift.agent.datagram_flows import ReplySender
     from siskinshift.agent.request_runner import RequestRunner
     from siskinshift.agent.request_runner import Spawner
+    from siskinshift.agent.service_refusals import ServiceRefusals
     from siskinshift.core.clocks import Clock
     from siskinshift.messages.core import Service
     from siskinshift.runtime.counters import Counters
@@ -81,6 +82,7 @@
         *,
         settings: AgentSettings,
         runner: RequestRunner,
+        refusals: ServiceRefusals,
         spawn: Spawner,
         clock: Clock,
         counters: Counters,
@@ -92,6 +94,7 @@
         Args:
             settings: Settings of the agent.
             runner: Receives the requests.
+            refusals: Services whose new requests are refused.
             spawn: Runs a task on a thread.
             clock: Clock of the process.
             counters: Counters of the process.
@@ -101,6 +104,7 @@
         self._settings = settings
         self._configuration = server_configuration(settings)
         self._runner = runner
+        self._refusals = refusals
         self._spawn = spawn
         self._clock = clock
         self._counters = counters
@@ -205,6 +209,7 @@
             service=service,
             settings=self._settings,
             runner=self._runner,
+            refusals=self._refusals,
             clock=self._clock,
             counters=self._counters,
             send=partial(self._send, packet),
--- a/src/siskinshift/agent/request_runner.py
+++ b/src/siskinshift/agent/request_runner.py
@@ -27,6 +27,7 @@
 from siskinshift.core.requests import RunAtPeer
 from siskinshift.core.requests import RunResult
 from siskinshift.core.requests import StartRequest
+from siskinshift.messages.core import OutcomeKind
 
 
 if TYPE_CHECKING:
@@ -35,9 +36,9 @@
     from siskinshift.agent.upstream_connections import UpstreamConnections
     from siskinshift.core.clocks import Clock
     from siskinshift.core.requests import GateAction
+    from siskinshift.core.requests import Request
     from siskinshift.core.views import View
     from siskinshift.load.gate import LoadGate
-    from siskinshift.messages.core import OutcomeKind
     from siskinshift.messages.load import UsageSums
     from siskinshift.observability.telemetry import Telemetry
 
@@ -142,6 +143,14 @@
             return
         self.execute(actions)
 
+    def record_refusal(self, request: Request) -> None:
+        """Records the outcome of a request that was refused before admission.
+
+        Args:
+            request: The request.
+        """
+        self._telemetry.record_request(request, OutcomeKind.NOT_RUN)
+
     def cancel(self, request_id: int) -> None:
         """Handles a cancel of the caller.
 
--- a/src/siskinshift/core/views.py
+++ b/src/siskinshift/core/views.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from types import MappingProxyType
 
@@ -14,6 +15,7 @@
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
 from siskinshift.messages.core import Service
+from siskinshift.messages.core import ServiceMode
 
 
 # A suspicion may be wrong, so a suspect keeps its buckets until it is gone.
@@ -69,7 +71,7 @@
         return self.agents_by_class.get(service.upstream_class, ())
 
     def eligible_agents_of(self, service: Service) -> tuple[Member, ...]:
-        """Returns the agents that may own buckets of a service.
+        """Returns the agents that may serve new flows of a service.
 
         Args:
             service: The service.
@@ -79,11 +81,36 @@
             and allowed by placement.
         """
         return tuple(
+            agent
+            for agent in self._available_agents_of(service)
+            if not is_drained(service, agent)
+        )
+
+    def bucket_agents_of(self, service: Service) -> tuple[Member, ...]:
+        """Returns the agents that own the buckets of a service.
+
+        If operators drained or evacuated all agents of a service of mode `request`,
+        these agents own its buckets, in order to refuse requests: only an agent can
+        respond to a caller's handshake, and without a response a caller waits for its
+        own timeout. A flow of mode `datagram` can't be refused.
+
+        Args:
+            service: The service.
+
+        Returns:
+            The eligible agents, or the agents that refuse in their place.
+        """
+        eligible_agents = self.eligible_agents_of(service)
+        if eligible_agents or service.mode is not ServiceMode.REQUEST:
+            return eligible_agents
+        return tuple(self._available_agents_of(service))
+
+    def _available_agents_of(self, service: Service) -> Iterator[Member]:
+        return (
             agent
             for agent in self.agents_of(service)
             if agent.state in ELIGIBLE_STATES
             and agent.weight > 0
-            and not is_drained(service, agent)
             and (not service.placement or agent.failure_domain in service.placement)
         )
 
--- a/src/siskinshift/flows/bucket_claims.py
+++ b/src/siskinshift/flows/bucket_claims.py
@@ -346,7 +346,7 @@
         assert view is not None
         peers = [
             agent
-            for agent in view.eligible_agents_of(service)
+            for agent in view.bucket_agents_of(service)
             if agent.member_id != self._peers.member_id
         ]
         return build_bucket_table(peers)
--- a/src/siskinshift/routing/chooser.py
+++ b/src/siskinshift/routing/chooser.py
@@ -58,7 +58,7 @@
         table = self.tables_by_service.get(service.service_id)
         if table is None:
             table = build_bucket_table(
-                self.view.eligible_agents_of(service),
+                self.view.bucket_agents_of(service),
                 self.stale_tables_by_service.get(service.service_id),
             )
             self.tables_by_service[service.service_id] = table
@@ -98,7 +98,7 @@
             if service_id not in old.tables_by_service:
                 new.stale_tables_by_service[service_id] = table
             elif _is_unchanged(service, old.view, view) or _has_same_agents(
-                table.agents, view.eligible_agents_of(service)
+                table.agents, view.bucket_agents_of(service)
             ):
                 new.tables_by_service[service_id] = table
             else:
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from siskinshift.bench.flow_network import make_agent
 from siskinshift.bench.flow_network import make_service
@@ -13,6 +14,7 @@
 from siskinshift.messages.core import Endpoint
 from siskinshift.messages.core import Member
 from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import ServiceMode
 from siskinshift.routing.chooser import AgentChooser
 from siskinshift.routing.chooser import DropPacket
 from siskinshift.routing.chooser import SendTo
@@ -80,3 +82,37 @@
     assert chooser.choose(_packet(1)) == DropPacket(ErrorKind.NO_MEMBER)
     unknown = chooser.choose(_packet(1, Endpoint("127.0.9.9", 1)))
     assert unknown == DropPacket(ErrorKind.UNKNOWN_ADDRESS)
+
+
+@pytest.mark.parametrize(
+    ("mode", "is_routed"), [(ServiceMode.REQUEST, True), (ServiceMode.DATAGRAM, False)]
+)
+def test_callers_of_an_evacuated_service_reach_an_agent_that_can_refuse_them(
+    mode: ServiceMode, is_routed: bool
+) -> None:
+    """Guards against 30 s without a response when every domain is evacuated.
+
+    Balancers dropped the caller's first packet, and only an agent can respond to it. A
+    datagram service has no refusal, so its upstream must not get the packet.
+    """
+    agents = _agents("editor", 2)
+    service = attrs.evolve(EDITOR, mode=mode, evacuated=("fd-1",))
+    chooser = AgentChooser()
+    chooser.update(make_view(version=1, services=(service,), members=agents))
+
+    choices = [chooser.choose(_packet(port)) for port in range(50)]
+
+    assert all(isinstance(choice, SendTo) for choice in choices) is is_routed
+
+
+def test_an_evacuated_agent_is_not_chosen_beside_an_eligible_one() -> None:
+    evacuated, remaining = _agents("editor", 2)
+    remaining = attrs.evolve(remaining, failure_domain="fd-2")
+    service = attrs.evolve(EDITOR, mode=ServiceMode.REQUEST, evacuated=("fd-1",))
+    chooser = AgentChooser()
+    chooser.update(
+        make_view(version=1, services=(service,), members=(evacuated, remaining))
+    )
+
+    for port in range(50):
+        assert chooser.choose(_packet(port)) == SendTo(remaining)
