--- a/src/siskinshift/demo/http3_client.py
+++ b/src/siskinshift/demo/http3_client.py
@@ -126,6 +126,11 @@
         self._is_ended = threading.Event()
         executor.submit(self._run)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the handshake was completed; no request is sent before that."""
+        return self._is_ready
+
     @property
     def goaway_received(self) -> bool:
         """Whether GOAWAY was received: the next request needs a new connection."""
