--- a/src/siskinshift/console/commands/evacuation.py
+++ b/src/siskinshift/console/commands/evacuation.py
@@ -2,10 +2,45 @@
 
 from __future__ import annotations
 
+import sys
+from typing import TYPE_CHECKING
+
+from siskinshift.api.exceptions import OperatorsCallError
 from siskinshift.console.operators import format_accepted_changes
 from siskinshift.console.operators import is_json_output
 from siskinshift.console.operators import operators_client
 from siskinshift.console.registry import command
+from siskinshift.messages.core import MemberState
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from siskinshift.api.client import OperatorsClient
+    from siskinshift.messages.core import Member
+
+
+def warning_about_domain(failure_domain: str, members: Iterable[Member]) -> str:
+    """Returns a warning if no instance is in a failure domain.
+
+    Args:
+        failure_domain: Name of the failure domain.
+        members: All known processes.
+
+    Returns:
+        One line, or an empty string if an instance is there.
+    """
+    domains = {
+        member.failure_domain
+        for member in members
+        if member.state is not MemberState.GONE
+    }
+    if failure_domain in domains:
+        return ""
+    return (
+        f"no instance is in failure domain {failure_domain};"
+        f" domains with instances: {', '.join(sorted(domains)) or 'none'}"
+    )
 
 
 @command("evacuation start")
@@ -20,6 +55,9 @@
     Each service is changed separately. If a change is refused, repeat the command to
     continue with the remaining services.
 
+    A domain without instances is evacuated as well, since instances may join later.
+    The command then prints a warning to standard error; its exit status is 0.
+
     Example: siskinshift evacuation start domain-a
 
     Args:
@@ -60,4 +98,16 @@
             operators.set_evacuation(service.service_id, domain, evacuated=evacuated)
             for service in operators.list_services(str(service_id))
         ]
+        warning = _read_warning(operators, domain) if evacuated else ""
+    if warning:
+        print(f"siskinshift: warning: {warning}", file=sys.stderr)
     return format_accepted_changes(changes, as_json=as_json)
+
+
+def _read_warning(operators: OperatorsClient, failure_domain: str) -> str:
+    # The changes are accepted already, so a failure here must not hide them.
+    try:
+        members = operators.get_status().members
+    except OperatorsCallError as error:
+        return f"the instances of {failure_domain} can't be read: {error}"
+    return warning_about_domain(failure_domain, members)
