--- a/src/siskinshift/demo/trial.py
+++ b/src/siskinshift/demo/trial.py
@@ -42,6 +42,7 @@
             name="trial",
             plans=(PLAN,),
             balancers=1,
+            failure_domains=2,
             addresses_by_service={PLAN.service_id: SERVICE_ADDRESS},
         )
         self._folder = folder
