--- a/src/siskinshift/demo/figures.py
+++ b/src/siskinshift/demo/figures.py
@@ -40,6 +40,8 @@
         answered_but_not_run: Requests with a response that no upstream ran.
         ran_twice: Saves and bookings that ran more than once.
         ran_after_drain: Requests that started seconds after the upstream's drain began.
+        ran_in_evacuated_domain: Requests that started in a failure domain seconds after
+            its evacuation began.
         callers_failed: Callers that ended with an unexpected exception.
         imbalance: Maximum over mean busy time of an upstream's slots, by class.
         config_seconds_max: Longest time in seconds from the acceptance of a
@@ -61,6 +63,7 @@
     answered_but_not_run: int
     ran_twice: int
     ran_after_drain: int
+    ran_in_evacuated_domain: int
     callers_failed: int
     imbalance: dict[str, float]
     config_seconds_max: float
@@ -79,6 +82,7 @@
             "answered_but_not_run",
             "ran_twice",
             "ran_after_drain",
+            "ran_in_evacuated_domain",
             "callers_failed",
         )
         violated = [name for name in must_be_zero if getattr(self, name)]
@@ -129,6 +133,7 @@
         answered_but_not_run=sum(run_counts[name] == 0 for name in statistics.answered),
         ran_twice=sum(run_counts[name] > 1 for name in write_ids),
         ran_after_drain=sum(s.runs_after_drain for s in scenarios),
+        ran_in_evacuated_domain=sum(s.runs_in_evacuated_domain for s in scenarios),
         callers_failed=statistics.counts["callers_failed"],
         imbalance=_imbalance_by_class(scenarios),
         config_seconds_max=round(max(statistics.config_seconds, default=0.0), 2),
--- a/src/siskinshift/demo/run.py
+++ b/src/siskinshift/demo/run.py
@@ -27,6 +27,7 @@
 BALANCERS = 3
 # All agents start at once, and the rate of their handover messages is limited.
 HANDOVER_SECONDS = 6.0
+EVACUATION_SECONDS = 8.0
 
 
 @frozen
@@ -38,6 +39,7 @@
         services: Plans of its services.
         callers: Plan of its callers.
         failure_domains: Number of failure domains.
+        evacuated: Failure domain that is evacuated for a while.
         drained: Upstream that is drained.
         killed: Upstream whose instance is killed.
     """
@@ -46,6 +48,7 @@
     services: tuple[ServicePlan, ...]
     callers: CallerPlan
     failure_domains: int
+    evacuated: str
     drained: str
     killed: str
 
@@ -69,6 +72,7 @@
         readers=2,
     ),
     failure_domains=3,
+    evacuated="fd-3",
     drained="editor-1",
     killed="editor-2",
 )
@@ -91,6 +95,7 @@
         readers=2,
     ),
     failure_domains=4,
+    evacuated="fd-3",
     drained="marketplace-1",
     killed="marketplace-2",
 )
@@ -152,6 +157,10 @@
         time.sleep(2)
         self._print_progress("operators add an address to the feed")
         scenario.change_configuration()
+        self._print_progress(f"operators evacuate {plan.evacuated}")
+        scenario.evacuate_domain(plan.evacuated, seconds=EVACUATION_SECONDS)
+        self._print_progress(f"the evacuation of {plan.evacuated} ends")
+        time.sleep(2)
         self._print_progress("updates reach one balancer late; an upstream drains")
         end_delay = scenario.delay_view_updates(0)
         scenario.drain_upstream(plan.drained)
--- a/src/siskinshift/demo/scenario.py
+++ b/src/siskinshift/demo/scenario.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from siskinshift.configuration.changes import SetEvacuation
+from siskinshift.configuration.store import new_change_id
 from siskinshift.demo.callers import DatagramCaller
 from siskinshift.demo.callers import FeedCaller
 from siskinshift.demo.deployment import free_datagram_endpoint
@@ -71,6 +73,8 @@
     Attributes:
         deployment: The deployment.
         runs_after_drain: Number of requests that a drained upstream started too late.
+        runs_in_evacuated_domain: Number of requests that upstreams of an evacuated
+            domain started too late.
         drained_ids: Upstreams that were drained.
     """
 
@@ -85,6 +89,7 @@
             statistics: Where to record the results.
         """
         self.runs_after_drain = 0
+        self.runs_in_evacuated_domain = 0
         self.drained_ids: set[str] = set()
         self.deployment = deployment
         self._plan = plan
@@ -149,6 +154,21 @@
         self._executor.submit(self._run_task, agent.leave, self._stop_draining)
         self._executor.submit(self._run_task, self._record_run_counts, node_id)
 
+    def evacuate_domain(self, failure_domain: str, *, seconds: float) -> None:
+        """Evacuates a failure domain for all services, and ends this later.
+
+        Args:
+            failure_domain: The failure domain.
+            seconds: Duration, longer than `NO_NEW_WORK_AFTER_SECONDS`.
+        """
+        self._set_evacuation(failure_domain, evacuated=True)
+        time.sleep(NO_NEW_WORK_AFTER_SECONDS)
+        earlier = self._run_counts_in(failure_domain)
+        time.sleep(seconds - NO_NEW_WORK_AFTER_SECONDS)
+        final = self._run_counts_in(failure_domain)
+        self.runs_in_evacuated_domain += (final - earlier).total()
+        self._set_evacuation(failure_domain, evacuated=False)
+
     def kill_upstream(self, node_id: str) -> None:
         """Kills an instance, an upstream with its agent, without notice."""
         self.deployment.kill_upstream(node_id)
@@ -183,6 +203,20 @@
         for probe in probes:
             self._statistics.config_seconds.append(probe.result())
 
+    def _set_evacuation(self, failure_domain: str, *, evacuated: bool) -> None:
+        store = self.deployment.operator_store()
+        for service_id in self.deployment.services_by_id:
+            change = SetEvacuation(service_id, failure_domain, evacuated)
+            store.apply(change, new_change_id())
+
+    def _run_counts_in(self, failure_domain: str) -> Counter[str]:
+        run_counts: Counter[str] = Counter()
+        for node_id, agent in self.deployment.agents_by_id.items():
+            if agent.settings.node.failure_domain == failure_domain:
+                upstream = self.deployment.upstreams_by_id[node_id]
+                run_counts.update(upstream.http.run_counts_by_request_id)
+        return run_counts
+
     def _measure_config_seconds(
         self, address: Endpoint, balancer: Endpoint, accepted_at: float
     ) -> float:
