--- a/src/siskinshift/agent/request_connection.py
+++ b/src/siskinshift/agent/request_connection.py
@@ -303,6 +303,10 @@
             )
         except SiskinshiftError as error:
             self._send_failure(stream, error.kind, None)
+            return
+        if self._find_refusal(stream) is not None:
+            # At once, without waiting for the body.
+            self._submit(stream)
 
     def _append_body(self, stream: _Stream, data: bytes) -> None:
         stream.body += data
