--- a/src/siskinshift/connections/owner_finder.py
+++ b/src/siskinshift/connections/owner_finder.py
@@ -13,6 +13,7 @@
 
 from siskinshift.connections.actions import ResetCaller
 from siskinshift.connections.actions import ToPeer
+from siskinshift.connections.held_packets import HeldPackets
 from siskinshift.connections.owner_lookup import OwnerLookup
 from siskinshift.connections.peer_codec import encode_owner_query
 from siskinshift.connections.peer_messages import OwnerQuery
@@ -21,6 +22,7 @@
 from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.segment import format_flow
 from siskinshift.flows.pacing import ByteBudget
+from siskinshift.platform.packets import decode_from_caller
 
 
 if TYPE_CHECKING:
@@ -132,14 +134,11 @@
         """
         lookup = record.lookup
         if lookup is None or lookup.is_finished(self._fleet, now=now):
-            actions = self._start(record, segment.datagram, now=now)
-            if record.lookup is not None:
-                record.lookup.add_data(segment)
-            return actions
-        lookup.add(segment.datagram)
-        lookup.add_data(segment)
-        if lookup.holds_packets:
+            return self._start(record, segment.datagram, segment, now=now)
+        if lookup.held is not None:
+            lookup.held.add(segment)
             return []
+        lookup.add(segment.datagram)
         if self._budget.delay_before_send(now=now):
             return []
         peers_by_id = self._fleet.peers_by_id
@@ -193,17 +192,30 @@
         )
 
     def _start(
-        self, record: FlowRecord, packet: bytes, *, now: float, denied_by: str = ""
+        self,
+        record: FlowRecord,
+        packet: bytes,
+        segment: Segment | None,
+        *,
+        now: float,
+        denied_by: str = "",
     ) -> list[Action]:
+        held = None
+        if record.request_parameters.kind is RequestKind.UPLOAD:
+            if segment is None:
+                # The caller's next packet starts the lookup.
+                return []
+            held = HeldPackets()
+            held.add(segment)
         record.lookup = OwnerLookup(
             flow=record.flow,
             service_ids=record.service_ids,
-            packets=[packet],
+            packets=[] if held is not None else [packet],
             preferred_ids=tuple(a.agent.member.member_id for a in record.attempts),
             queried={denied_by} if denied_by else set(),
             denied={denied_by} if denied_by else set(),
             started_at=now,
-            holds_packets=record.request_parameters.kind is RequestKind.UPLOAD,
+            held=held,
         )
         return self._query_next_batch(record, record.lookup, now=now)
 
@@ -364,7 +376,8 @@
         record.was_owner_refuted = True
         if not packet:
             return []
-        return self._start(record, packet, now=now, denied_by=denied_by)
+        segment = decode_from_caller(packet)
+        return self._start(record, packet, segment, now=now, denied_by=denied_by)
 
     def _on_not_mine(
         self, agent: Peer, record: FlowRecord, packet: bytes, *, now: float
--- a/src/siskinshift/connections/owner_lookup.py
+++ b/src/siskinshift/connections/owner_lookup.py
@@ -17,13 +17,14 @@
 from attrs import Factory
 from attrs import define
 
+from siskinshift.connections.held_packets import HeldPackets
+
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from siskinshift.connections.fleet import Fleet
     from siskinshift.connections.fleet import Peer
-    from siskinshift.connections.segment import Segment
 
 
 # Agents of a failure domain that a flow's hash selects. Two are compared for a new
@@ -74,7 +75,7 @@
     Attributes:
         flow: The flow.
         service_ids: Services that may hold it according to the configuration.
-        packets: Packets of the flow so far; the owner needs all of them.
+        packets: Packets of the flow so far, unless they are held; the owner needs all.
         preferred_ids: Member ids to query first, since the flow was offered to them.
         pending: Member ids that were queried and have not denied the flow.
         queried: Member ids that were queried.
@@ -84,13 +85,10 @@
         next_batch_at: When the next batch is due at the latest, seconds.
         queried_at: When an agent was last queried for the first time, seconds.
         started_at: When the first packet arrived, seconds.
-        holds_packets: Whether candidates get one packet only and the owner gets the
-            others: sixteen packets of an upload, to each of two agents, take 65 ms of a
-            link of 5 Mbit/s.
-        probes_by_member_id: The packet that each candidate was sent, if the others are
-            held.
-        shortest_data: Shortest packet with data that arrived during the lookup, if the
-            packets are held; empty before.
+        held: Packets of an upload, of which candidates get one only and the owner the
+            others: sixteen packets to each of two agents take 65 ms of a link of
+            5 Mbit/s. None for other flows.
+        probes_by_member_id: Packets that each candidate was sent while others are held.
     """
 
     flow: bytes
@@ -105,9 +103,8 @@
     next_batch_at: float = 0.0
     queried_at: float = 0.0
     started_at: float = 0.0
-    holds_packets: bool = False
-    probes_by_member_id: dict[str, bytes] = Factory(dict)
-    shortest_data: bytes = b""
+    held: HeldPackets | None = None
+    probes_by_member_id: dict[str, list[bytes]] = Factory(dict)
 
     def next_batch(
         self, fleet: Fleet, *, failure_domain: str, now: float
@@ -164,31 +161,19 @@
         if packet not in self.packets and len(self.packets) < MAX_LOOKUP_PACKETS:
             self.packets.append(packet)
 
-    def add_data(self, segment: Segment) -> None:
-        """Records a packet with data, which an upstream acknowledges.
-
-        A bare ACK gets no reply that would show whether the upstream holds the flow.
-
-        Args:
-            segment: The packet.
-        """
-        if not self.holds_packets or not segment.length:
-            return
-        if not self.shortest_data or len(segment.datagram) < len(self.shortest_data):
-            self.shortest_data = segment.datagram
-
     def packets_to_candidates(self, agents: Sequence[Peer]) -> list[bytes]:
         """Returns the packets that agents are sent before the owner is known.
 
         Args:
             agents: The agents.
         """
-        if not self.holds_packets:
+        if self.held is None:
             return self.packets
-        probe = min(self.packets, key=len)
+        probe = self.held.probe
         for agent in agents:
-            if agent.member.member_id not in self.queried_without_packets:
-                self.probes_by_member_id[agent.member.member_id] = probe
+            member_id = agent.member.member_id
+            if member_id not in self.queried_without_packets:
+                self.probes_by_member_id.setdefault(member_id, []).append(probe)
         return [probe]
 
     def packets_to_owner(self, member_id: str) -> list[bytes]:
@@ -197,17 +182,20 @@
         Args:
             member_id: The owner.
         """
+        packets = self.packets if self.held is None else self.held.all
         if not self.was_sent_packets(member_id):
-            return self.packets
-        if not self.holds_packets:
+            return packets
+        if self.held is None:
             return []
-        probe = self.probes_by_member_id.get(member_id)
-        return [packet for packet in self.packets if packet != probe]
+        probes = self.probes_by_member_id.get(member_id, [])
+        return [packet for packet in packets if packet not in probes]
 
     @property
     def packet_to_unsure(self) -> bytes:
         """The packet from whose reply an agent learns whether it holds the flow."""
-        return self.shortest_data or min(self.packets, key=len)
+        if self.held is not None:
+            return self.held.probe
+        return min(self.packets, key=len)
 
     def was_sent_packets(self, member_id: str) -> bool:
         """Returns whether an agent was sent the packets, not only a query.
