--- a/src/siskinshift/connections/egress/bounds.py
+++ b/src/siskinshift/connections/egress/bounds.py
@@ -5,10 +5,16 @@
 from siskinshift.connections.egress.traffic_class import TrafficClass
 
 
-# Bytes of all waiting packets, a second of a link of 5 Mbit/s, and their number. With
-# the objects that hold them this takes less than 1 MB.
+# Bytes of the waiting packets of all classes but CONTROL, a second of a link of
+# 5 Mbit/s, and their number. With the bounds of CONTROL and the objects that hold the
+# packets this takes less than 1 MB.
 MAX_WAITING_BYTES = 600_000
 MAX_WAITING_PACKETS = 640
+# Bytes and number of the waiting messages of CONTROL, 0.17 s of such a link. What
+# exceeds them is sent unpaced. They are bounded apart: a burst of control messages
+# would otherwise evict the openings and page requests that wait behind it.
+MAX_WAITING_CONTROL_BYTES = 100_000
+MAX_WAITING_CONTROL_PACKETS = 400
 # Time after which a waiting packet is dropped. A caller's attempt to open a flow ends
 # after 1.4 s. Retransmissions of a waiting packet are dropped here, so waiting longer
 # than the callers' 200 ms costs nothing; after their longest pause of 1.6 s they have
--- a/src/siskinshift/connections/egress/pace.py
+++ b/src/siskinshift/connections/egress/pace.py
@@ -66,3 +66,12 @@
         start = max(self._busy_until, now)
         self._busy_until = start + size * self._seconds_per_byte
         return self._busy_until
+
+    def limit_queue(self, seconds: float, *, now: float) -> None:
+        """Limits the computed queue after datagrams that were sent unpaced.
+
+        Args:
+            seconds: Longest queue that the link holds; it drops the rest.
+            now: Clock reading, seconds.
+        """
+        self._busy_until = min(self._busy_until, now + seconds)
--- a/src/siskinshift/connections/egress/scheduler.py
+++ b/src/siskinshift/connections/egress/scheduler.py
@@ -19,6 +19,8 @@
 from siskinshift.connections.egress.bounds import EXPIRY_INTERVAL_SECONDS
 from siskinshift.connections.egress.bounds import MAX_WAIT_SECONDS_BY_CLASS
 from siskinshift.connections.egress.bounds import MAX_WAITING_BYTES
+from siskinshift.connections.egress.bounds import MAX_WAITING_CONTROL_BYTES
+from siskinshift.connections.egress.bounds import MAX_WAITING_CONTROL_PACKETS
 from siskinshift.connections.egress.bounds import MAX_WAITING_PACKETS
 from siskinshift.connections.egress.bulk_share import BulkShare
 from siskinshift.connections.egress.class_queue import new_queue
@@ -38,7 +40,9 @@
 # Fraction of the link's rate at which datagrams are sent. HTTP to the store and to
 # other nodes, up to 21 KB a second, takes the same link and is not seen here.
 PACED_FRACTION = 0.95
-# Longest queue in kernel and link. A link of 5 Mbit/s drops what exceeds 32 ms. Bulk
+# Queue that a link of 5 Mbit/s holds; it drops the rest.
+LINK_QUEUE_SECONDS = 0.032
+# Longest queue in kernel and link, well below that. Bulk
 # packets fill less of it, so that the next packet of another class is not delayed by
 # all 8 ms. The event loop wakes up to 1 ms late, while 4 ms are still queued.
 MAX_LINK_QUEUE_SECONDS = 0.008
@@ -79,6 +83,8 @@
         self.next_due = float("inf")
         self.waiting_bytes = 0
         self._waiting_packets = 0
+        self._control_bytes = 0
+        self._control_packets = 0
         self._pace = LinkPace(PACED_FRACTION * link_bytes_per_second)
         self._share = BulkShare(min_bulk_fraction)
         self._accounts = accounts
@@ -126,11 +132,11 @@
         """
         if now >= self._expires_at:
             self._drop_expired(now)
-        released: list[ToPeer] = []
+        released = self._send_control_overflow(now)
         while self._waiting_packets:
             traffic_class = self._next_class()
             room_at = self._room_at(traffic_class)
-            if room_at > now and not self._is_over_bounds:
+            if room_at > now:
                 self.next_due = min(room_at, self._expires_at)
                 return released
             released.append(self._send_first(traffic_class, now))
@@ -152,10 +158,27 @@
     @property
     def _is_over_bounds(self) -> bool:
         return (
-            self.waiting_bytes > MAX_WAITING_BYTES
-            or self._waiting_packets > MAX_WAITING_PACKETS
+            self.waiting_bytes - self._control_bytes > MAX_WAITING_BYTES
+            or self._waiting_packets - self._control_packets > MAX_WAITING_PACKETS
+        )
+
+    @property
+    def _is_control_over_bounds(self) -> bool:
+        return (
+            self._control_bytes > MAX_WAITING_CONTROL_BYTES
+            or self._control_packets > MAX_WAITING_CONTROL_PACKETS
         )
 
+    def _send_control_overflow(self, now: float) -> list[ToPeer]:
+        """Returns the control messages beyond their bounds, which are sent unpaced."""
+        released: list[ToPeer] = []
+        while self._is_control_over_bounds:
+            released.append(self._send_first(TrafficClass.CONTROL, now))
+        if released:
+            # Other packets do not wait for what the link has dropped.
+            self._pace.limit_queue(LINK_QUEUE_SECONDS, now=now)
+        return released
+
     def _next_class(self) -> TrafficClass:
         bulk = self._queues[TrafficClass.BULK]
         if bulk and self._share.covers(bulk.first.size):
@@ -196,18 +219,24 @@
         self._queues[packet.action.traffic_class].add(packet)
         self._waiting_packets += 1
         self.waiting_bytes += packet.size
+        if packet.action.traffic_class is TrafficClass.CONTROL:
+            self._control_packets += 1
+            self._control_bytes += packet.size
 
     def _remove(self, packet: WaitingPacket) -> None:
         self._waiting_packets -= 1
         self.waiting_bytes -= packet.size
+        if packet.action.traffic_class is TrafficClass.CONTROL:
+            self._control_packets -= 1
+            self._control_bytes -= packet.size
         if packet.identity is not None:
             self._identities.discard(packet.identity)
 
     def _enforce_bounds(self, now: float) -> None:
         """Drops packets of the lowest class until the rest is within the bounds.
 
-        Control messages are never dropped: what exceeds the bounds by itself is sent
-        without pacing by the next `release`.
+        Control messages are never dropped and not subject to these bounds; see
+        `_send_control_overflow`.
         """
         while self._is_over_bounds:
             queue = next((self._queues[c] for c in DROP_ORDER if self._queues[c]), None)
@@ -234,7 +263,7 @@
 
     def _update_next_due(self) -> None:
         """Computes when the first of the waiting packets may be sent."""
-        if self._is_over_bounds:
+        if self._is_control_over_bounds:
             self.next_due = float("-inf")
         else:
             room_at = self._room_at(self._next_class())
