--- a/src/siskinshift/connections/owner_finder.py
+++ b/src/siskinshift/connections/owner_finder.py
@@ -137,7 +137,7 @@
             return self._start(record, segment.datagram, segment, now=now)
         if lookup.held is not None:
             lookup.held.add(segment)
-            return []
+            return self._send_data_to_candidates(record, lookup, now=now)
         lookup.add(segment.datagram)
         if self._budget.delay_before_send(now=now):
             return []
@@ -145,6 +145,20 @@
         peers = [peers_by_id[i] for i in sorted(lookup.pending & peers_by_id.keys())]
         return self._query(record, lookup, [segment.datagram], peers, now=now)
 
+    def _send_data_to_candidates(
+        self, record: FlowRecord, lookup: OwnerLookup, *, now: float
+    ) -> list[Action]:
+        """Sends a packet with data to the candidates that got a bare ACK only.
+
+        An upstream does not reply to a bare ACK, so that an agent that is unsure would
+        learn nothing before it is queried again.
+        """
+        candidates = lookup.candidates_without_data(self._fleet)
+        if not candidates or self._budget.delay_before_send(now=now):
+            return []
+        packets = lookup.packets_to_candidates(candidates)
+        return self._query(record, lookup, packets, candidates, now=now)
+
     def on_verdict(
         self, agent: Peer, verdict: FlowVerdict, record: FlowRecord, *, now: float
     ) -> list[Action]:
--- a/src/siskinshift/connections/owner_lookup.py
+++ b/src/siskinshift/connections/owner_lookup.py
@@ -89,6 +89,7 @@
             others: sixteen packets to each of two agents take 65 ms of a link of
             5 Mbit/s. None for other flows.
         probes_by_member_id: Packets that each candidate was sent while others are held.
+        without_data: Member ids of the candidates that were sent a bare ACK only.
     """
 
     flow: bytes
@@ -105,6 +106,7 @@
     started_at: float = 0.0
     held: HeldPackets | None = None
     probes_by_member_id: dict[str, list[bytes]] = Factory(dict)
+    without_data: set[str] = Factory(set)
 
     def next_batch(
         self, fleet: Fleet, *, failure_domain: str, now: float
@@ -174,8 +176,29 @@
             member_id = agent.member.member_id
             if member_id not in self.queried_without_packets:
                 self.probes_by_member_id.setdefault(member_id, []).append(probe)
+                self.without_data.add(member_id)
+        if self.held.shortest_data:
+            self.without_data -= {agent.member.member_id for agent in agents}
         return [probe]
 
+    def candidates_without_data(self, fleet: Fleet) -> list[Peer]:
+        """Lists the candidates that were sent a bare ACK before data arrived.
+
+        Args:
+            fleet: The agents.
+
+        Returns:
+            Agents that have not denied the flow; empty if no data is held.
+        """
+        if self.held is None or not self.held.shortest_data:
+            return []
+        candidates = self.without_data & self.pending - self.queried_without_packets
+        return [
+            fleet.peers_by_id[member_id]
+            for member_id in sorted(candidates)
+            if member_id in fleet.peers_by_id
+        ]
+
     def packets_to_owner(self, member_id: str) -> list[bytes]:
         """Returns the packets that the owner has not been sent yet.
 
