--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -58,6 +58,8 @@
 # Longest time that an opening packet is held while no agent can accept it. Callers
 # retransmit after 200 ms, which offers the flow again.
 MAX_HOLD_SECONDS = 0.25
+# A caller's attempt to open a flow ends after this time.
+MAX_OPENING_SECONDS = 1.4
 # Limit of opening packets held at a time, to bound the memory.
 MAX_HELD_PACKETS = 2000
 # Retries after a missing reply that one accepted flow allows. The agents of a failure
@@ -321,7 +323,14 @@
         """
         actions: list[Action] = []
         for record, attempt in self._retry_timers.pop_due(now=now):
-            if self._records.find(record.flow) is record:
+            if (
+                self._records.find(record.flow) is not record
+                or attempt not in record.attempts
+            ):
+                continue
+            if attempt.was_dropped:
+                actions += self._offer_again(record, now=now)
+            else:
                 attempt.agent.unanswered_openings += 1
                 actions += self._retry(record, now=now)
         actions += self._finder.tick(now=now)
@@ -367,6 +376,8 @@
         self, route: ConnectionRoute, segment: Segment, *, now: float
     ) -> list[Action]:
         record = self._records.find(segment.flow)
+        if record is not None:
+            record.remove_dropped_attempts()
         if record is None or not record.attempts:
             record = self._records.add(FlowRecord(segment.flow))
             record.service_id = route.service_for(segment.flow)
@@ -462,6 +473,17 @@
             return []
         return self._offer_to_next_agent(record, now=now)
 
+    def _offer_again(self, record: FlowRecord, *, now: float) -> list[Action]:
+        """Offers a flow again whose opening packet this balancer has dropped.
+
+        The agent has not received it, so that neither the agent nor the retry budget is
+        charged.
+        """
+        record.remove_dropped_attempts()
+        if now - record.opened_at > MAX_OPENING_SECONDS:
+            return []
+        return self._offer_to_next_agent(record, now=now)
+
     def _hold_opening(self, record: FlowRecord, *, now: float) -> list[Action]:
         if any(attempt.verdict is None for attempt in record.attempts):
             return []
--- a/src/siskinshift/connections/egress/scheduler.py
+++ b/src/siskinshift/connections/egress/scheduler.py
@@ -257,6 +257,8 @@
         departure = packet.action.departure
         if departure is not None:
             departure.left_at = now
+            # The first one of two copies is still sent.
+            departure.was_dropped = reason != COPY
         self._accounts.record_drop(
             packet, reason, waiting_bytes=self.waiting_bytes, now=now
         )
--- a/src/siskinshift/connections/flow_records.py
+++ b/src/siskinshift/connections/flow_records.py
@@ -51,6 +51,11 @@
             return self.offered_at
         return self.departure.left_at
 
+    @property
+    def was_dropped(self) -> bool:
+        """Whether this balancer dropped the opening packet before it left."""
+        return self.departure is not None and self.departure.was_dropped
+
 
 @define(eq=False)
 class FlowRecord:
@@ -101,6 +106,13 @@
             return self.attempts[0].agent
         return None
 
+    def remove_dropped_attempts(self) -> None:
+        """Removes attempts of which the agent has not been sent the opening packet."""
+        for attempt in [a for a in self.attempts if a.was_dropped]:
+            self.attempts.remove(attempt)
+            agent = attempt.agent
+            agent.flows_since_load = max(0, agent.flows_since_load - 1)
+
     def find_attempt(self, agent: Peer) -> Attempt | None:
         """Returns the attempt with an agent, if any."""
         for attempt in self.attempts:
--- a/src/siskinshift/connections/retry_timers.py
+++ b/src/siskinshift/connections/retry_timers.py
@@ -77,7 +77,7 @@
 
 
 def _due_of(attempt: Attempt, *, now: float) -> float:
-    if attempt.departure is None:
+    if attempt.departure is None or attempt.was_dropped:
         return now
     left_at = attempt.left_at
     if left_at is None:
--- a/tests/connections/egress/test_scheduler.py
+++ b/tests/connections/egress/test_scheduler.py
@@ -217,7 +217,9 @@
     syn = datagram(OPENING, port=2, departure=departure)
     offer_all(scheduled, [*upload(1), syn])
     assert departure.left_at is None
+    assert not departure.was_dropped
     release_all(scheduled)
+    assert departure.was_dropped
     assert departure.left_at == pytest.approx(0.5, abs=EXPIRY_INTERVAL_SECONDS)
     assert accounts.dropped_packets[OPENING, EXPIRED] == 1
     assert accounts.dropped_packets[BULK, EXPIRED] > 0
--- a/tests/connections/test_retry_timers.py
+++ b/tests/connections/test_retry_timers.py
@@ -77,3 +77,34 @@
     verdict = FlowVerdict(Verdict.ACCEPTED, flow_of(1), Load(), b"")
     flows.on_verdict(agent, verdict, now=0.308)
     assert 0.007 < agent.round_trip < 0.009
+
+
+def test_an_opening_that_this_balancer_drops_is_not_charged_to_the_agent() -> None:
+    """Guards against agents suspected for openings that they were never sent.
+
+    The opening is offered again without the retry budget until the caller has given up,
+    and at once with the caller's retransmission.
+    """
+    fleet = fleet_of(*agents(1))
+    flows = balancer_flows(fleet)
+    flows.is_link_scheduled = True
+    (agent,) = fleet.agents()
+    actions = list(flows.on_segment(opening(1), now=0.0))
+    now, offers = 0.0, 0
+    while actions:
+        (offer,) = actions
+        assert isinstance(offer, ToPeer)
+        assert offer.departure is not None
+        offers += 1
+        assert agent.flows_since_load == 1
+        now += 0.5
+        offer.departure.left_at, offer.departure.was_dropped = now, True
+        actions = flows.tick(now=now)
+    assert offers == 3
+    assert agent.unanswered_openings == agent.flows_since_load == 0
+    (offer,) = flows.on_segment(opening(1, retransmissions=1), now=now)
+    assert isinstance(offer, ToPeer)
+    assert offer.departure is not None
+    offer.departure.left_at, offer.departure.was_dropped = now, True
+    assert len(flows.on_segment(opening(1, retransmissions=2), now=now)) == 1
+    assert agent.flows_since_load == 1
