--- a/src/siskinshift/connections/egress/bounds.py
+++ b/src/siskinshift/connections/egress/bounds.py
@@ -15,14 +15,15 @@
 # would otherwise evict the openings and page requests that wait behind it.
 MAX_WAITING_CONTROL_BYTES = 100_000
 MAX_WAITING_CONTROL_PACKETS = 400
-# Time after which a waiting packet is dropped. A caller's attempt to open a flow ends
-# after 1.4 s. Retransmissions of a waiting packet are dropped here, so waiting longer
-# than the callers' 200 ms costs nothing; after their longest pause of 1.6 s they have
-# given up, or the queue does not shrink. CONTROL has no bound.
+# Time after which a waiting packet is dropped. A caller retransmits a packet 0.2, 0.6,
+# 1.4 and 3.0 s after it was first sent; copies of a waiting packet are dropped. Each
+# bound ends shortly before one of these times, so that the copy that follows the expiry
+# is kept: a bound of 2 s dropped the copy of 1.4 s as well, and the next one was 1 s
+# away. An attempt to open a flow ends after 1.4 s. CONTROL has no bound.
 MAX_WAIT_SECONDS_BY_CLASS = {
     TrafficClass.OPENING: 0.5,
     TrafficClass.INTERACTIVE: 1.0,
-    TrafficClass.BULK: 2.0,
+    TrafficClass.BULK: 1.3,
 }
 # Interval at which these times are checked while packets wait.
 EXPIRY_INTERVAL_SECONDS = 0.05
