--- a/src/siskinshift/connections/forwarding.py
+++ b/src/siskinshift/connections/forwarding.py
@@ -52,14 +52,16 @@
         Returns:
             The message.
         """
-        if segment.length:
-            self._recent_packets.add(owner.member.member_id, segment.datagram, now=now)
         if not record.owner_header:
             tag = self._service_tag(record.service_id)
             record.traffic_class = _class_of(record)
             record.owner_header = encode_forward(
                 Purpose.OWNED, tag, b"", record.request_parameters
             )
+        if segment.length:
+            self._recent_packets.add(
+                owner.member.member_id, segment.datagram, record, now=now
+            )
         return ToPeer(
             owner.address,
             record.owner_header + segment.datagram,
@@ -121,7 +123,14 @@
         missed = self._recent_packets.pop_missed(
             agent.member.member_id, since=since, now=now
         )
-        return [self.to_agent(agent, Purpose.OWNED, packet) for packet in missed]
+        messages = []
+        for packet in missed:
+            message = self.to_agent(agent, Purpose.OWNED, packet.datagram)
+            message.traffic_class = packet.traffic_class
+            message.flow = packet.flow
+            message.begun_at = packet.begun_at
+            messages.append(message)
+        return messages
 
     def _service_tag(self, service_id: str) -> int:
         tag = self._tags_by_service_id.get(service_id)
