--- a/src/siskinshift/connections/held_packets.py
+++ b/src/siskinshift/connections/held_packets.py
@@ -12,8 +12,9 @@
     from siskinshift.connections.segment import Segment
 
 
-# Packets kept besides the newest bare ACK; a caller has at most sixteen in flight.
-MAX_HELD_PACKETS = 16
+# Packets kept besides the newest bare ACK: a caller has at most sixteen with data in
+# flight, and a FIN. It has sent another one only after the oldest was acknowledged.
+MAX_HELD_PACKETS = 17
 
 
 @define(eq=False)
@@ -44,11 +45,11 @@
         if segment.is_bare_ack:
             self.newest_ack = segment.datagram
             return
-        if len(self.packets_by_range) >= MAX_HELD_PACKETS:
-            return
         datagram = self.packets_by_range.setdefault(
             (segment.seq, segment.length), segment.datagram
         )
+        if len(self.packets_by_range) > MAX_HELD_PACKETS:
+            del self.packets_by_range[next(iter(self.packets_by_range))]
         if not segment.length:
             return
         if not self.shortest_data or len(datagram) < len(self.shortest_data):
--- a/src/siskinshift/connections/owner_finder.py
+++ b/src/siskinshift/connections/owner_finder.py
@@ -219,7 +219,9 @@
             if segment is None:
                 # The caller's next packet starts the lookup.
                 return []
-            held = HeldPackets()
+            # An ended lookup of the flow keeps its packets for the next one.
+            previous = record.lookup.held if record.lookup is not None else None
+            held = previous or HeldPackets()
             held.add(segment)
         record.lookup = OwnerLookup(
             flow=record.flow,
@@ -328,8 +330,15 @@
 
     def _abandon(self, record: FlowRecord, *, reason: str) -> list[Action]:
         # The caller's next packet starts another lookup.
+        lookup = record.lookup
         record.lookup = None
-        self._log.decision("not searched", flow=format_flow(record.flow), reason=reason)
+        held = lookup.held if lookup is not None else None
+        self._log.decision(
+            "not searched",
+            flow=format_flow(record.flow),
+            reason=reason,
+            held_packets=len(held) if held is not None else 0,
+        )
         return []
 
     def _schedule(self, record: FlowRecord, lookup: OwnerLookup) -> None:
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -16,6 +16,7 @@
 from siskinshift.connections.evacuations import EvacuationRegister
 from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.fleet import REPLY_TIMEOUT_SECONDS
+from siskinshift.connections.held_packets import MAX_HELD_PACKETS
 from siskinshift.connections.owner_finder import DATAGRAM_HEADER_BYTES
 from siskinshift.connections.owner_finder import LOOKUP_BURST_SECONDS
 from siskinshift.connections.owner_finder import LOOKUP_LINK_FRACTION
@@ -41,6 +42,7 @@
 from siskinshift.connections.segment import pack_service_address
 from siskinshift.load.retry_budget import MAX_SAVED_RETRIES
 from siskinshift.messages.core import MemberState
+from siskinshift.observability.event_log import EventLog
 from tests.connections.builders import SERVICE_ADDRESS
 from tests.connections.builders import UNRESPONSIVE_AFTER_SECONDS
 from tests.connections.builders import agents
@@ -1034,3 +1036,35 @@
     slow = balancer_flows(fleet, table=_upload_routes(), link_bytes_per_second=100.0)
     slow.on_segment(segment(2, ack=9), now=0.0)
     assert slow.on_segment(segment(2, seq=1, ack=9, length=1200), now=0.0) == []
+
+
+def test_held_packets_outlast_their_lookup(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against packets that vanish without a line in the log.
+
+    The next lookup takes over those of the one before; an abandoned lookup logs how
+    many it had. Of more than a window the oldest ones were acknowledged.
+    """
+    fleet = fleet_of(*agents(1))
+    flows = balancer_flows(fleet, table=_upload_routes())
+    packets = [segment(1, seq=1200 * i, ack=9, length=1200) for i in range(20)]
+    for packet in packets[:19]:
+        flows.on_segment(packet, now=0.0)
+    flows.on_segment(packets[19], now=10.0)
+    owner = _verdict(flows, fleet, "10.0.1.1", Verdict.MINE, now=10.0)
+    assert _packets(owner) == [p.datagram for p in packets[-MAX_HELD_PACKETS:]]
+
+    logged: list[object] = []
+    monkeypatch.setattr(
+        EventLog,
+        "decision",
+        lambda _, event, **inputs: logged.append((event, inputs.get("held_packets"))),
+    )
+    slow = balancer_flows(
+        fleet_of(*agents(1)), table=_upload_routes(), link_bytes_per_second=100.0
+    )
+    slow.on_segment(segment(2, ack=9), now=0.0)
+    for packet in packets[:3]:
+        slow.on_segment(packet, now=0.0)
+    while slow.owner_lookup(flow_of(1)) is not None:
+        slow.tick(now=slow.next_due())
+    assert ("not searched", 3) in logged
