--- a/src/siskinshift/connections/egress/accounts.py
+++ b/src/siskinshift/connections/egress/accounts.py
@@ -48,6 +48,8 @@
         self._log = log
         self._logged_at: dict[tuple[TrafficClass, str], float] = {}
         self._unlogged: Counter[tuple[TrafficClass, str]] = Counter()
+        # Newest dropped packet and the time that it has waited, seconds.
+        self._newest: dict[tuple[TrafficClass, str], tuple[WaitingPacket, float]] = {}
         self._wait_names = [f"egress_wait_{c.name.lower()}" for c in TrafficClass]
 
     def record_wait(self, traffic_class: TrafficClass, seconds: float) -> None:
@@ -76,9 +78,40 @@
         self.dropped_packets[key] += 1
         self.dropped_bytes[key] += packet.size
         self._unlogged[key] += 1
-        logged_at = self._logged_at.get(key, float("-inf"))
-        if now - logged_at < DROP_LOG_INTERVAL_SECONDS:
-            return
+        self._newest[key] = (packet, now - packet.arrived_at)
+        if now >= self._log_due_at(key):
+            self._log_drops(key, waiting_bytes=waiting_bytes, now=now)
+
+    @property
+    def next_log_at(self) -> float:
+        """When `log_due_drops` is due: clock reading, seconds."""
+        if not self._unlogged:
+            return float("inf")
+        return min(map(self._log_due_at, self._unlogged))
+
+    def log_due_drops(
+        self, *, waiting_bytes: int, now: float, is_final: bool = False
+    ) -> None:
+        """Logs the drops since the last lines that no further drop has logged.
+
+        Args:
+            waiting_bytes: Bytes of all waiting packets.
+            now: Clock reading, seconds.
+            is_final: Whether no line follows, so that drops of the last interval are
+                logged as well.
+        """
+        for key in tuple(self._unlogged):
+            if is_final or now >= self._log_due_at(key):
+                self._log_drops(key, waiting_bytes=waiting_bytes, now=now)
+
+    def _log_due_at(self, key: tuple[TrafficClass, str]) -> float:
+        return self._logged_at.get(key, float("-inf")) + DROP_LOG_INTERVAL_SECONDS
+
+    def _log_drops(
+        self, key: tuple[TrafficClass, str], *, waiting_bytes: int, now: float
+    ) -> None:
+        traffic_class, reason = key
+        packet, waited = self._newest.pop(key)
         self._logged_at[key] = now
         self._log.decision(
             "egress dropped",
@@ -87,7 +120,7 @@
             flow=format_flow(packet.action.flow) if packet.action.flow else "",
             address=packet.action.address[0],
             packets=self._unlogged.pop(key),
-            waited=round(now - packet.arrived_at, 4),
+            waited=round(waited, 4),
             waiting_bytes=waiting_bytes,
         )
 
--- a/src/siskinshift/connections/egress/link_egress.py
+++ b/src/siskinshift/connections/egress/link_egress.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from siskinshift.connections.egress.accounts import EgressAccounts
 from siskinshift.connections.egress.scheduler import EgressScheduler
 
 
@@ -12,10 +11,9 @@
     from collections.abc import Callable
 
     from siskinshift.connections.actions import ToPeer
+    from siskinshift.connections.egress.accounts import EgressAccounts
     from siskinshift.connections.node_settings import NodeSettings
     from siskinshift.core.clocks import Clock
-    from siskinshift.observability.event_log import EventLog
-    from siskinshift.observability.node_metrics import NodeMetrics
 
 
 # Longest time for which a terminating process sends queued packets at the rate of the
@@ -32,7 +30,7 @@
         *,
         transmit: Callable[[bytes, tuple[str, int]], None],
         clock: Clock,
-        log: EventLog,
+        accounts: EgressAccounts,
     ) -> None:
         """Initializes an idle link.
 
@@ -40,11 +38,11 @@
             settings: Settings of the node.
             transmit: Sends a datagram to an address.
             clock: Clock of the process.
-            log: Log of dropped packets.
+            accounts: Counts and logs what is sent and dropped.
         """
         self._transmit = transmit
         self._clock = clock
-        self._accounts = EgressAccounts(log)
+        self._accounts = accounts
         self._scheduler = EgressScheduler(
             link_bytes_per_second=settings.link_bytes_per_second,
             min_bulk_fraction=settings.policies.min_bulk_fraction,
@@ -56,6 +54,11 @@
         """Whether no packet waits."""
         return not self._scheduler
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes on the link of all waiting packets."""
+        return self._scheduler.waiting_bytes
+
     def send(self, action: ToPeer) -> None:
         """Sends a datagram now or when the link has room.
 
@@ -80,7 +83,17 @@
         if now >= self._scheduler.next_due:
             for action in self._scheduler.release(now=now):
                 self._transmit(action.datagram, action.address)
-        return self._scheduler.next_due
+        log_at = self._accounts.next_log_at
+        if now >= log_at:
+            self._accounts.log_due_drops(waiting_bytes=self.waiting_bytes, now=now)
+            log_at = self._accounts.next_log_at
+        return min(self._scheduler.next_due, log_at)
+
+    def finish(self) -> None:
+        """Logs the last drops at the end of the scheduling."""
+        self._accounts.log_due_drops(
+            waiting_bytes=self.waiting_bytes, now=self._clock(), is_final=True
+        )
 
     def flush(self, sleep: Callable[[float], object]) -> None:
         """Sends all waiting packets before the process ends.
@@ -92,11 +105,8 @@
         while (now := self._clock()) < deadline:
             due = self.run(now)
             if self.is_empty:
-                return
+                break
             sleep(max(0.0, min(due, deadline) - now))
         for action in self._scheduler.drain(now=self._clock()):
             self._transmit(action.datagram, action.address)
-
-    def export(self, metrics: NodeMetrics) -> None:
-        """Sets the gauges of a node's metrics."""
-        self._accounts.export(metrics, waiting_bytes=self._scheduler.waiting_bytes)
+        self.finish()
--- a/src/siskinshift/connections/egress/scheduled_node.py
+++ b/src/siskinshift/connections/egress/scheduled_node.py
@@ -9,6 +9,7 @@
 from siskinshift.connections.actions import ToCaller
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.actions import ToUpstream
+from siskinshift.connections.egress.accounts import EgressAccounts
 from siskinshift.connections.egress.link_egress import LinkEgress
 from siskinshift.connections.segment import caller_host
 from siskinshift.core.clocks import monotonic_clock
@@ -45,6 +46,8 @@
         self.add_cleanup(self.peer_socket.close)
         self._caller_port = settings.caller_packets.port
         self._egress: LinkEgress | None = None
+        # Kept when the scheduling ends: the counters never fall.
+        self._egress_accounts: EgressAccounts | None = None
         self._is_egress_scheduled = False
 
     def schedule_egress(self, is_scheduled: bool) -> None:
@@ -56,11 +59,13 @@
         """
         self._is_egress_scheduled = is_scheduled
         if is_scheduled and self._egress is None:
+            if self._egress_accounts is None:
+                self._egress_accounts = EgressAccounts(self.log)
             self._egress = LinkEgress(
                 self.node_settings,
                 transmit=self._transmit,
                 clock=self.clock,
-                log=self.log,
+                accounts=self._egress_accounts,
             )
             self.loop.add_precise_timer(self._run_egress)
 
@@ -121,8 +126,9 @@
             metrics: Metrics of the node.
         """
         egress = self._egress
-        if egress is not None:
-            egress.export(metrics)
+        if self._egress_accounts is not None:
+            waiting_bytes = egress.waiting_bytes if egress is not None else 0
+            self._egress_accounts.export(metrics, waiting_bytes=waiting_bytes)
 
     def _transmit(self, datagram: bytes, address: tuple[str, int]) -> None:
         try:
@@ -136,6 +142,7 @@
             return float("inf")
         due = egress.run(now)
         if not self._is_egress_scheduled and egress.is_empty:
+            egress.finish()
             self._egress = None
             self.loop.remove_precise_timer(self._run_egress)
         return due
--- a/tests/connections/egress/test_scheduled_node.py
+++ b/tests/connections/egress/test_scheduled_node.py
@@ -98,6 +98,35 @@
     assert len(_received(agent)) == 16
 
 
+def test_gauges_and_drops_are_complete_when_the_scheduling_ends(
+    balancer: BalancerNode, agent: socket.socket, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a gauge of waiting bytes that stays after the last upload route.
+
+    The counters do not fall, and the drops of the last second are logged.
+    """
+    dropped: list[object] = []
+    monkeypatch.setattr(
+        balancer.log,
+        "decision",
+        lambda event, **inputs: dropped.append((event, inputs.get("packets"))),
+    )
+    _configure(balancer, RequestKind.UPLOAD, version=1)
+    balancer.perform(_to(agent, [*upload(1), *upload(1)[-3:]]))
+    balancer.export_egress(balancer.log.metrics)
+    assert "egress_waiting_bytes 0\n" not in balancer.log.metrics.render()
+    _configure(balancer, RequestKind.IDEMPOTENT, version=2)
+    began = time.monotonic()
+    while ("egress dropped", 2) not in dropped:
+        balancer.loop.run_once()
+        assert time.monotonic() < began + 5.0
+    balancer.export_egress(balancer.log.metrics)
+    rendered = balancer.log.metrics.render()
+    assert "egress_waiting_bytes 0\n" in rendered
+    assert "egress_sent_packets_bulk 16\n" in rendered
+    assert ("egress dropped", 1) in dropped
+
+
 def test_waiting_packets_are_sent_before_the_process_ends(
     balancer: BalancerNode, agent: socket.socket
 ) -> None:
