--- a/src/siskinshift/connections/egress/scheduled_node.py
+++ b/src/siskinshift/connections/egress/scheduled_node.py
@@ -91,6 +91,9 @@
             if type(action) is ToPeer:
                 if self._egress is None:
                     self._transmit(action.datagram, action.address)
+                    if action.departure is not None:
+                        # Requested while the link was still scheduled.
+                        action.departure.left_at = self.clock()
                 else:
                     self._egress.send(action)
             elif type(action) is ToUpstream:
--- a/src/siskinshift/connections/retry_timers.py
+++ b/src/siskinshift/connections/retry_timers.py
@@ -11,6 +11,10 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from siskinshift.connections.egress.bounds import EXPIRY_INTERVAL_SECONDS
+from siskinshift.connections.egress.bounds import MAX_WAIT_SECONDS_BY_CLASS
+from siskinshift.connections.egress.traffic_class import TrafficClass
+
 
 if TYPE_CHECKING:
     from siskinshift.connections.flow_records import Attempt
@@ -23,6 +27,11 @@
 # Upper bound of that time with the round trip to the agent, so that a dead agent is
 # noticed well before the caller retransmits after 200 ms.
 MAX_RETRY_AFTER_SECONDS = 0.1
+# Longest time for which an opening packet waits in the scheduler, which checks its
+# bound at intervals. Guards against a departure that is never recorded.
+MAX_DEPARTURE_SECONDS = (
+    MAX_WAIT_SECONDS_BY_CLASS[TrafficClass.OPENING] + 2 * EXPIRY_INTERVAL_SECONDS
+)
 
 
 class RetryTimers:
@@ -81,6 +90,9 @@
         return now
     left_at = attempt.left_at
     if left_at is None:
-        return now + RETRY_AFTER_SECONDS
+        if now - attempt.offered_at < MAX_DEPARTURE_SECONDS:
+            return now + RETRY_AFTER_SECONDS
+        attempt.departure.left_at = now
+        return now
     delay = RETRY_AFTER_SECONDS + attempt.agent.round_trip
     return left_at + min(delay, MAX_RETRY_AFTER_SECONDS)
