--- a/src/siskinshift/connections/actions.py
+++ b/src/siskinshift/connections/actions.py
@@ -21,7 +21,7 @@
         datagram: The message.
         traffic_class: Its class on the balancer's own link.
         flow: Flow of a forwarded packet; empty for other messages.
-        begun_at: When the flow began, seconds; 0 if its opening was not received.
+        started_at: When the flow began, seconds; 0 if its opening was not received.
         departure: Records when it leaves the link; None if nobody needs to know.
     """
 
@@ -29,7 +29,7 @@
     datagram: bytes
     traffic_class: TrafficClass = TrafficClass.CONTROL
     flow: bytes = b""
-    begun_at: float = 0.0
+    started_at: float = 0.0
     departure: Departure | None = None
 
 
--- a/src/siskinshift/connections/egress/flow_queue.py
+++ b/src/siskinshift/connections/egress/flow_queue.py
@@ -21,16 +21,16 @@
 
 @queues(TrafficClass.BULK)
 class FlowQueue:
-    """Packets by flow, flows in the order of their begin; see `ClassQueue`.
+    """Packets by flow, flows in the order of their start; see `ClassQueue`.
 
-    A flow whose begin is unknown here came from another balancer or outlived a restart,
+    A flow whose start is unknown here came from another balancer or outlived a restart,
     and counts as older than the others.
     """
 
     def __init__(self) -> None:
         """Initializes an empty queue."""
         self._packets_by_flow: dict[bytes, deque[WaitingPacket]] = {}
-        # Begin and number of arrival, which orders flows of unknown begin.
+        # Start and number of arrival, which orders flows of unknown start.
         self._order: list[tuple[float, int, bytes]] = []
         self._numbers = count()
         self._length = 0
@@ -49,7 +49,7 @@
         packets = self._packets_by_flow.get(flow)
         if packets is None:
             packets = self._packets_by_flow[flow] = deque()
-            insort(self._order, (packet.action.begun_at, next(self._numbers), flow))
+            insort(self._order, (packet.action.started_at, next(self._numbers), flow))
         packets.append(packet)
         self._length += 1
 
--- a/src/siskinshift/connections/egress/scheduler.py
+++ b/src/siskinshift/connections/egress/scheduler.py
@@ -42,15 +42,16 @@
 PACED_FRACTION = 0.95
 # Queue that a link of 5 Mbit/s holds; it drops the rest.
 LINK_QUEUE_SECONDS = 0.032
-# Longest queue in kernel and link, well below that. Bulk
-# packets fill less of it, so that the next packet of another class is not delayed by
-# all 8 ms. The event loop wakes up to 1 ms late, while 4 ms are still queued.
+# Longest queue in kernel and link, well below that. Bulk packets fill less of it, so
+# that the next packet of another class is not delayed by all 8 ms. The event loop wakes
+# up to 1 ms late, while 4 ms are still queued.
 MAX_LINK_QUEUE_SECONDS = 0.008
 MAX_BULK_LINK_QUEUE_SECONDS = 0.006
 # IP and UDP headers, which the length of a message does not include.
 DATAGRAM_HEADER_BYTES = 28
 
-# Iterating over the enumeration itself takes three times as long.
+# Iterating over the enumeration itself takes three times as long, because it looks up
+# each member by its name in Python code. This is done for each packet that waits.
 _CLASSES = tuple(TrafficClass)
 _HORIZONS = tuple(
     MAX_BULK_LINK_QUEUE_SECONDS if c is TrafficClass.BULK else MAX_LINK_QUEUE_SECONDS
--- a/src/siskinshift/connections/forwarding.py
+++ b/src/siskinshift/connections/forwarding.py
@@ -128,7 +128,7 @@
             message = self.to_agent(agent, Purpose.OWNED, packet.datagram)
             message.traffic_class = packet.traffic_class
             message.flow = packet.flow
-            message.begun_at = packet.begun_at
+            message.started_at = packet.started_at
             messages.append(message)
         return messages
 
--- a/src/siskinshift/connections/recent_packets.py
+++ b/src/siskinshift/connections/recent_packets.py
@@ -39,7 +39,7 @@
         datagram: The packet.
         flow: Its flow; the record of the flow may be dropped before a resend.
         traffic_class: Its class on the balancer's own link.
-        begun_at: When the flow began, seconds; 0 if its opening was not received.
+        started_at: When the flow began, seconds; 0 if its opening was not received.
     """
 
     sent_at: float
@@ -47,7 +47,7 @@
     datagram: bytes
     flow: bytes
     traffic_class: TrafficClass
-    begun_at: float
+    started_at: float
 
 
 class RecentPackets:
