--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -246,11 +246,11 @@
         while self._waiting_by_flow and self._has_free_slot(now=now):
             request = self.policy.choose(
                 self._waiting_by_flow.values(),
-                mean_run_seconds=self.mean_run_seconds,
+                run_seconds=self._expected_run,
                 now=now,
             )
             del self._waiting_by_flow[request.flow]
-            if request.expires_at <= now + self.mean_run_seconds:
+            if request.expires_at <= now + self._expected_run(request.parameters):
                 continue
             cost = self.run_times.expected(request.parameters)
             self.policy.record_start(request, cost=cost)
@@ -278,9 +278,11 @@
             includes_run: Whether those are too late that could not be answered by their
                 deadline if they started now; `next_requests` would not start them.
         """
-        margin = self.mean_run_seconds if includes_run else 0.0
         expired = [
-            r for r in self._waiting_by_flow.values() if r.expires_at <= now + margin
+            r
+            for r in self._waiting_by_flow.values()
+            if r.expires_at
+            <= now + (self._expected_run(r.parameters) if includes_run else 0.0)
         ]
         for request in expired:
             del self._waiting_by_flow[request.flow]
@@ -297,6 +299,13 @@
         if self.observes_runs:
             self.run_times.start(flow, parameters, slots=self.slots, now=now)
 
+    def _expected_run(self, parameters: RequestParameters) -> float:
+        # The overall mean includes requests that ended unanswered. When half of them
+        # hang, it is several times the run time of the others.
+        if self.policy.uses_run_times:
+            return self.run_times.expected(parameters)
+        return self.mean_run_seconds
+
     def _has_free_slot(self, *, now: float) -> bool:
         limit = self.slots + EXTRA_REQUESTS
         if len(self._started_at_by_flow) < limit:
--- a/src/siskinshift/connections/scheduling/fair_policy.py
+++ b/src/siskinshift/connections/scheduling/fair_policy.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import ClassVar
 
 from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.scheduling.policies import Timeliness
@@ -34,6 +35,7 @@
     from collections.abc import Iterable
 
     from siskinshift.connections.request_queue import WaitingRequest
+    from siskinshift.connections.scheduling.policies import RunSeconds
 
 
 # Fraction of the starts that each urgency gets while it has waiting requests.
@@ -98,6 +100,8 @@
 class FairPolicy:
     """Serves callers in turn within classes of timeliness and urgency."""
 
+    uses_run_times: ClassVar[bool] = True
+
     def __init__(self) -> None:
         """Initializes the policy without history."""
         self._shares = MinimumShares()
@@ -108,14 +112,15 @@
         self,
         requests: Collection[WaitingRequest],
         *,
-        mean_run_seconds: float,
+        run_seconds: RunSeconds,
         now: float,
     ) -> WaitingRequest:
         """Returns the next request; see the module."""
         by_class: dict[tuple[Timeliness, int], list[WaitingRequest]] = {}
         unrepeatable: list[WaitingRequest] = []
         for request in requests:
-            group = timeliness(request, mean_run_seconds=mean_run_seconds, now=now)
+            expected = run_seconds(request.parameters)
+            group = timeliness(request, run_seconds=expected, now=now)
             by_class.setdefault((group, request.parameters.urgency), []).append(request)
             kind = request.parameters.kind
             if group is Timeliness.DUE and kind in UNREPEATABLE_KINDS:
--- a/src/siskinshift/connections/scheduling/policies.py
+++ b/src/siskinshift/connections/scheduling/policies.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from enum import IntEnum
 from typing import TYPE_CHECKING
+from typing import ClassVar
 from typing import Protocol
 from typing import TypeAlias
 from typing import TypeVar
@@ -16,8 +17,11 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from siskinshift.connections.request_queue import RequestParameters
     from siskinshift.connections.request_queue import WaitingRequest
 
+    RunSeconds: TypeAlias = Callable[[RequestParameters], float]
+
 
 # Fraction of the time until the deadline after which a late request is urgent. A late
 # response is still useful, but each one that goes first makes a new request late.
@@ -39,20 +43,27 @@
 
 
 class SchedulingPolicy(Protocol):
-    """Selects the next request of an agent's queue."""
+    """Selects the next request of an agent's queue.
+
+    Attributes:
+        uses_run_times: Whether run times are expected by kind, from answered requests
+            only, instead of the mean of all.
+    """
+
+    uses_run_times: ClassVar[bool]
 
     def choose(
         self,
         requests: Collection[WaitingRequest],
         *,
-        mean_run_seconds: float,
+        run_seconds: RunSeconds,
         now: float,
     ) -> WaitingRequest:
         """Returns the request that gets the next slot.
 
         Args:
             requests: The waiting requests, at least one.
-            mean_run_seconds: Mean time from forwarding to response, seconds.
+            run_seconds: Returns the expected run time of a request, seconds.
             now: Clock reading, seconds.
         """
 
@@ -89,20 +100,20 @@
 
 
 def timeliness(
-    request: WaitingRequest, *, mean_run_seconds: float, now: float
+    request: WaitingRequest, *, run_seconds: float, now: float
 ) -> Timeliness:
     """Classifies a request by its objective and deadline.
 
     Args:
         request: The request.
-        mean_run_seconds: Mean time from forwarding to response, seconds.
+        run_seconds: Its expected run time, seconds.
         now: Clock reading, seconds.
 
     Returns:
         The class.
     """
     waited = now - request.arrived_at
-    margin = OBJECTIVE_MARGIN_MEAN_TIMES * mean_run_seconds
+    margin = OBJECTIVE_MARGIN_MEAN_TIMES * run_seconds
     if waited + margin <= request.parameters.objective:
         return Timeliness.IN_TIME
     if waited >= DUE_FRACTION * (request.expires_at - request.arrived_at):
@@ -117,17 +128,20 @@
     Within each group more urgent routes go first, then the earliest arrival.
     """
 
+    uses_run_times: ClassVar[bool] = False
+
     def choose(
         self,
         requests: Collection[WaitingRequest],
         *,
-        mean_run_seconds: float,
+        run_seconds: RunSeconds,
         now: float,
     ) -> WaitingRequest:
         """Returns the first request in order of group, urgency and arrival."""
 
         def rank(request: WaitingRequest) -> tuple[int, int, float]:
-            group = timeliness(request, mean_run_seconds=mean_run_seconds, now=now)
+            expected = run_seconds(request.parameters)
+            group = timeliness(request, run_seconds=expected, now=now)
             return (group, request.parameters.urgency, request.arrived_at)
 
         return min(requests, key=rank)
--- a/tests/connections/scheduling/test_agent_requests.py
+++ b/tests/connections/scheduling/test_agent_requests.py
@@ -100,6 +100,33 @@
     assert requests.on_data(state, data(flow), STATUS, now=1.5) == []
 
 
+def test_requests_that_hang_do_not_shorten_the_wait_of_others() -> None:
+    """Guards against dropping a request that could be answered in time.
+
+    Half of the requests hang, which made the mean run time 0.73 s. A status request was
+    dropped after 0.61 s of its 1.33 s.
+    """
+    requests = agent_requests(uses_admission=True)
+    now = 0.0
+    for number in range(1, 41):
+        flow = flow_key(number, number)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=now)
+        if number % 2:
+            requests.on_response(flow, now=now + 0.03)
+        else:
+            requests.finish(flow, now=now + 1.4)
+        now += 1.5
+    for number in range(50, 51 + EXTRA_REQUESTS):
+        flow = flow_key(number, number)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=now)
+    flow = flow_key(90, 90)
+    assert requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=now) == []
+
+    assert requests.drop_expired(now=now + 1.2) == []
+    requests.finish(flow_key(50, 50), now=now + 1.2)
+    assert requests.start(now=now + 1.2) == [data(flow).datagram]
+
+
 def test_the_report_has_the_wait_and_the_use_of_the_slots() -> None:
     """Guards against figures that count the waiting requests only."""
     requests = agent_requests(uses_admission=True)
