--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -36,6 +36,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Iterator
 
@@ -234,11 +235,14 @@
         )
         return elapsed
 
-    def next_requests(self, *, now: float) -> Iterator[WaitingRequest]:
+    def next_requests(
+        self, *, now: float, on_drop: Callable[[WaitingRequest], None] | None = None
+    ) -> Iterator[WaitingRequest]:
         """Dequeues as many requests as there are free slots.
 
         Args:
             now: Clock reading, seconds.
+            on_drop: Called with each request that is too late to start.
 
         Yields:
             Requests whose packets are to be forwarded, in order.
@@ -251,6 +255,8 @@
             )
             del self._waiting_by_flow[request.flow]
             if request.expires_at <= now + self._expected_run(request.parameters):
+                if on_drop is not None:
+                    on_drop(request)
                 continue
             cost = self.run_times.expected(request.parameters)
             self.policy.record_start(request, cost=cost)
--- a/src/siskinshift/connections/scheduling/agent_requests.py
+++ b/src/siskinshift/connections/scheduling/agent_requests.py
@@ -26,6 +26,7 @@
     from siskinshift.connections.node_settings import PolicySettings
     from siskinshift.connections.owned_flow import OwnedFlow
     from siskinshift.connections.request_queue import RequestParameters
+    from siskinshift.connections.request_queue import WaitingRequest
     from siskinshift.connections.scheduling.opening_admission import Refusal
     from siskinshift.observability.event_log import EventLog
 
@@ -205,7 +206,11 @@
             Packets to forward.
         """
         packets: list[bytes] = []
-        for request in self.queue.next_requests(now=now):
+
+        def drop(request: WaitingRequest) -> None:
+            self._on_dropped(request, now=now)
+
+        for request in self.queue.next_requests(now=now, on_drop=drop):
             waited = now - request.arrived_at
             self._log.decision(
                 "request started",
@@ -235,8 +240,7 @@
         uses_admission = self.policy.uses_admission
         expired = self.queue.take_expired(now=now, includes_run=uses_admission)
         for request in expired:
-            self._estimates_by_flow.pop(request.flow, None)
-            self.record_refusal(request.flow, now=now)
+            self._on_dropped(request, now=now)
         if expired:
             self._log.decision(
                 "given up", reason="waited too long", requests=len(expired)
@@ -302,6 +306,12 @@
                 self._estimates_by_flow[segment.flow] = estimate
         return started
 
+    def _on_dropped(self, request: WaitingRequest, *, now: float) -> None:
+        self._estimates_by_flow.pop(request.flow, None)
+        # A complete transfer does not count as stalled, so its place is freed here.
+        self._receipt.release(request.flow)
+        self.record_refusal(request.flow, now=now)
+
     def _observe_estimate(self, estimate: float, *, waited: float) -> None:
         metrics = self._log.metrics
         metrics.observe("request_wait_estimated", estimate)
--- a/tests/connections/scheduling/test_agent_requests.py
+++ b/tests/connections/scheduling/test_agent_requests.py
@@ -127,6 +127,29 @@
     assert requests.start(now=now + 1.2) == [data(flow).datagram]
 
 
+@pytest.mark.parametrize("uses_admission", [False, True])
+@pytest.mark.parametrize("is_started", [False, True])
+def test_a_dropped_upload_frees_its_place(
+    uses_admission: bool, is_started: bool
+) -> None:
+    """Guards against a window that is full of uploads that were given up."""
+    requests = agent_requests(uses_admission=uses_admission, receives_without_slot=True)
+    for number in range(1, 2 + EXTRA_REQUESTS):
+        flow = flow_key(number, number)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=0.0)
+    flow = flow_key(9, 9)
+    state = _open(requests, flow, UPLOAD)
+    assert requests.on_data(state, data(flow, 2, 300), UPLOAD, now=0.0) == []
+
+    if is_started:
+        assert requests.start(now=10.0) == []
+    else:
+        requests.drop_expired(now=10.0)
+
+    assert not requests.queue.waiting
+    assert len(requests._receipt) == 0
+
+
 def test_the_report_has_the_wait_and_the_use_of_the_slots() -> None:
     """Guards against figures that count the waiting requests only."""
     requests = agent_requests(uses_admission=True)
