--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -52,7 +52,8 @@
 STUCK_AFTER_SECONDS = 1.5
 # Weight of a new run time in the moving mean: about the last twenty requests count.
 MEAN_SMOOTHING_FACTOR = 0.05
-# Requests beyond this limit go to the upstream, which refuses them.
+# Requests beyond this limit go to the upstream, which refuses them. Under admission
+# they are dropped, so that a flood does not precede the requests that wait.
 MAX_WAITING_REQUESTS = 400
 # Deadline of requests whose balancer sent none; that of a long download.
 DEFAULT_DEADLINE_SECONDS = 3.0
@@ -135,6 +136,11 @@
         """The waiting requests, in order of arrival."""
         return self._waiting_by_flow.values()
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request can wait."""
+        return len(self._waiting_by_flow) >= MAX_WAITING_REQUESTS
+
     def waiting_by_urgency(self) -> Counter[int]:
         """Returns the number of waiting requests of each urgency seen so far."""
         counts = Counter(dict.fromkeys(self._urgencies, 0))
@@ -197,7 +203,7 @@
             waiting.packets_by_sequence[seq] = packet
             return False
         can_forward = self._has_free_slot(now=now) and not self._waiting_by_flow
-        if can_forward or len(self._waiting_by_flow) >= MAX_WAITING_REQUESTS:
+        if can_forward or self.is_full:
             self._start(flow, parameters, now=now)
             return True
         request = WaitingRequest(flow, now, parameters, is_retry)
--- a/src/siskinshift/connections/scheduling/agent_requests.py
+++ b/src/siskinshift/connections/scheduling/agent_requests.py
@@ -11,6 +11,7 @@
 from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.request_queue import RequestQueue
+from siskinshift.connections.request_queue import WaitingRequest
 from siskinshift.connections.scheduling.opening_admission import OpeningAdmission
 from siskinshift.connections.scheduling.policies import SCHEDULING_POLICIES
 from siskinshift.connections.scheduling.retries import RetryDetector
@@ -26,7 +27,6 @@
     from siskinshift.connections.node_settings import PolicySettings
     from siskinshift.connections.owned_flow import OwnedFlow
     from siskinshift.connections.request_queue import RequestParameters
-    from siskinshift.connections.request_queue import WaitingRequest
     from siskinshift.connections.scheduling.opening_admission import Refusal
     from siskinshift.observability.event_log import EventLog
 
@@ -291,6 +291,9 @@
         estimate = None
         if self.policy.uses_admission:
             estimate = self._admission.record_request(segment.flow)
+            if self.queue.is_full and segment.flow not in self.queue:
+                self._drop_new(flow, segment.flow, parameters, now=now)
+                return False
         started = self.queue.submit(
             segment.flow,
             segment.seq,
@@ -306,6 +309,19 @@
                 self._estimates_by_flow[segment.flow] = estimate
         return started
 
+    def _drop_new(
+        self,
+        state: OwnedFlow,
+        flow: bytes,
+        parameters: RequestParameters,
+        *,
+        now: float,
+    ) -> None:
+        request = WaitingRequest(flow, now, parameters)
+        state.dropped_until = request.expires_at
+        self._on_dropped(request, now=now)
+        self._log.decision("given up", reason="queue full", flow=format_flow(flow))
+
     def _on_dropped(self, request: WaitingRequest, *, now: float) -> None:
         self._estimates_by_flow.pop(request.flow, None)
         # A complete transfer does not count as stalled, so its place is freed here.
--- a/tests/connections/scheduling/test_agent_requests.py
+++ b/tests/connections/scheduling/test_agent_requests.py
@@ -17,6 +17,7 @@
 from siskinshift.connections.owned_flow import OwnedFlow
 from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.request_queue import EXTRA_REQUESTS
+from siskinshift.connections.request_queue import MAX_WAITING_REQUESTS
 from siskinshift.connections.request_queue import STUCK_AFTER_SECONDS
 from siskinshift.connections.request_queue import RequestParameters
 from siskinshift.connections.segment import SYN
@@ -150,6 +151,24 @@
     assert len(requests._receipt) == 0
 
 
+def test_a_flood_beyond_the_queue_does_not_run() -> None:
+    """Guards against requests that precede the waiting ones because the queue is full.
+
+    Without admission the upstream refuses them.
+    """
+    requests = agent_requests(uses_admission=True)
+    count = EXTRA_REQUESTS + 1 + MAX_WAITING_REQUESTS
+    for number in range(1, count + 1):
+        flow = flow_key(number, number % 9)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=0.0)
+    flow = flow_key(9999, 9)
+    state = OwnedFlow(0, 0)
+
+    assert requests.on_data(state, data(flow), STATUS, now=0.0) == []
+    assert requests.on_data(state, data(flow), STATUS, now=0.2) == []
+    assert len(requests) == count
+
+
 def test_the_report_has_the_wait_and_the_use_of_the_slots() -> None:
     """Guards against figures that count the waiting requests only."""
     requests = agent_requests(uses_admission=True)
