--- a/src/siskinshift/connections/owned_flow.py
+++ b/src/siskinshift/connections/owned_flow.py
@@ -39,8 +39,8 @@
         fins_seen: FIN of the caller (1) and of the upstream (2).
         ended_at: Time at which the flow ended; 0 while it is open.
         is_retry: Whether the flow is probably a retry of another one.
-        dropped_until: Time until which retransmissions of a dropped request are
-            discarded, seconds; 0 if none was dropped.
+        dropped_until: Time at which the caller of a dropped request gives up, seconds;
+            0 if none was dropped. Retransmissions are discarded until newer data.
     """
 
     opened_at: float
--- a/src/siskinshift/connections/scheduling/agent_requests.py
+++ b/src/siskinshift/connections/scheduling/agent_requests.py
@@ -143,9 +143,10 @@
         )
         if is_new:
             flow.next_caller_sequence = (segment.seq + segment.length) % SEQUENCE_SPACE
-        elif now < flow.dropped_until:
+            flow.dropped_until = 0.0
+        elif flow.dropped_until:
             # Retransmission of a request that was dropped: it must not run outside the
-            # slots, and its caller gives up at that time.
+            # slots, also when its caller repeats it after its deadline.
             return []
         receipt = self._receipt.receive(segment, now=now) if self._receipt else None
         if receipt is not None:
--- a/tests/connections/scheduling/test_agent_requests.py
+++ b/tests/connections/scheduling/test_agent_requests.py
@@ -99,6 +99,11 @@
 
     assert dropped == flow
     assert requests.on_data(state, data(flow), STATUS, now=1.5) == []
+    # Its caller may retransmit after its deadline, too, until it sends newer data.
+    late = state.dropped_until + 0.1
+    assert requests.on_data(state, data(flow), STATUS, now=late) == []
+    newer = data(flow, 902)
+    assert requests.on_data(state, newer, STATUS, now=late) == [newer.datagram]
 
 
 def test_requests_that_hang_do_not_shorten_the_wait_of_others() -> None:
