--- a/src/siskinshift/connections/scheduling/agent_requests.py
+++ b/src/siskinshift/connections/scheduling/agent_requests.py
@@ -143,10 +143,12 @@
         )
         if is_new:
             flow.next_caller_sequence = (segment.seq + segment.length) % SEQUENCE_SPACE
-            flow.dropped_until = 0.0
-        elif flow.dropped_until:
-            # Retransmission of a request that was dropped: it must not run outside the
-            # slots, also when its caller repeats it after its deadline.
+            # An upload is one request, so its later packets belong to the dropped one.
+            if parameters.kind is not RequestKind.UPLOAD:
+                flow.dropped_until = 0.0
+        if flow.dropped_until:
+            # Retransmission or rest of a request that was dropped: it must not run
+            # outside the slots, also when its caller repeats it after its deadline.
             return []
         receipt = self._receipt.receive(segment, now=now) if self._receipt else None
         if receipt is not None:
--- a/tests/connections/scheduling/test_agent_requests.py
+++ b/tests/connections/scheduling/test_agent_requests.py
@@ -156,6 +156,27 @@
     assert len(requests._receipt) == 0
 
 
+@pytest.mark.parametrize("receives_without_slot", [False, True])
+def test_the_rest_of_a_dropped_upload_is_not_a_request(
+    receives_without_slot: bool,
+) -> None:
+    """Guards against an incomplete upload that runs after its start was dropped."""
+    requests = agent_requests(
+        uses_admission=True, receives_without_slot=receives_without_slot
+    )
+    for number in range(1, 2 + EXTRA_REQUESTS):
+        flow = flow_key(number, number)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=0.0)
+    flow = flow_key(9, 9)
+    state = _open(requests, flow, UPLOAD)
+    requests.on_data(state, data(flow, 2, 300), UPLOAD, now=0.0)
+    ((_, state.dropped_until),) = requests.drop_expired(now=10.0)
+
+    assert requests.on_data(state, data(flow, 302, 300), UPLOAD, now=10.1) == []
+    assert requests.on_data(state, data(flow, 2, 300), UPLOAD, now=10.2) == []
+    assert not requests.queue.waiting
+
+
 def test_a_flood_beyond_the_queue_does_not_run() -> None:
     """Guards against requests that precede the waiting ones because the queue is full.
 
