--- a/src/siskinshift/connections/agent_openings.py
+++ b/src/siskinshift/connections/agent_openings.py
@@ -137,13 +137,18 @@
         self, forward: Forward, segment: Segment, sender: tuple[str, int], *, now: float
     ) -> ToPeer | None:
         limit = self._requests.policy.max_connections
-        if limit and self._flows.open_count >= limit:
+        # All flows are counted only when a refusal is possible.
+        if (
+            limit
+            and self._flows.open_count >= limit
+            and (count := self._flows.connection_count(now=now)) >= limit
+        ):
             return self.refuse(
                 Verdict.FULL,
                 segment.flow,
                 sender,
                 reason="connection limit",
-                flows=self._flows.open_count,
+                flows=count,
                 limit=limit,
             )
         refusal = self._requests.check_opening(
--- a/src/siskinshift/connections/owned_flows.py
+++ b/src/siskinshift/connections/owned_flows.py
@@ -19,6 +19,10 @@
 LONG_LIVED_AFTER_SECONDS = 1.5
 # Flows without packets are dropped after this; flows last a minute at most.
 IDLE_TIMEOUT_SECONDS = 90.0
+# An open flow without any packet of its caller counts against a connection limit for
+# this long: callers end an attempt after 1.4 s. The losers of hedged openings are never
+# confirmed and stay until `IDLE_TIMEOUT_SECONDS`.
+MAX_UNCONFIRMED_SECONDS = 1.4
 # FIN of the caller (1) and of the upstream (2).
 BOTH_FINS = 3
 
@@ -66,6 +70,18 @@
         self.open_count += 1
         return flow
 
+    def connection_count(self, *, now: float) -> int:
+        """Returns the number of open flows that callers use or may still confirm.
+
+        Args:
+            now: Clock reading, seconds.
+        """
+        oldest = now - MAX_UNCONFIRMED_SECONDS
+        return sum(
+            not flow.ended_at and (flow.opened_at >= oldest or _is_in_use(flow))
+            for flow in self._flows_by_key.values()
+        )
+
     def restore(self, restored: RestoredFlow, *, now: float) -> None:
         """Adds a flow of the previous process.
 
@@ -183,3 +199,12 @@
 
 def _can_be_verified(flow: OwnedFlow) -> bool:
     return bool(flow.verification_packet) and not flow.ended_at
+
+
+def _is_in_use(flow: OwnedFlow) -> bool:
+    """Returns whether the upstream or the caller has sent more than its opening."""
+    return (
+        flow.is_confirmed
+        or bool(flow.verification_packet)
+        or flow.next_caller_sequence is not None
+    )
--- a/tests/connections/scheduling/test_openings.py
+++ b/tests/connections/scheduling/test_openings.py
@@ -92,6 +92,22 @@
     assert _open(flows, 3, STATUS) == [ToUpstream(opening(3).datagram)]
 
 
+def test_openings_that_no_caller_confirmed_do_not_count_for_long() -> None:
+    """Guards against refusals because of hedged openings that another agent won.
+
+    A confirmed flow counts, also while its request waits for a slot.
+    """
+    flows = agent_flows()
+    flows.policy = ServicePolicy(max_connections=2)
+    _open(flows, 1, STATUS)
+    _open(flows, 2, STATUS)
+    _forward(flows, _data(2), STATUS)
+
+    assert _verdict(_open(flows, 3, STATUS, now=1.3)) is Verdict.FULL
+    assert _open(flows, 3, STATUS, now=1.5) == [ToUpstream(opening(3).datagram)]
+    assert _verdict(_open(flows, 4, STATUS, now=1.5)) is Verdict.FULL
+
+
 def test_a_refused_purchase_has_not_reached_the_upstream() -> None:
     """Guards against a request that is reported as not run and has run."""
     flows = agent_flows()
