--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -380,6 +380,7 @@
             record.request_parameters = route.request_parameters
             record.service_ids = route.service_ids
             record.opening = segment.datagram
+            record.is_opening_retransmitted = segment.ack > 0
             record.opened_at = now
             return self._offer_to_next_agent(record, now=now)
         accepted = [
@@ -492,10 +493,12 @@
         Their queueing delay exceeds the deadline, so holding the opening for
         `MAX_HOLD_SECONDS` only delays the caller's answer. A cold agent refuses because
         of its warm-up rate and accepts a moment later: after a power failure resets
-        would use up the callers' retries within milliseconds.
+        would use up the callers' retries within milliseconds. A retransmission is held
+        too, since another agent may just have accepted the first packet.
         """
         return (
             self.refuses_when_full
+            and not record.is_opening_retransmitted
             and bool(record.attempts)
             and all(
                 a.verdict is Verdict.FULL and a.agent.member.weight >= FULL_WEIGHT
--- a/src/siskinshift/connections/flow_records.py
+++ b/src/siskinshift/connections/flow_records.py
@@ -72,6 +72,8 @@
         owner_header: Cached header of packets for the owner, since most packets of a
             balancer belong to open flows.
         traffic_class: Class of these packets, cached with the header.
+        is_opening_retransmitted: Whether the opening packet is a retransmission. The
+            earlier one may have passed another balancer.
     """
 
     flow: bytes
@@ -87,6 +89,7 @@
     owner_header: bytes = b""
     traffic_class: TrafficClass = TrafficClass.INTERACTIVE
     service_ids: tuple[str, ...] = ()
+    is_opening_retransmitted: bool = False
 
     @property
     def sole_acceptor(self) -> Peer | None:
--- a/tests/connections/scheduling/test_openings.py
+++ b/tests/connections/scheduling/test_openings.py
@@ -196,3 +196,24 @@
 
     assert actions == ([ResetCaller(flow_of(1), 0)] if is_reset else [])
     assert offers == (MAX_FULL_REFUSALS if is_reset else len(members))
+
+
+@pytest.mark.parametrize("retransmissions", [0, 1])
+def test_a_retransmitted_opening_that_all_agents_refuse_is_held(
+    retransmissions: int,
+) -> None:
+    """Guards against a reset of a flow that another balancer's agent has accepted.
+
+    The earlier packet may have passed another balancer.
+    """
+    fleet = fleet_of(member("editor-1", host="10.0.1.1"))
+    flows = balancer_flows(fleet)
+    flows.refuses_when_full = True
+    packet = opening(1, retransmissions=retransmissions)
+    flows.on_segment(packet, now=0.0)
+    (agent,) = fleet.agents_of("editor")
+
+    verdict = FlowVerdict(Verdict.FULL, flow_of(1), Load())
+    actions = flows.on_verdict(agent, verdict, now=0.004)
+
+    assert actions == ([] if retransmissions else [ResetCaller(flow_of(1), 0)])
