--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -475,7 +475,7 @@
             return []
         if self._is_evacuated(record.service_id, now=now):
             return self._refuse(record)
-        if self._is_refused_as_full(record):
+        if self._is_refused_as_full(record, now=now):
             return self._refuse(record, reason="all agents are full")
         if (
             len(self._held_records) >= MAX_HELD_PACKETS
@@ -487,19 +487,21 @@
         self._held_records.append(record)
         return []
 
-    def _is_refused_as_full(self, record: FlowRecord) -> bool:
+    def _is_refused_as_full(self, record: FlowRecord, *, now: float) -> bool:
         """Returns whether every attempted agent refused with FULL under admission.
 
         Their queueing delay exceeds the deadline, so holding the opening for
         `MAX_HOLD_SECONDS` only delays the caller's answer. A cold agent refuses because
         of its warm-up rate and accepts a moment later: after a power failure resets
         would use up the callers' retries within milliseconds. A retransmission is held
-        too, since another agent may just have accepted the first packet.
+        too, since another agent may just have accepted the first packet, and so is any
+        opening while other agents may exist that this balancer does not know.
         """
         return (
             self.refuses_when_full
             and not record.is_opening_retransmitted
             and bool(record.attempts)
+            and self._fleet.is_complete(now=now)
             and all(
                 a.verdict is Verdict.FULL and a.agent.member.weight >= FULL_WEIGHT
                 for a in record.attempts
@@ -553,7 +555,7 @@
         if any(a.verdict in (None, Verdict.ACCEPTED) for a in record.attempts):
             return []
         if len(record.attempts) >= MAX_FULL_REFUSALS and self._is_refused_as_full(
-            record
+            record, now=now
         ):
             return self._refuse(record, reason="all agents are full")
         return self._offer_to_next_agent(record, now=now)
--- a/tests/connections/scheduling/test_openings.py
+++ b/tests/connections/scheduling/test_openings.py
@@ -217,3 +217,18 @@
     actions = flows.on_verdict(agent, verdict, now=0.004)
 
     assert actions == ([] if retransmissions else [ResetCaller(flow_of(1), 0)])
+
+
+@pytest.mark.parametrize("is_complete", [False, True])
+def test_an_opening_is_reset_only_if_all_agents_are_known(is_complete: bool) -> None:
+    """Guards against resets by a balancer that knows one of several agents."""
+    fleet = fleet_of(member("editor-1", host="10.0.1.1"), is_complete=is_complete)
+    flows = balancer_flows(fleet)
+    flows.refuses_when_full = True
+    flows.on_segment(opening(1), now=0.0)
+    (agent,) = fleet.agents_of("editor")
+
+    verdict = FlowVerdict(Verdict.FULL, flow_of(1), Load())
+    actions = flows.on_verdict(agent, verdict, now=0.004)
+
+    assert actions == ([ResetCaller(flow_of(1), 0)] if is_complete else [])
