--- a/src/siskinshift/connections/agent_openings.py
+++ b/src/siskinshift/connections/agent_openings.py
@@ -92,13 +92,15 @@
         if flow is None and (self.is_draining or not self._upstream.accepts(now=now)):
             return [self.refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
         if flow is None:
-            is_cold = self._upstream.may_be_cold(now=now)
-            if not self.warm_up.admits(is_cold=is_cold, now=now):
-                return [self.refuse(Verdict.FULL, segment.flow, sender)]
             refusal = self._check_admission(forward, segment, sender, now=now)
             if refusal is not None:
                 self._requests.record_refusal(segment.flow, now=now)
                 return [refusal]
+            # Checked last, since it counts the flow against the warm-up rate.
+            is_cold = self._upstream.may_be_cold(now=now)
+            if not self.warm_up.admits(is_cold=is_cold, now=now):
+                self._requests.finish(segment.flow, now=now)
+                return [self.refuse(Verdict.FULL, segment.flow, sender)]
             flow = self._flows.add(segment.flow, now=now)
             self._requests.on_flow_opened(
                 flow, segment, forward.request_parameters, now=now
--- a/tests/connections/scheduling/test_openings.py
+++ b/tests/connections/scheduling/test_openings.py
@@ -30,8 +30,10 @@
 from tests.connections.builders import balancer_flows
 from tests.connections.builders import fleet_of
 from tests.connections.builders import flow_of
+from tests.connections.builders import heartbeat
 from tests.connections.builders import member
 from tests.connections.builders import opening
+from tests.connections.builders import ready_upstream
 from tests.connections.builders import segment
 from tests.connections.scheduling.load import PURCHASE
 from tests.connections.scheduling.load import STATUS
@@ -108,6 +110,27 @@
     assert _verdict(_open(flows, 4, STATUS, now=1.5)) is Verdict.FULL
 
 
+def test_an_opening_refused_for_load_uses_no_warm_up_rate() -> None:
+    """Guards against a cold upstream that idles because refused openings counted.
+
+    An opening beyond the warm-up rate must not count as an expected request, either.
+    """
+    upstream = ready_upstream()
+    upstream.on_heartbeat(heartbeat(sequence=2, cold_seconds=2.0), now=0.0)
+    flows = agent_flows(upstream)
+    flows.policy = ServicePolicy(uses_admission=True, max_connections=1)
+    flows.warm_up.rate = 2.0
+    _open(flows, 1, STATUS)
+    for port in (2, 3):
+        assert _verdict(_open(flows, port, STATUS)) is Verdict.FULL
+    _forward(flows, segment(1, RESET, ack=UPSTREAM_SEQ + 1), STATUS)
+
+    assert _open(flows, 4, STATUS) == [ToUpstream(opening(4).datagram)]
+    _forward(flows, segment(4, RESET, ack=UPSTREAM_SEQ + 1), STATUS)
+    assert _verdict(_open(flows, 5, PURCHASE)) is Verdict.FULL
+    assert not flows._requests._admission._expected_by_flow
+
+
 def test_a_refused_purchase_has_not_reached_the_upstream() -> None:
     """Guards against a request that is reported as not run and has run."""
     flows = agent_flows()
