--- a/src/siskinshift/connections/scheduling/upload_receipt.py
+++ b/src/siskinshift/connections/scheduling/upload_receipt.py
@@ -5,8 +5,11 @@
 
 All packets but the last go to the upstream as they arrive. The last one is shorter than
 a full packet. The network reorders packets, so a short packet is held until all bytes
-before it have been received, and if a later byte arrives it was not the last one. An
-upload whose last packet is full is not recognized and runs when the upstream has it.
+before it have been received. If a later byte has arrived by then, it was not the last
+one. Otherwise it counts as the last one even if it is in the middle: it waits for a
+slot, while later packets go to the upstream as they arrive, and the request holds its
+slot until the upstream has all of them. An upload whose last packet is full is not
+recognized and runs when the upstream has it.
 
 The window limits what the upstream stores for unfinished transfers. A flow without a
 place in it is handled like any request, from its next packet on.
