--- a/src/siskinshift/connections/scheduling/fair_policy.py
+++ b/src/siskinshift/connections/scheduling/fair_policy.py
@@ -13,7 +13,8 @@
 requests get `MIN_DUE_FRACTION`, but precede only requests in time that are not more
 urgent, and only if their caller is within its fair share. Due requests that may run
 once at most go before all others: their callers cannot repeat them once their flow is
-open, and admission control bounds their number.
+open, and admission control bounds their number. They go in order of their deadlines,
+without fairness among callers: a caller with many of them can precede the others.
 """
 
 from __future__ import annotations
