--- a/src/siskinshift/connections/request_queue.py
+++ b/src/siskinshift/connections/request_queue.py
@@ -36,6 +36,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Iterator
 
@@ -51,7 +52,8 @@
 STUCK_AFTER_SECONDS = 1.5
 # Weight of a new run time in the moving mean: about the last twenty requests count.
 MEAN_SMOOTHING_FACTOR = 0.05
-# Requests beyond this limit go to the upstream, which refuses them.
+# Requests beyond this limit go to the upstream, which refuses them. Under admission
+# they are dropped, so that a flood does not precede the requests that wait.
 MAX_WAITING_REQUESTS = 400
 # Deadline of requests whose balancer sent none; that of a long download.
 DEFAULT_DEADLINE_SECONDS = 3.0
@@ -134,6 +136,11 @@
         """The waiting requests, in order of arrival."""
         return self._waiting_by_flow.values()
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request can wait."""
+        return len(self._waiting_by_flow) >= MAX_WAITING_REQUESTS
+
     def waiting_by_urgency(self) -> Counter[int]:
         """Returns the number of waiting requests of each urgency seen so far."""
         counts = Counter(dict.fromkeys(self._urgencies, 0))
@@ -196,7 +203,7 @@
             waiting.packets_by_sequence[seq] = packet
             return False
         can_forward = self._has_free_slot(now=now) and not self._waiting_by_flow
-        if can_forward or len(self._waiting_by_flow) >= MAX_WAITING_REQUESTS:
+        if can_forward or self.is_full:
             self._start(flow, parameters, now=now)
             return True
         request = WaitingRequest(flow, now, parameters, is_retry)
@@ -234,11 +241,14 @@
         )
         return elapsed
 
-    def next_requests(self, *, now: float) -> Iterator[WaitingRequest]:
+    def next_requests(
+        self, *, now: float, on_drop: Callable[[WaitingRequest], None] | None = None
+    ) -> Iterator[WaitingRequest]:
         """Dequeues as many requests as there are free slots.
 
         Args:
             now: Clock reading, seconds.
+            on_drop: Called with each request that is too late to start.
 
         Yields:
             Requests whose packets are to be forwarded, in order.
@@ -246,11 +256,13 @@
         while self._waiting_by_flow and self._has_free_slot(now=now):
             request = self.policy.choose(
                 self._waiting_by_flow.values(),
-                mean_run_seconds=self.mean_run_seconds,
+                run_seconds=self._expected_run,
                 now=now,
             )
             del self._waiting_by_flow[request.flow]
-            if request.expires_at <= now + self.mean_run_seconds:
+            if request.expires_at <= now + self._expected_run(request.parameters):
+                if on_drop is not None:
+                    on_drop(request)
                 continue
             cost = self.run_times.expected(request.parameters)
             self.policy.record_start(request, cost=cost)
@@ -278,9 +290,11 @@
             includes_run: Whether those are too late that could not be answered by their
                 deadline if they started now; `next_requests` would not start them.
         """
-        margin = self.mean_run_seconds if includes_run else 0.0
         expired = [
-            r for r in self._waiting_by_flow.values() if r.expires_at <= now + margin
+            r
+            for r in self._waiting_by_flow.values()
+            if r.expires_at
+            <= now + (self._expected_run(r.parameters) if includes_run else 0.0)
         ]
         for request in expired:
             del self._waiting_by_flow[request.flow]
@@ -297,6 +311,13 @@
         if self.observes_runs:
             self.run_times.start(flow, parameters, slots=self.slots, now=now)
 
+    def _expected_run(self, parameters: RequestParameters) -> float:
+        # The overall mean includes requests that ended unanswered. When half of them
+        # hang, it is several times the run time of the others.
+        if self.policy.uses_run_times:
+            return self.run_times.expected(parameters)
+        return self.mean_run_seconds
+
     def _has_free_slot(self, *, now: float) -> bool:
         limit = self.slots + EXTRA_REQUESTS
         if len(self._started_at_by_flow) < limit:
--- a/src/siskinshift/connections/scheduling/agent_requests.py
+++ b/src/siskinshift/connections/scheduling/agent_requests.py
@@ -11,6 +11,7 @@
 from siskinshift.connections.peer_messages import ServicePolicy
 from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.request_queue import RequestQueue
+from siskinshift.connections.request_queue import WaitingRequest
 from siskinshift.connections.scheduling.opening_admission import OpeningAdmission
 from siskinshift.connections.scheduling.policies import SCHEDULING_POLICIES
 from siskinshift.connections.scheduling.retries import RetryDetector
@@ -142,9 +143,12 @@
         )
         if is_new:
             flow.next_caller_sequence = (segment.seq + segment.length) % SEQUENCE_SPACE
-        elif now < flow.dropped_until:
-            # Retransmission of a request that was dropped: it must not run outside the
-            # slots, and its caller gives up at that time.
+            # An upload is one request, so its later packets belong to the dropped one.
+            if parameters.kind is not RequestKind.UPLOAD:
+                flow.dropped_until = 0.0
+        if flow.dropped_until:
+            # Retransmission or rest of a request that was dropped: it must not run
+            # outside the slots, also when its caller repeats it after its deadline.
             return []
         receipt = self._receipt.receive(segment, now=now) if self._receipt else None
         if receipt is not None:
@@ -205,7 +209,11 @@
             Packets to forward.
         """
         packets: list[bytes] = []
-        for request in self.queue.next_requests(now=now):
+
+        def drop(request: WaitingRequest) -> None:
+            self._on_dropped(request, now=now)
+
+        for request in self.queue.next_requests(now=now, on_drop=drop):
             waited = now - request.arrived_at
             self._log.decision(
                 "request started",
@@ -235,8 +243,7 @@
         uses_admission = self.policy.uses_admission
         expired = self.queue.take_expired(now=now, includes_run=uses_admission)
         for request in expired:
-            self._estimates_by_flow.pop(request.flow, None)
-            self.record_refusal(request.flow, now=now)
+            self._on_dropped(request, now=now)
         if expired:
             self._log.decision(
                 "given up", reason="waited too long", requests=len(expired)
@@ -287,6 +294,9 @@
         estimate = None
         if self.policy.uses_admission:
             estimate = self._admission.record_request(segment.flow)
+            if self.queue.is_full and segment.flow not in self.queue:
+                self._drop_new(flow, segment.flow, parameters, now=now)
+                return False
         started = self.queue.submit(
             segment.flow,
             segment.seq,
@@ -302,6 +312,25 @@
                 self._estimates_by_flow[segment.flow] = estimate
         return started
 
+    def _drop_new(
+        self,
+        state: OwnedFlow,
+        flow: bytes,
+        parameters: RequestParameters,
+        *,
+        now: float,
+    ) -> None:
+        request = WaitingRequest(flow, now, parameters)
+        state.dropped_until = request.expires_at
+        self._on_dropped(request, now=now)
+        self._log.decision("given up", reason="queue full", flow=format_flow(flow))
+
+    def _on_dropped(self, request: WaitingRequest, *, now: float) -> None:
+        self._estimates_by_flow.pop(request.flow, None)
+        # A complete transfer does not count as stalled, so its place is freed here.
+        self._receipt.release(request.flow)
+        self.record_refusal(request.flow, now=now)
+
     def _observe_estimate(self, estimate: float, *, waited: float) -> None:
         metrics = self._log.metrics
         metrics.observe("request_wait_estimated", estimate)
--- a/tests/connections/scheduling/test_agent_requests.py
+++ b/tests/connections/scheduling/test_agent_requests.py
@@ -17,6 +17,7 @@
 from siskinshift.connections.owned_flow import OwnedFlow
 from siskinshift.connections.request_kind import RequestKind
 from siskinshift.connections.request_queue import EXTRA_REQUESTS
+from siskinshift.connections.request_queue import MAX_WAITING_REQUESTS
 from siskinshift.connections.request_queue import STUCK_AFTER_SECONDS
 from siskinshift.connections.request_queue import RequestParameters
 from siskinshift.connections.segment import SYN
@@ -98,6 +99,100 @@
 
     assert dropped == flow
     assert requests.on_data(state, data(flow), STATUS, now=1.5) == []
+    # Its caller may retransmit after its deadline, too, until it sends newer data.
+    late = state.dropped_until + 0.1
+    assert requests.on_data(state, data(flow), STATUS, now=late) == []
+    newer = data(flow, 902)
+    assert requests.on_data(state, newer, STATUS, now=late) == [newer.datagram]
+
+
+def test_requests_that_hang_do_not_shorten_the_wait_of_others() -> None:
+    """Guards against dropping a request that could be answered in time.
+
+    Half of the requests hang, which made the mean run time 0.73 s. A status request was
+    dropped after 0.61 s of its 1.33 s.
+    """
+    requests = agent_requests(uses_admission=True)
+    now = 0.0
+    for number in range(1, 41):
+        flow = flow_key(number, number)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=now)
+        if number % 2:
+            requests.on_response(flow, now=now + 0.03)
+        else:
+            requests.finish(flow, now=now + 1.4)
+        now += 1.5
+    for number in range(50, 51 + EXTRA_REQUESTS):
+        flow = flow_key(number, number)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=now)
+    flow = flow_key(90, 90)
+    assert requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=now) == []
+
+    assert requests.drop_expired(now=now + 1.2) == []
+    requests.finish(flow_key(50, 50), now=now + 1.2)
+    assert requests.start(now=now + 1.2) == [data(flow).datagram]
+
+
+@pytest.mark.parametrize("uses_admission", [False, True])
+@pytest.mark.parametrize("is_started", [False, True])
+def test_a_dropped_upload_frees_its_place(
+    uses_admission: bool, is_started: bool
+) -> None:
+    """Guards against a window that is full of uploads that were given up."""
+    requests = agent_requests(uses_admission=uses_admission, receives_without_slot=True)
+    for number in range(1, 2 + EXTRA_REQUESTS):
+        flow = flow_key(number, number)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=0.0)
+    flow = flow_key(9, 9)
+    state = _open(requests, flow, UPLOAD)
+    assert requests.on_data(state, data(flow, 2, 300), UPLOAD, now=0.0) == []
+
+    if is_started:
+        assert requests.start(now=10.0) == []
+    else:
+        requests.drop_expired(now=10.0)
+
+    assert not requests.queue.waiting
+    assert len(requests._receipt) == 0
+
+
+@pytest.mark.parametrize("receives_without_slot", [False, True])
+def test_the_rest_of_a_dropped_upload_is_not_a_request(
+    receives_without_slot: bool,
+) -> None:
+    """Guards against an incomplete upload that runs after its start was dropped."""
+    requests = agent_requests(
+        uses_admission=True, receives_without_slot=receives_without_slot
+    )
+    for number in range(1, 2 + EXTRA_REQUESTS):
+        flow = flow_key(number, number)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=0.0)
+    flow = flow_key(9, 9)
+    state = _open(requests, flow, UPLOAD)
+    requests.on_data(state, data(flow, 2, 300), UPLOAD, now=0.0)
+    ((_, state.dropped_until),) = requests.drop_expired(now=10.0)
+
+    assert requests.on_data(state, data(flow, 302, 300), UPLOAD, now=10.1) == []
+    assert requests.on_data(state, data(flow, 2, 300), UPLOAD, now=10.2) == []
+    assert not requests.queue.waiting
+
+
+def test_a_flood_beyond_the_queue_does_not_run() -> None:
+    """Guards against requests that precede the waiting ones because the queue is full.
+
+    Without admission the upstream refuses them.
+    """
+    requests = agent_requests(uses_admission=True)
+    count = EXTRA_REQUESTS + 1 + MAX_WAITING_REQUESTS
+    for number in range(1, count + 1):
+        flow = flow_key(number, number % 9)
+        requests.on_data(OwnedFlow(0, 0), data(flow), STATUS, now=0.0)
+    flow = flow_key(9999, 9)
+    state = OwnedFlow(0, 0)
+
+    assert requests.on_data(state, data(flow), STATUS, now=0.0) == []
+    assert requests.on_data(state, data(flow), STATUS, now=0.2) == []
+    assert len(requests) == count
 
 
 def test_the_report_has_the_wait_and_the_use_of_the_slots() -> None:
--- a/tests/connections/scheduling/test_openings.py
+++ b/tests/connections/scheduling/test_openings.py
@@ -30,8 +30,10 @@
 from tests.connections.builders import balancer_flows
 from tests.connections.builders import fleet_of
 from tests.connections.builders import flow_of
+from tests.connections.builders import heartbeat
 from tests.connections.builders import member
 from tests.connections.builders import opening
+from tests.connections.builders import ready_upstream
 from tests.connections.builders import segment
 from tests.connections.scheduling.load import PURCHASE
 from tests.connections.scheduling.load import STATUS
@@ -92,6 +94,43 @@
     assert _open(flows, 3, STATUS) == [ToUpstream(opening(3).datagram)]
 
 
+def test_openings_that_no_caller_confirmed_do_not_count_for_long() -> None:
+    """Guards against refusals because of hedged openings that another agent won.
+
+    A confirmed flow counts, also while its request waits for a slot.
+    """
+    flows = agent_flows()
+    flows.policy = ServicePolicy(max_connections=2)
+    _open(flows, 1, STATUS)
+    _open(flows, 2, STATUS)
+    _forward(flows, _data(2), STATUS)
+
+    assert _verdict(_open(flows, 3, STATUS, now=1.3)) is Verdict.FULL
+    assert _open(flows, 3, STATUS, now=1.5) == [ToUpstream(opening(3).datagram)]
+    assert _verdict(_open(flows, 4, STATUS, now=1.5)) is Verdict.FULL
+
+
+def test_an_opening_refused_for_load_uses_no_warm_up_rate() -> None:
+    """Guards against a cold upstream that idles because refused openings counted.
+
+    An opening beyond the warm-up rate must not count as an expected request, either.
+    """
+    upstream = ready_upstream()
+    upstream.on_heartbeat(heartbeat(sequence=2, cold_seconds=2.0), now=0.0)
+    flows = agent_flows(upstream)
+    flows.policy = ServicePolicy(uses_admission=True, max_connections=1)
+    flows.warm_up.rate = 2.0
+    _open(flows, 1, STATUS)
+    for port in (2, 3):
+        assert _verdict(_open(flows, port, STATUS)) is Verdict.FULL
+    _forward(flows, segment(1, RESET, ack=UPSTREAM_SEQ + 1), STATUS)
+
+    assert _open(flows, 4, STATUS) == [ToUpstream(opening(4).datagram)]
+    _forward(flows, segment(4, RESET, ack=UPSTREAM_SEQ + 1), STATUS)
+    assert _verdict(_open(flows, 5, PURCHASE)) is Verdict.FULL
+    assert not flows._requests._admission._expected_by_flow
+
+
 def test_a_refused_purchase_has_not_reached_the_upstream() -> None:
     """Guards against a request that is reported as not run and has run."""
     flows = agent_flows()
@@ -180,3 +219,39 @@
 
     assert actions == ([ResetCaller(flow_of(1), 0)] if is_reset else [])
     assert offers == (MAX_FULL_REFUSALS if is_reset else len(members))
+
+
+@pytest.mark.parametrize("retransmissions", [0, 1])
+def test_a_retransmitted_opening_that_all_agents_refuse_is_held(
+    retransmissions: int,
+) -> None:
+    """Guards against a reset of a flow that another balancer's agent has accepted.
+
+    The earlier packet may have passed another balancer.
+    """
+    fleet = fleet_of(member("editor-1", host="10.0.1.1"))
+    flows = balancer_flows(fleet)
+    flows.refuses_when_full = True
+    packet = opening(1, retransmissions=retransmissions)
+    flows.on_segment(packet, now=0.0)
+    (agent,) = fleet.agents_of("editor")
+
+    verdict = FlowVerdict(Verdict.FULL, flow_of(1), Load())
+    actions = flows.on_verdict(agent, verdict, now=0.004)
+
+    assert actions == ([] if retransmissions else [ResetCaller(flow_of(1), 0)])
+
+
+@pytest.mark.parametrize("is_complete", [False, True])
+def test_an_opening_is_reset_only_if_all_agents_are_known(is_complete: bool) -> None:
+    """Guards against resets by a balancer that knows one of several agents."""
+    fleet = fleet_of(member("editor-1", host="10.0.1.1"), is_complete=is_complete)
+    flows = balancer_flows(fleet)
+    flows.refuses_when_full = True
+    flows.on_segment(opening(1), now=0.0)
+    (agent,) = fleet.agents_of("editor")
+
+    verdict = FlowVerdict(Verdict.FULL, flow_of(1), Load())
+    actions = flows.on_verdict(agent, verdict, now=0.004)
+
+    assert actions == ([ResetCaller(flow_of(1), 0)] if is_complete else [])
