--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -348,9 +348,14 @@
             is_first = self._flows.routes is None
             has_generation = self.store.generation != UNKNOWN_GENERATION
             if is_first and has_generation and received.source == STORE_SOURCE:
-                self._start.hold((routes, received), now=self.clock())
-            else:
-                self.configure(routes, received)
+                self._start.hold(
+                    (routes, received), version=routes.version, now=self.clock()
+                )
+                return
+            newer = self._start.release(peer_version=routes.version)
+            if newer is not None:
+                self.configure(*newer)
+            self.configure(routes, received)
 
         self.loop.call(apply)
 
@@ -361,7 +366,6 @@
             routes: The configuration.
             received: Its encoded form, for peers that can't read it from the store.
         """
-        self._start.discard()
         policies = resolve_policies(self.node_settings.policies, routes)
         is_newer = self._flows.configure(routes_with_kinds(routes, policies))
         self.log.fact(
@@ -431,7 +435,7 @@
     def _fetch_if_newer(self, peer: Peer, now: float) -> None:
         is_due = self._catch_up.is_due(
             announced=peer.configuration_version,
-            held=self.configuration_version,
+            held=max(self.configuration_version, self._start.held_version),
             last_progress_at=self._follower.transfer.last_received_at,
             is_failing=self._follower.is_failing,
             now=now,
--- a/src/siskinshift/connections/configuration_start.py
+++ b/src/siskinshift/connections/configuration_start.py
@@ -41,21 +41,43 @@
         self._held: ConfigurationT | None = None
         self._held_at = 0.0
         self._has_fetched = False
+        # Version of the held configuration; 0 if none is held.
+        self.held_version = 0
 
-    def hold(self, configuration: ConfigurationT, *, now: float) -> None:
-        """Holds a configuration; a later one replaces it.
+    def hold(self, configuration: ConfigurationT, *, version: int, now: float) -> None:
+        """Holds a configuration unless a newer one is held.
 
         Args:
             configuration: The configuration of the store.
+            version: Its version.
             now: Clock reading, seconds.
         """
         if self._held is None:
             self._held_at = now
+        elif version < self.held_version:
+            # The store was restored after the first read.
+            return
         self._held = configuration
+        self.held_version = version
 
-    def discard(self) -> None:
-        """Drops the held configuration, since one of a peer is in force."""
-        self._held = None
+    def release(self, *, peer_version: int) -> ConfigurationT | None:
+        """Ends the hold, since a peer's configuration is about to be applied.
+
+        Args:
+            peer_version: Version of the peer's configuration.
+
+        Returns:
+            The held configuration if it is newer and has to be applied as well: the
+            watch of the store does not deliver it again.
+        """
+        is_newer = self.held_version > peer_version
+        held = self._end_hold()
+        return held if is_newer else None
+
+    def _end_hold(self) -> ConfigurationT | None:
+        held, self._held = self._held, None
+        self.held_version = 0
+        return held
 
     @property
     def is_holding(self) -> bool:
@@ -70,7 +92,8 @@
         Args:
             is_fetching: Whether a fetch from a peer is in progress.
             fetch: Starts to fetch evacuations and configuration from a peer. Called
-                once, with the peer that holds the newest configuration.
+                once, with the peer that holds the newest configuration, if it is newer
+                than the held one.
             now: Clock reading, seconds.
 
         Returns:
@@ -92,9 +115,12 @@
                 key=lambda peer: peer.configuration_version,
                 default=None,
             )
-            if newest and newest.configuration_version and not self._has_fetched:
+            if (
+                newest is not None
+                and newest.configuration_version > self.held_version
+                and not self._has_fetched
+            ):
                 self._has_fetched = True
                 fetch(newest)
                 return None
-        held, self._held = self._held, None
-        return held
+        return self._end_hold()
