--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -467,7 +467,11 @@
             self.log.fact("configuration fetch failed", peer=peer_id, error=str(error))
         finally:
             client.close()
-            self._is_fetching = False
+            # The fetched configuration is applied by an earlier call.
+            self.loop.call(self._end_fetch)
+
+    def _end_fetch(self) -> None:
+        self._is_fetching = False
 
     def _fetch_evacuations(self, client: HttpClient, *, source: str) -> None:
         response = client.request(
--- a/tests/connections/test_balancer_node.py
+++ b/tests/connections/test_balancer_node.py
@@ -136,3 +136,14 @@
     node.stop()
 
     assert 'event="task failed"' in node.log.metrics.render()
+
+
+def test_a_fetch_lasts_until_its_configuration_is_applied(balancer: _Balancer) -> None:
+    """Guards against an older held configuration that is applied in between."""
+    balancer._is_fetching = True
+
+    balancer._fetch("balancer-2", Endpoint("127.0.8.9", 1))
+
+    assert balancer._is_fetching
+    balancer.loop._run_calls()
+    assert not balancer._is_fetching
