--- a/src/siskinshift/connections/configuration_start.py
+++ b/src/siskinshift/connections/configuration_start.py
@@ -40,7 +40,7 @@
         self._fleet = fleet
         self._held: ConfigurationT | None = None
         self._held_at = 0.0
-        self._has_fetched = False
+        self._tried_member_ids: set[str] = set()
         # Version of the held configuration; 0 if none is held.
         self.held_version = 0
 
@@ -92,8 +92,8 @@
         Args:
             is_fetching: Whether a fetch from a peer is in progress.
             fetch: Starts to fetch evacuations and configuration from a peer. Called
-                once, with the peer that holds the newest configuration, if it is newer
-                than the held one.
+                once for each peer with a newer configuration than the held one, newest
+                first, until one is applied.
             now: Clock reading, seconds.
 
         Returns:
@@ -110,17 +110,15 @@
             )
             if not is_heard and now < self._held_at + CONFIRMATION_SECONDS:
                 return None
-            newest = max(
-                self._fleet.balancers(),
-                key=lambda peer: peer.configuration_version,
-                default=None,
-            )
-            if (
-                newest is not None
-                and newest.configuration_version > self.held_version
-                and not self._has_fetched
-            ):
-                self._has_fetched = True
+            newer = [
+                peer
+                for peer in self._fleet.balancers()
+                if peer.configuration_version > self.held_version
+                and peer.member.member_id not in self._tried_member_ids
+            ]
+            if newer:
+                newest = max(newer, key=lambda peer: peer.configuration_version)
+                self._tried_member_ids.add(newest.member.member_id)
                 fetch(newest)
                 return None
         return self._end_hold()
