--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -189,7 +189,9 @@
             if now >= self._read_at or not self._has_current_read:
                 self._read(now=now)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
-            self._has_current_read = False
+            # Until the put-back, members may have no entry yet.
+            if not self._put_back.is_pending:
+                self._has_current_read = False
             return self._availability.record_failure(error)
         self._availability.record_success()
         if self._lease is None:
