--- a/src/siskinshift/connections/flow_snapshot.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -141,7 +141,7 @@
             self._log.fact("flow list not collected")
             return
         self._handle_restore(now=now)
-        if self._put_back.remaining(now=now):
+        if not is_urgent and self._put_back.remaining(now=now):
             return
         if not value and not self._has_entry:
             # There is neither a flow nor an entry, so a lease would serve no purpose.
--- a/tests/connections/test_store_restored_snapshots.py
+++ b/tests/connections/test_store_restored_snapshots.py
@@ -97,3 +97,17 @@
     assert foreign.lease_id in pair.state._leases_by_id
     expires_at = pair.state._leases_by_id[foreign.lease_id].expires_at
     assert expires_at == 4.0 + 30.0
+
+
+def test_an_urgent_snapshot_is_written_before_the_put_back() -> None:
+    """Guards against a late snapshot of an upstream that is about to lose power."""
+    pair = _Pair(has_writer=False)
+    pair.run(4.0)
+    pair.state.restore(age=50.0)
+    pair.agent_store.get_stale("x")
+
+    pair.agent.step(now=pair.now)
+    assert pair.state.value(KEY) is None
+    pair.agent.step(now=pair.now, is_urgent=True)
+
+    assert pair.state.value(KEY)
