--- a/src/siskinshift/connections/flow_snapshot.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -109,6 +109,8 @@
         self._upload_again_at = 0.0
         self._written: bytes | None = None
         self._has_entry = False
+        # Whether this process has ever written an entry, which a restore may lose.
+        self._has_written = False
 
     def load(self) -> FlowSnapshot | None:
         """Reads the snapshot of the previous process.
@@ -157,6 +159,7 @@
             self._lease = None
             self._written = value
             self._has_entry = True
+            self._has_written = True
             self._upload_again_at = now + RENEW_INTERVAL_SECONDS
             self._put_back.on_written(now=now)
         elif now >= self._write_at:
@@ -170,10 +173,9 @@
             return
         self._generation = generation
         self._lease = None
-        if self._written is None:
-            return
         self._written = None
-        self._put_back.on_restored(now=now)
+        if self._has_written:
+            self._put_back.on_restored(now=now)
 
     def _write(self, value: bytes, *, now: float) -> None:
         try:
@@ -183,6 +185,7 @@
                 self._store.transact((), (put,))
                 self._written = value
                 self._has_entry = True
+                self._has_written = True
                 self._put_back.on_written(now=now)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             # The entry may be out of date; the next step writes it again.
--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -167,6 +167,7 @@
         self._renew_at = 0.0
         self._read_at = 0.0
         self._has_current_read = False
+        self._has_registered = False
 
     def step(self, *, now: float) -> float:
         """Runs the operations that are due; blocks while the store handles them.
@@ -223,7 +224,7 @@
         if generation == self._generation:
             return
         self._generation = generation
-        if self._lease is None and self._uncertain_lease is None:
+        if not self._has_registered and self._uncertain_lease is None:
             return
         self._lease = None
         self._uncertain_lease = None
@@ -244,6 +245,7 @@
             self._uncertain_lease = lease
             raise
         self._lease = lease
+        self._has_registered = True
         self._generation = lease.generation
         self._renew_at = now + RENEW_INTERVAL_SECONDS
         # A node that started while there was no entry has not discovered this one; the
--- a/tests/connections/test_store_restored_registration.py
+++ b/tests/connections/test_store_restored_registration.py
@@ -113,6 +113,21 @@
     assert all(len(read) == 5 for read in fleet.reads)
 
 
+def test_a_node_whose_write_failed_in_the_pause_waits_as_well() -> None:
+    """Guards against nodes that write and list at once because they have no lease."""
+    fleet = _Fleet(1)
+    fleet.run(1.0)
+    node = fleet.nodes[0]
+    node._lease = None
+    fleet.state.restore(age=60.0)
+    node._store.get_stale("x")
+
+    node.step(now=fleet.now)
+
+    assert node._put_back.is_pending
+    assert not fleet.has_entry(0)
+
+
 @pytest.mark.parametrize("balancers", [2, 24, 810])
 def test_put_back_stays_within_the_limit_of_writes(balancers: int) -> None:
     """Guards against a fleet that writes all entries in the second of the restore."""
--- a/tests/connections/test_store_restored_snapshots.py
+++ b/tests/connections/test_store_restored_snapshots.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from siskinshift.connections.flow_snapshot import RENEW_INTERVAL_SECONDS
 from siskinshift.connections.flow_snapshot import SNAPSHOT_PREFIX
 from siskinshift.connections.flow_snapshot import UPLOAD_INTERVAL_SECONDS
+from siskinshift.connections.flow_snapshot import WRITE_INTERVAL_SECONDS
 from siskinshift.connections.flow_snapshot import FlowSnapshot
 from siskinshift.connections.flow_snapshot import FlowSnapshotStore
 from siskinshift.connections.snapshot_writer import SnapshotWriter
@@ -111,3 +113,22 @@
     pair.agent.step(now=pair.now, is_urgent=True)
 
     assert pair.state.value(KEY)
+
+
+def test_a_snapshot_that_failed_in_the_pause_is_spread_as_well() -> None:
+    """Guards against a fleet that writes all snapshots right after the pause."""
+    pair = _Pair(has_writer=False)
+    pair.run(4.0)
+    pause = RENEW_INTERVAL_SECONDS + WRITE_INTERVAL_SECONDS
+    pair.state.restore(age=50.0, pause=pause)
+    pair.now += RENEW_INTERVAL_SECONDS
+    pair.agent.step(now=pair.now)
+    assert pair.agent._written is None
+    pair.now += WRITE_INTERVAL_SECONDS
+    pair.agent_store.get_stale("x")
+
+    pair.agent.step(now=pair.now)
+    assert pair.state.value(KEY) is None
+    pair.run(BACK_WITHIN_SECONDS)
+
+    assert pair.state.value(KEY)
