--- a/src/siskinshift/connections/evacuations.py
+++ b/src/siskinshift/connections/evacuations.py
@@ -27,9 +27,9 @@
 # datagram.
 MAX_DOMAINS = 64
 MAX_DOMAIN_LENGTH = 100
-# Time after which a restored store is taken at its word. Operators write again within
-# seconds. An evacuation that was lost and is not wanted any more leaves no change to
-# see, so its domain receives no new flows for this long.
+# Time after which the content of a restored store alone decides. Operators write again
+# within seconds. An evacuation that was lost and is not wanted any more leaves no
+# change to see, so its domain receives no new flows for this long.
 HOLD_SECONDS = 30.0
 
 
@@ -77,7 +77,9 @@
         """Failure domains that receive no new flows."""
         if self.held is None:
             return self.domains
-        return (self.domains & self.decided) | (self.held.domains - self.decided)
+        written = self.domains & self.decided
+        held = self.held.domains - self.decided - written
+        return written | _limited(held, MAX_DOMAINS - len(written))
 
 
 def merge(first: Evacuations, second: Evacuations) -> Evacuations:
@@ -102,7 +104,9 @@
     return _settled_if_due(
         Evacuations(
             revision=newer.revision,
-            domains=older.domains | newer.domains if is_same else newer.domains,
+            domains=(
+                _limited(older.domains | newer.domains) if is_same else newer.domains
+            ),
             generation=newer.generation,
             held=_newest_held(older.held, newer.held),
             decided=older.decided | newer.decided,
@@ -271,10 +275,15 @@
     if first.position == second.position:
         # Two nodes merged the same position with different parts. The domain of an
         # order that one of them lacks must not receive flows.
-        return attrs.evolve(first, domains=first.domains | second.domains)
+        return attrs.evolve(first, domains=_limited(first.domains | second.domains))
     return max(first, second, key=lambda held: held.position)
 
 
+def _limited(domains: frozenset[str], count: int = MAX_DOMAINS) -> frozenset[str]:
+    """Returns the first domains by name; peers refuse a message with more."""
+    return domains if len(domains) <= count else frozenset(sorted(domains)[:count])
+
+
 def _position_of(document: dict[str, Any]) -> StorePosition:
     return StorePosition(
         get_integer(document, "generation", maximum=MAX_GENERATION),
--- a/tests/connections/test_store_restored_evacuations.py
+++ b/tests/connections/test_store_restored_evacuations.py
@@ -9,12 +9,15 @@
 
 from siskinshift.connections.evacuation_reader import EvacuationReader
 from siskinshift.connections.evacuations import HOLD_SECONDS
+from siskinshift.connections.evacuations import MAX_DOMAINS
 from siskinshift.connections.evacuations import EvacuationRegister
 from siskinshift.connections.evacuations import Evacuations
+from siskinshift.connections.evacuations import HeldEvacuations
 from siskinshift.connections.evacuations import encode_evacuations
 from siskinshift.connections.evacuations import evacuations_from_document
 from siskinshift.connections.evacuations import merge
 from siskinshift.control.documents import parse_object
+from siskinshift.kv.generations import StorePosition
 from siskinshift.kv.port import Entry
 from siskinshift.kv.port import Snapshot
 from siskinshift.kv.port import WatchBatch
@@ -239,3 +242,24 @@
 
     assert balancer.domains == "a"
     assert attrs.evolve(balancer.register.current, held=None).in_force == _set()
+
+
+def test_merged_evacuations_fit_into_a_message() -> None:
+    """Guards against a union of domains that all peers refuse."""
+    first, second = (
+        frozenset(f"{name}-{i:02}" for i in range(MAX_DOMAINS)) for name in "ab"
+    )
+    position = StorePosition(1, 100)
+    merged = merge(
+        Evacuations(5, second, 2, HeldEvacuations(position, first), second),
+        Evacuations(5, first, 2, HeldEvacuations(position, second)),
+    )
+    overlapping = Evacuations(
+        5, second, 2, HeldEvacuations(position, first), frozenset(["b-00"])
+    )
+
+    for state in (merged, overlapping):
+        message = parse_object(encode_evacuations(state))
+        assert evacuations_from_document(message) == state
+        assert len(state.in_force) <= MAX_DOMAINS
+    assert "b-00" in overlapping.in_force
