--- a/src/siskinshift/kv/etcd.py
+++ b/src/siskinshift/kv/etcd.py
@@ -39,6 +39,7 @@
 from siskinshift.kv.port import TransactionResult
 from siskinshift.kv.port import WatchBatch
 from siskinshift.kv.transport import HttpTransport
+from siskinshift.observability.logs import ComponentLog
 
 
 if TYPE_CHECKING:
@@ -59,6 +60,8 @@
 LEASE_REVOKE_PATH = "/v3/lease/revoke"
 WATCH_PATH = "/v3/watch"
 
+_log = ComponentLog("store")
+
 
 class EtcdStore:
     """KeyValueStore over etcd's JSON gateway, protected by a CallGuard."""
@@ -84,7 +87,14 @@
         self._guard_lock = threading.Lock()
         self._transport = transport or HttpTransport(settings)
         self._clock = clock
-        self._generations = GenerationTracker()
+        self._generations = GenerationTracker(
+            on_fault=lambda reason, value: _log.repeated(
+                "generation",
+                "A generation of the store was refused.",
+                reason=reason,
+                value=value,
+            )
+        )
 
     def with_call_class(self, call_class: CallClass) -> EtcdStore:
         """Returns a store of another class that shares the rate limit and breaker.
--- a/src/siskinshift/kv/generations.py
+++ b/src/siskinshift/kv/generations.py
@@ -49,13 +49,21 @@
 class GenerationTracker:
     """Learns the generation of a store from its responses; thread-safe."""
 
-    def __init__(self, *, log: EventLog | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        log: EventLog | None = None,
+        on_fault: Callable[[str, str], object] = lambda reason, value: None,
+    ) -> None:
         """Initializes the tracker without a generation.
 
         Args:
             log: Event log; None for no log lines.
+            on_fault: Called with the reason and the value of the first of consecutive
+                faulty headers.
         """
         self._log = log
+        self._on_fault = on_fault
         self._lock = threading.Lock()
         self._current = UNKNOWN_GENERATION
         self._has_responses = False
@@ -125,11 +133,15 @@
     def _report_fault(self, reason: str, value: str | int | None) -> None:
         # One line for consecutive responses with a fault: a node receives several
         # responses a second.
-        if not self._is_header_faulty and self._log is not None:
+        if self._is_header_faulty:
+            return
+        self._is_header_faulty = True
+        shown = str(value)[:_MAX_DIGITS]
+        self._on_fault(reason, shown)
+        if self._log is not None:
             self._log.fact(
                 "store generation refused",
                 reason=reason,
-                value=str(value)[:_MAX_DIGITS],
+                value=shown,
                 kept=self._current,
             )
-        self._is_header_faulty = True
--- a/tests/kv/test_store_restored_generations.py
+++ b/tests/kv/test_store_restored_generations.py
@@ -9,6 +9,11 @@
 from siskinshift.kv.generations import GenerationTracker
 from siskinshift.kv.generations import StorePosition
 from siskinshift.observability.event_log import EventLog
+from siskinshift.observability.logs import ComponentLog
+from siskinshift.observability.logs import LogValue
+from siskinshift.standins.kv_state import KvState
+from tests.kv.fakes import FakeClock
+from tests.kv.fakes import make_store
 
 
 def _tracker() -> tuple[GenerationTracker, EventLog]:
@@ -36,6 +41,28 @@
     assert _lines(log, "store generation refused") == "1"
 
 
+def test_an_etcd_store_logs_a_faulty_generation(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a faulty header that no log line shows."""
+    faults: list[LogValue] = []
+
+    def record(key: str, message: str, **fields: LogValue) -> None:
+        faults.append(fields["reason"])
+
+    monkeypatch.setattr(ComponentLog, "repeated", lambda log, *a, **k: record(*a, **k))
+    clock = FakeClock()
+    state = KvState(clock, era=3)
+    store = make_store(state, clock)
+    store.get("x")
+    state.era = 2
+
+    store.get("x")
+    store.get("x")
+
+    assert faults == ["falling"]
+
+
 def test_only_a_change_after_another_response_is_a_restore() -> None:
     """Guards against nodes that put back their entries at each start."""
     tracker, log = _tracker()
