--- a/src/siskinshift/connections/configuration_start.py
+++ b/src/siskinshift/connections/configuration_start.py
@@ -40,22 +40,44 @@
         self._fleet = fleet
         self._held: ConfigurationT | None = None
         self._held_at = 0.0
-        self._has_fetched = False
+        self._tried_member_ids: set[str] = set()
+        # Version of the held configuration; 0 if none is held.
+        self.held_version = 0
 
-    def hold(self, configuration: ConfigurationT, *, now: float) -> None:
-        """Holds a configuration; a later one replaces it.
+    def hold(self, configuration: ConfigurationT, *, version: int, now: float) -> None:
+        """Holds a configuration unless a newer one is held.
 
         Args:
             configuration: The configuration of the store.
+            version: Its version.
             now: Clock reading, seconds.
         """
         if self._held is None:
             self._held_at = now
+        elif version < self.held_version:
+            # The store was restored after the first read.
+            return
         self._held = configuration
+        self.held_version = version
 
-    def discard(self) -> None:
-        """Drops the held configuration, since one of a peer is in force."""
-        self._held = None
+    def release(self, *, peer_version: int) -> ConfigurationT | None:
+        """Ends the hold, since a peer's configuration is about to be applied.
+
+        Args:
+            peer_version: Version of the peer's configuration.
+
+        Returns:
+            The held configuration if it is newer and has to be applied as well: the
+            watch of the store does not deliver it again.
+        """
+        is_newer = self.held_version > peer_version
+        held = self._end_hold()
+        return held if is_newer else None
+
+    def _end_hold(self) -> ConfigurationT | None:
+        held, self._held = self._held, None
+        self.held_version = 0
+        return held
 
     @property
     def is_holding(self) -> bool:
@@ -70,7 +92,8 @@
         Args:
             is_fetching: Whether a fetch from a peer is in progress.
             fetch: Starts to fetch evacuations and configuration from a peer. Called
-                once, with the peer that holds the newest configuration.
+                once for each peer with a newer configuration than the held one, newest
+                first, until one is applied.
             now: Clock reading, seconds.
 
         Returns:
@@ -81,20 +104,21 @@
         if now < self._held_at + MAX_DELAY_SECONDS:
             if is_fetching:
                 return None
-            is_heard = self._fleet.is_complete(now=now) and not any(
+            has_replies = self._fleet.is_complete(now=now) and not any(
                 peer in self._fleet.balancers()
                 for peer in self._fleet.unconfirmed(now=now)
             )
-            if not is_heard and now < self._held_at + CONFIRMATION_SECONDS:
+            if not has_replies and now < self._held_at + CONFIRMATION_SECONDS:
                 return None
-            newest = max(
-                self._fleet.balancers(),
-                key=lambda peer: peer.configuration_version,
-                default=None,
-            )
-            if newest and newest.configuration_version and not self._has_fetched:
-                self._has_fetched = True
+            newer = [
+                peer
+                for peer in self._fleet.balancers()
+                if peer.configuration_version > self.held_version
+                and peer.member.member_id not in self._tried_member_ids
+            ]
+            if newer:
+                newest = max(newer, key=lambda peer: peer.configuration_version)
+                self._tried_member_ids.add(newest.member.member_id)
                 fetch(newest)
                 return None
-        held, self._held = self._held, None
-        return held
+        return self._end_hold()
--- a/tests/connections/test_store_restored_snapshots.py
+++ b/tests/connections/test_store_restored_snapshots.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from siskinshift.connections.flow_snapshot import RENEW_INTERVAL_SECONDS
 from siskinshift.connections.flow_snapshot import SNAPSHOT_PREFIX
 from siskinshift.connections.flow_snapshot import UPLOAD_INTERVAL_SECONDS
+from siskinshift.connections.flow_snapshot import WRITE_INTERVAL_SECONDS
 from siskinshift.connections.flow_snapshot import FlowSnapshot
 from siskinshift.connections.flow_snapshot import FlowSnapshotStore
 from siskinshift.connections.snapshot_writer import SnapshotWriter
@@ -97,3 +99,36 @@
     assert foreign.lease_id in pair.state._leases_by_id
     expires_at = pair.state._leases_by_id[foreign.lease_id].expires_at
     assert expires_at == 4.0 + 30.0
+
+
+def test_an_urgent_snapshot_is_written_before_the_put_back() -> None:
+    """Guards against a late snapshot of an upstream that is about to lose power."""
+    pair = _Pair(has_writer=False)
+    pair.run(4.0)
+    pair.state.restore(age=50.0)
+    pair.agent_store.get_stale("x")
+
+    pair.agent.step(now=pair.now)
+    assert pair.state.value(KEY) is None
+    pair.agent.step(now=pair.now, is_urgent=True)
+
+    assert pair.state.value(KEY)
+
+
+def test_a_snapshot_that_failed_in_the_pause_is_spread_as_well() -> None:
+    """Guards against a fleet that writes all snapshots right after the pause."""
+    pair = _Pair(has_writer=False)
+    pair.run(4.0)
+    pause = RENEW_INTERVAL_SECONDS + WRITE_INTERVAL_SECONDS
+    pair.state.restore(age=50.0, pause=pause)
+    pair.now += RENEW_INTERVAL_SECONDS
+    pair.agent.step(now=pair.now)
+    assert pair.agent._written is None
+    pair.now += WRITE_INTERVAL_SECONDS
+    pair.agent_store.get_stale("x")
+
+    pair.agent.step(now=pair.now)
+    assert pair.state.value(KEY) is None
+    pair.run(BACK_WITHIN_SECONDS)
+
+    assert pair.state.value(KEY)
