--- a/src/siskinshift/connections/health/upstream_observer.py
+++ b/src/siskinshift/connections/health/upstream_observer.py
@@ -223,7 +223,8 @@
         if flags & RESET:
             self._on_reset(segment.flow, flow, now=now)
             return
-        if not segment.length and not flags & FIN:
+        if not segment.length and (not flags & FIN or segment.seq != flow.max_ack):
+            # A FIN that overtook the response does not follow the newest data seen.
             return
         started_at = self._started_at_by_flow.pop(segment.flow, None)
         if started_at is None:
--- a/tests/connections/health/test_upstream_observer.py
+++ b/tests/connections/health/test_upstream_observer.py
@@ -8,6 +8,7 @@
 
 from siskinshift.connections.health.upstream_observer import MAX_OUTCOMES
 from siskinshift.connections.health.upstream_observer import MAX_SAMPLE_AGE_SECONDS
+from siskinshift.connections.health.upstream_observer import MIN_OUTCOMES
 from siskinshift.connections.health.upstream_observer import UpstreamObserver
 from siskinshift.connections.owned_flow import OwnedFlow
 from siskinshift.connections.peer_messages import Forward
@@ -18,6 +19,7 @@
 from siskinshift.connections.routes import service_tag
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
+from siskinshift.connections.segment import FIN
 from siskinshift.connections.segment import RESET
 from siskinshift.connections.segment import SYN
 from tests.connections.builders import BALANCER
@@ -107,6 +109,36 @@
     assert _report(flows, now=1.5).failure_fraction == 0.0
 
 
+def test_a_fin_that_overtakes_its_response_is_no_failure() -> None:
+    """Guards against healthy upstreams that look bad because packets are reordered."""
+    flows = agent_flows()
+    _report(flows, now=0.0)
+    for port in range(1, 17):
+        _open(flows, port, now=1.0)
+        _forward(flows, port, ACK, now=1.0)
+        response = segment(port, ACK, seq=INITIAL + 1, ack=301, length=500)
+        fin = segment(port, FIN | ACK, seq=INITIAL + 501, ack=301)
+        flows.on_upstream_segment(fin, now=1.02)
+        flows.on_upstream_segment(response, now=1.03)
+
+    report = _report(flows, now=1.1)
+    assert report.failure_fraction == 0.0
+    assert report.samples == 16
+
+
+def test_closing_without_a_response_is_a_failure() -> None:
+    """Guards against an upstream that closes each flow in place of a response."""
+    flows = agent_flows()
+    _report(flows, now=0.0)
+    for port in (1, 2):
+        _open(flows, port, now=1.0)
+        _forward(flows, port, ACK, now=1.0)
+        fin = segment(port, FIN | ACK, seq=INITIAL + 1, ack=301)
+        flows.on_upstream_segment(fin, now=1.02)
+
+    assert _report(flows, now=1.1).failure_fraction == 2 / MIN_OUTCOMES
+
+
 def test_refused_and_unanswered_openings_are_failures() -> None:
     """Guards against an upstream that refuses openings and looks idle."""
     flows = agent_flows()
