--- a/src/siskinshift/bench/egress_link.py
+++ b/src/siskinshift/bench/egress_link.py
@@ -1,6 +1,6 @@
 """Compares the scheduler of a balancer's link with sending on arrival.
 
-Uploads, page requests and openings arrive at a balancer with a link of 5 Mbit/s, whose
+Uploads, short requests and openings arrive at a balancer with a link of 5 Mbit/s, whose
 queue holds 32 ms and drops the rest. Times are computed from the link rate; callers do
 not retransmit. `python -m siskinshift.bench.egress_link` prints one line of JSON for
 each seed and assumed rate; rate 0 stands for no scheduler.
@@ -138,7 +138,7 @@
 
 
 def busy_seconds(seed: int) -> list[tuple[float, ToPeer]]:
-    """Returns random arrivals of uploads, page requests and openings.
+    """Returns random arrivals of uploads, short requests and openings.
 
     Args:
         seed: Seed of the arrivals.
--- a/src/siskinshift/connections/egress/bounds.py
+++ b/src/siskinshift/connections/egress/bounds.py
@@ -12,14 +12,13 @@
 MAX_WAITING_PACKETS = 640
 # Bytes and number of the waiting messages of CONTROL, 0.17 s of such a link. What
 # exceeds them is sent unpaced. They are bounded apart: a burst of control messages
-# would otherwise evict the openings and page requests that wait behind it.
+# would otherwise evict the openings and short requests that wait behind it.
 MAX_WAITING_CONTROL_BYTES = 100_000
 MAX_WAITING_CONTROL_PACKETS = 400
 # Time after which a waiting packet is dropped. A caller retransmits a packet 0.2, 0.6,
 # 1.4 and 3.0 s after it was first sent; copies of a waiting packet are dropped. Each
 # bound ends shortly before one of these times, so that the copy that follows the expiry
-# is kept: a bound of 2 s dropped the copy of 1.4 s as well, and the next one was 1 s
-# away. An attempt to open a flow ends after 1.4 s. CONTROL has no bound.
+# is kept. An attempt to open a flow ends after 1.4 s. CONTROL has no bound.
 MAX_WAIT_SECONDS_BY_CLASS = {
     TrafficClass.OPENING: 0.5,
     TrafficClass.INTERACTIVE: 1.0,
--- a/src/siskinshift/connections/egress/bulk_share.py
+++ b/src/siskinshift/connections/egress/bulk_share.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-# A larger share leaves so little to page requests that they wait behind uploads again.
+# A larger share leaves so little to short requests that they wait behind uploads again.
 MAX_FRACTION = 0.9
 
 
--- a/src/siskinshift/connections/scheduling/fair_policy.py
+++ b/src/siskinshift/connections/scheduling/fair_policy.py
@@ -42,8 +42,8 @@
 # Fraction of the starts that each urgency gets while it has waiting requests.
 MIN_URGENCY_FRACTION = 0.1
 # Fraction of the starts that due requests get while they wait, as far as their callers
-# are within their fair share. A share of 0.5 left 89 more of 3,348 requests of a burst
-# at twice the capacity unanswered; with 1.0 due requests could take every slot.
+# are within their fair share. With a smaller one more late requests stay unanswered;
+# with 1.0 due requests could take every slot.
 MIN_DUE_FRACTION = 0.9
 # Largest credit of a share, in costs of one request: a share that was not used for long
 # must not block the others for long.
