--- a/src/siskinshift/connections/egress/scheduler.py
+++ b/src/siskinshift/connections/egress/scheduler.py
@@ -1,7 +1,7 @@
 """Decides which datagram a balancer sends next over its own link, and when.
 
 Load: callers send bursts of 16 packets of uploads, each of which takes 2 ms of a link
-of 5 Mbit/s. The queue of such a link holds 32 ms and drops the rest silently, page
+of 5 Mbit/s. The queue of such a link holds 32 ms and drops the rest silently, short
 requests and opening packets as well as uploads. Packets therefore wait here.
 """
 
--- a/src/siskinshift/connections/load_policies.py
+++ b/src/siskinshift/connections/load_policies.py
@@ -82,8 +82,8 @@
         bulk_scheduling=has_uploads,
         admission=settings.overload_control,
         outlier_detection=is_any,
-        # Where demand stays below capacity, balancing open flows over all domains gave
-        # shorter waits than spilling by room.
+        # Spilling by room pays where demand exceeds the capacity of a domain. Below it,
+        # balancing open flows over all domains keeps the longest waits shorter.
         expected_wait=settings.overload_control,
     )
 
--- a/src/siskinshift/connections/scheduling/fair_policy.py
+++ b/src/siskinshift/connections/scheduling/fair_policy.py
@@ -1,8 +1,8 @@
 """Scheduling policy `fair`: urgency, timeliness and fairness among callers.
 
-Load: bursts above capacity, and callers that send far more than others. Today's order
-lets requests that are due go first, so above capacity nearly every start is one of a
-late request; and a caller with many requests delays all others.
+Load: bursts above capacity, and callers that send far more than others. The policy
+`objective` lets requests that are due go first, so above capacity nearly every start is
+one of a late request; and a caller with many requests delays all others.
 
 Order: classes are pairs of timeliness and urgency. Requests in time go before late
 ones, since a late response is worth less; among the late ones those that are due go
