--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -319,6 +319,8 @@
                 upstream=message.incarnation.upstream_id,
                 started_ms=message.incarnation.started_ms,
                 now=is_current,
+                leaving_seconds=self._leaving_seconds(now),
+                leaving_heartbeats=self.upstream.leaving_heartbeats,
             )
             self._update_member(now)
             return
@@ -366,6 +368,10 @@
             self.log.fact("upstream is new", upstream=self.upstream.upstream_id)
             self.flows.mark_all_known()
 
+    def _leaving_seconds(self, now: float) -> float | None:
+        since = self.upstream.leaving_since
+        return round(now - since, 3) if since is not None else None
+
     @property
     def _current_started_ms(self) -> int | None:
         return (
--- a/src/siskinshift/connections/agent_openings.py
+++ b/src/siskinshift/connections/agent_openings.py
@@ -101,6 +101,8 @@
             if not self.warm_up.admits(is_cold=is_cold, now=now):
                 self._requests.finish(segment.flow, now=now)
                 return [self.refuse(Verdict.FULL, segment.flow, sender)]
+            if self._upstream.incarnation is None:
+                self._log.metrics.count_decision("opened before heartbeat", "")
             flow = self._flows.add(segment.flow, now=now)
             self._requests.on_flow_opened(
                 flow, segment, forward.request_parameters, now=now
--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -199,6 +199,8 @@
         )
         self._advance_shutdown(self.clock())
         self._update_state()
+        if not self._graceful_shutdown.reports_not_ready:
+            self._log_shutdown("shutdown waits", self._graceful_shutdown)
 
     def on_message(
         self, message: PeerMessage, source: tuple[str, int], now: float
@@ -299,9 +301,20 @@
         ):
             self.stopping.set()
         if self._graceful_shutdown.reports_not_ready and not reported_not_ready:
+            self._log_shutdown("reports not ready", self._graceful_shutdown)
             self._announce_owners(peers)
         return now + SHUTDOWN_CHECK_INTERVAL_SECONDS
 
+    def _log_shutdown(self, event: str, shutdown: GracefulShutdown) -> None:
+        rotation = shutdown.rotation
+        self.log.fact(
+            event,
+            waited=round(self.clock() - shutdown.started_at, 3),
+            ready_peers=rotation.ready,
+            unavailable_peers=",".join(rotation.unavailable),
+            reason="peers ready" if rotation.can_spare_one else "too few peers",
+        )
+
     def _announce_owners(self, peers: list[Peer]) -> None:
         """Announces the owners of this balancer's flows to its successors.
 
--- a/src/siskinshift/connections/graceful_shutdown.py
+++ b/src/siskinshift/connections/graceful_shutdown.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define
+from attrs import frozen
 
 from siskinshift.messages.core import MemberState
 
@@ -30,6 +31,29 @@
 CLEANUP_SECONDS = 0.8
 
 
+@frozen
+class Rotation:
+    """The other balancers of a failure domain, as one balancer sees them.
+
+    Attributes:
+        ready: Those that are ready and responsive.
+        unavailable: Member ids of all others.
+    """
+
+    ready: int
+    unavailable: tuple[str, ...] = ()
+
+    @property
+    def can_spare_one(self) -> bool:
+        """Whether routers keep to the ready ones without this balancer."""
+        peers = self.ready + len(self.unavailable)
+        # Without peers in the domain, balancers of neighbouring domains take over.
+        return not peers or 2 * self.ready >= peers + 1
+
+
+NO_PEERS = Rotation(ready=0)
+
+
 @define(eq=False)
 class GracefulShutdown:
     """State of a balancer's planned shutdown.
@@ -38,11 +62,13 @@
         started_at: Time at which the shutdown was requested, seconds.
         leave_seconds: Time from then until the process is killed.
         not_ready_at: Time since which it has reported not ready; None before.
+        rotation: The peers that the newest decision was based on.
     """
 
     started_at: float
     leave_seconds: float
     not_ready_at: float | None = None
+    rotation: Rotation = NO_PEERS
 
     @property
     def reports_not_ready(self) -> bool:
@@ -65,7 +91,8 @@
         end_by = self.started_at + self.leave_seconds - CLEANUP_SECONDS
         if self.not_ready_at is None:
             must_begin = now >= end_by - ROTATION_REMOVAL_SECONDS
-            if must_begin or _can_spare_one(peers, now=now):
+            self.rotation = _rotation_of(peers, now=now)
+            if must_begin or self.rotation.can_spare_one:
                 self.not_ready_at = now
             return False
         if now >= end_by:
@@ -74,10 +101,10 @@
         return now >= max(out_of_rotation_at, received_at + QUIET_SECONDS)
 
 
-def _can_spare_one(peers: Collection[Peer], *, now: float) -> bool:
-    ready = sum(
-        peer.member.state is MemberState.READY and not peer.is_unresponsive(now=now)
+def _rotation_of(peers: Collection[Peer], *, now: float) -> Rotation:
+    unavailable = tuple(
+        peer.member.member_id
         for peer in peers
+        if peer.member.state is not MemberState.READY or peer.is_unresponsive(now=now)
     )
-    # Without peers in the domain, balancers of neighbouring domains take over.
-    return not peers or 2 * ready >= len(peers) + 1
+    return Rotation(len(peers) - len(unavailable), unavailable)
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -85,6 +85,9 @@
         slots: Requests that the upstream runs at once.
         is_leaving: Whether the current incarnation reported that it leaves.
         is_gone: Whether the current incarnation has deregistered.
+        leaving_since: Time since which the current incarnation leaves, seconds; None
+            before.
+        leaving_heartbeats: Heartbeats of the current incarnation since then.
     """
 
     def __init__(self, *, service_id: str, heartbeat_interval: float) -> None:
@@ -99,6 +102,8 @@
         self.slots = 1
         self.is_leaving = False
         self.is_gone = False
+        self.leaving_since: float | None = None
+        self.leaving_heartbeats = 0
         self._heartbeat_timeout = MAX_MISSED_HEARTBEATS * heartbeat_interval
         self._sequence = -1
         self._last_heartbeat_at = float("-inf")
@@ -144,6 +149,10 @@
         self._presumed_cold_until = float("-inf")
         self.slots = heartbeat.slots
         self.is_leaving = self.is_leaving or heartbeat.is_leaving
+        if self.leaving_since is not None:
+            self.leaving_heartbeats += 1
+        elif self.is_leaving:
+            self.leaving_since = now
         after = (self.slots, self.is_leaving, self.accepts(now=now))
         if effect is HeartbeatEffect.NONE and before != after:
             return HeartbeatEffect.CHANGED
@@ -285,6 +294,8 @@
         self.incarnation = incarnation
         self.is_leaving = False
         self.is_gone = False
+        self.leaving_since = None
+        self.leaving_heartbeats = 0
         self._sequence = -1
 
     def _add_ended(self, incarnation: Incarnation) -> None:
--- a/tests/connections/test_graceful_shutdown.py
+++ b/tests/connections/test_graceful_shutdown.py
@@ -70,3 +70,16 @@
     shutdown.advance([], received_at=0.0, now=0.0)
 
     assert shutdown.reports_not_ready
+
+
+def test_the_peers_that_delay_a_shutdown_are_named() -> None:
+    """Guards against a wait after SIGTERM whose cause no log line shows."""
+    shutdown = GracefulShutdown(started_at=10.0, leave_seconds=6.0)
+    unready = _balancer("b", state=MemberState.DRAINING, last_seen_at=10.0)
+    unresponsive = _balancer("c", state=MemberState.READY, last_seen_at=0.0)
+    ready = _balancer("d", state=MemberState.READY, last_seen_at=10.0)
+
+    shutdown.advance([unready, unresponsive, ready], received_at=10.0, now=10.0)
+
+    assert shutdown.rotation.ready == 1
+    assert shutdown.rotation.unavailable == ("b", "c")
--- a/tests/connections/test_upstream_state.py
+++ b/tests/connections/test_upstream_state.py
@@ -215,3 +215,18 @@
     assert upstream.on_heartbeat(foreign, now=0.1) is HeartbeatEffect.IGNORED
     assert upstream.upstream_id == "u-1"
     assert upstream.service_id == "editor"
+
+
+def test_heartbeats_of_a_leaving_upstream_are_counted() -> None:
+    """Guards against a leaving upstream whose silence no log line shows."""
+    upstream = ready_upstream()
+    upstream.on_heartbeat(heartbeat(sequence=2, is_leaving=True), now=1.0)
+    assert upstream.leaving_since == 1.0
+    assert upstream.leaving_heartbeats == 0
+
+    upstream.on_heartbeat(heartbeat(sequence=3, is_leaving=True), now=2.0)
+
+    assert upstream.leaving_since == 1.0
+    assert upstream.leaving_heartbeats == 1
+    upstream.on_heartbeat(heartbeat("u-2"), now=3.0)
+    assert upstream.leaving_since is None
