--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -507,9 +507,7 @@
             return
         now = self.clock()
         self._is_process_gone = False
-        is_first = not self.upstream.accepts(now=now)
-        self.upstream.on_reachable(now=now)
-        if is_first:
+        if self.upstream.on_reachable(now=now):
             self.log.fact("upstream answers", service=self.upstream.service_id)
             self._update_member(now)
             self.perform(self.flows.verify_all())
@@ -530,6 +528,7 @@
             return
         if not self._is_process_gone:
             self._is_process_gone = True
+            self.upstream.on_process_gone()
             self.log.fact("upstream process gone", upstream=self.upstream.upstream_id)
         self.perform(self.flows.on_upstream_gone(now=self.clock()))
 
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -107,7 +107,7 @@
         self._heartbeat_timeout = MAX_MISSED_HEARTBEATS * heartbeat_interval
         self._sequence = -1
         self._last_heartbeat_at = float("-inf")
-        self._reachable_at = float("-inf")
+        self._reachable_since = float("inf")
         self._cold_until = float("-inf")
         self._presumed_cold_until = float("-inf")
         self._ended: OrderedDict[Incarnation, None] = OrderedDict()
@@ -158,19 +158,27 @@
             return HeartbeatEffect.CHANGED
         return effect
 
-    def on_reachable(self, *, now: float) -> None:
+    def on_reachable(self, *, now: float) -> bool:
         """Records that the upstream's process is reachable.
 
         Used only until the first heartbeat. An agent that starts beside a running
         upstream waits 0.77 s for that heartbeat in the users' deployments, and callers
-        would be refused meanwhile although the upstream is free. An upstream that
-        leaves reports it again in that heartbeat and serves the flows that it has
-        accepted until then.
+        would be refused meanwhile although the upstream is free. The upstream may also
+        be leaving: without a heartbeat it gets new flows only for a limited time.
 
         Args:
             now: Clock reading, seconds.
+
+        Returns:
+            Whether this is the first contact with the process.
         """
-        self._reachable_at = now
+        is_first = self._reachable_since == float("inf")
+        self._reachable_since = min(self._reachable_since, now)
+        return is_first
+
+    def on_process_gone(self) -> None:
+        """Records that the upstream's process has ended."""
+        self._reachable_since = float("inf")
 
     def on_deregistration(self, ended: Incarnation) -> bool:
         """Applies the planned end of an incarnation.
@@ -215,10 +223,10 @@
             now: Clock reading, seconds.
 
         Returns:
-            Whether an incarnation is known, even a leaving one, or its process is
-            reachable.
+            Whether an incarnation is known, even a leaving one, or its process has been
+            reached.
         """
-        return self.incarnation is not None or self.accepts(now=now)
+        return self.incarnation is not None or self._reachable_since <= now
 
     def state(self, *, now: float) -> MemberState:
         """Returns the state that is reported to peers.
@@ -231,12 +239,10 @@
         """
         if self.is_leaving:
             return MemberState.DRAINING
-        last_seen_at = (
-            self._last_heartbeat_at if self.incarnation else self._reachable_at
-        )
-        if now - last_seen_at > self._heartbeat_timeout:
-            return MemberState.JOINING
-        return MemberState.READY
+        since = self._last_heartbeat_at if self.incarnation else self._reachable_since
+        if 0.0 <= now - since <= self._heartbeat_timeout:
+            return MemberState.READY
+        return MemberState.JOINING
 
     def weight(self, *, now: float) -> int:
         """Returns the weight of the upstream in the placement of new flows.
--- a/tests/connections/test_upstream_state.py
+++ b/tests/connections/test_upstream_state.py
@@ -230,3 +230,17 @@
     assert upstream.leaving_heartbeats == 1
     upstream.on_heartbeat(heartbeat("u-2"), now=3.0)
     assert upstream.leaving_since is None
+
+
+def test_a_reachable_upstream_without_heartbeats_stops_getting_flows() -> None:
+    """Guards against new flows at an upstream that is reachable but may be leaving."""
+    upstream = UpstreamState(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+    unresponsive_at = MAX_MISSED_HEARTBEATS * HEARTBEAT_SECONDS + 0.01
+    now = 0.0
+    while now < unresponsive_at:
+        upstream.on_reachable(now=now)
+        now += 0.1
+
+    assert not upstream.accepts(now=unresponsive_at)
+    upstream.on_heartbeat(heartbeat(), now=now)
+    assert upstream.accepts(now=now)
