--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -305,12 +305,15 @@
             return ServerResponse(404)
         # Acknowledged only once applied: balancers have been notified, and the agent
         # refuses new flows from now on if the upstream leaves.
-        self.loop.call(lambda: self._on_upstream_message(message)).result(
+        is_applied = self.loop.call(lambda: self._on_upstream_message(message)).result(
             LOOP_CALL_TIMEOUT_SECONDS
         )
-        return ServerResponse(200, ACKNOWLEDGEMENT)
+        return (
+            ServerResponse(200, ACKNOWLEDGEMENT) if is_applied else ServerResponse(503)
+        )
 
-    def _on_upstream_message(self, message: Heartbeat | Deregistration) -> None:
+    def _on_upstream_message(self, message: Heartbeat | Deregistration) -> bool:
+        """Applies a message; returns whether it may be acknowledged."""
         now = self.clock()
         if isinstance(message, Deregistration):
             is_current = self.upstream.on_deregistration(message.incarnation)
@@ -323,8 +326,15 @@
                 leaving_heartbeats=self.upstream.leaving_heartbeats,
             )
             self._update_member(now)
-            return
+            return True
+        is_new_leave = message.is_leaving and not self.upstream.is_leaving
+        if is_new_leave and self.is_shutting_down:
+            # The next process would not know of the leave, and accept new flows. The
+            # upstream repeats the heartbeat.
+            self.log.fact("leave not acknowledged", sequence=message.sequence)
+            return False
         self._on_heartbeat(message, now)
+        return True
 
     def _on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         effect = self.upstream.on_heartbeat(heartbeat, now=now)
--- a/tests/connections/deployment.py
+++ b/tests/connections/deployment.py
@@ -63,6 +63,7 @@
         self._sequence = 0
         self._stopping = threading.Event()
         self.state = "ready"
+        self.is_silent = False
         self.incarnation = 0
         self.started_ms = unix_milliseconds()
         self.upstream = self._new_upstream()
@@ -143,7 +144,8 @@
 
     def _send_heartbeats(self) -> None:
         while not self._stopping.wait(HEARTBEAT_SECONDS):
-            self.send("Heartbeat")
+            if not self.is_silent:
+                self.send("Heartbeat")
 
 
 class Deployment:
