--- a/src/siskinshift/connections/incarnation.py
+++ b/src/siskinshift/connections/incarnation.py
@@ -56,3 +56,16 @@
         if known.started_ms is None or self.started_ms > known.started_ms:
             return Relation.LATER
         return Relation.EARLIER
+
+    def started_after(self, known: Incarnation) -> bool:
+        """Returns whether this incarnation reported a later start than the known one.
+
+        Args:
+            known: The known incarnation.
+
+        Returns:
+            Whether both start times are known and this one is later.
+        """
+        if self.started_ms is None or known.started_ms is None:
+            return False
+        return self.started_ms > known.started_ms
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -284,14 +284,20 @@
         one. A later start whose wall clock is behind looks like an earlier one, but
         keeps sending while the current one is unresponsive. It is accepted then, so
         that a clock that jumps back costs three heartbeats and not the upstream.
+
+        A process does not know which incarnations ended before it started. While the
+        current one leaves, another id must have started later: a delayed heartbeat of
+        an ended incarnation would cancel the leave.
         """
         if candidate in self._ended:
             return False
         if self.incarnation is None:
             return True
         relation = candidate.relation_to(self.incarnation)
-        if relation is Relation.EARLIER:
-            return now - self._last_heartbeat_at > self._heartbeat_timeout
+        if now - self._last_heartbeat_at > self._heartbeat_timeout:
+            return relation in (Relation.EARLIER, Relation.LATER)
+        if self.is_leaving and not self.is_gone:
+            return candidate.started_after(self.incarnation)
         return relation is Relation.LATER
 
     def _switch_to(self, incarnation: Incarnation) -> None:
