--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -65,6 +65,9 @@
 
 # Below one second, after which an upstream repeats a request that got no response.
 LOOP_CALL_TIMEOUT_SECONDS = 0.8
+UPSTREAM_RESPONSE_TIMEOUT_SECONDS = 0.9
+# Longest time for which the acknowledgement of a leave waits for its record.
+LEAVE_RECORD_TIMEOUT_SECONDS = 0.3
 # Longest time that a terminating agent continues for running requests. Its next process
 # starts within a second, and most requests take less than this.
 MAX_SHUTDOWN_SECONDS = 1.0
@@ -132,6 +135,7 @@
         self._verified_incarnation: Incarnation | None = None
         self._upstream_restart_check = UpstreamRestartCheck()
         self._is_snapshot_urgent = threading.Event()
+        self._is_leave_recorded = threading.Event()
         self._notified_incarnations_by_id: dict[str, int] = {}
         self._shutdown_deadline = float("inf")
 
@@ -303,14 +307,29 @@
             return ServerResponse(400)
         if message is None:
             return ServerResponse(404)
+        respond_by = self.clock() + UPSTREAM_RESPONSE_TIMEOUT_SECONDS
         # Acknowledged only once applied: balancers have been notified, and the agent
         # refuses new flows from now on if the upstream leaves.
         is_applied = self.loop.call(lambda: self._on_upstream_message(message)).result(
             LOOP_CALL_TIMEOUT_SECONDS
         )
-        return (
-            ServerResponse(200, ACKNOWLEDGEMENT) if is_applied else ServerResponse(503)
-        )
+        if not is_applied:
+            return ServerResponse(503)
+        if isinstance(message, Heartbeat) and message.is_leaving:
+            self._wait_for_leave_record(message, respond_by=respond_by)
+        return ServerResponse(200, ACKNOWLEDGEMENT)
+
+    def _wait_for_leave_record(
+        self, heartbeat: Heartbeat, *, respond_by: float
+    ) -> None:
+        """Waits until the leave is recorded, for a limited time.
+
+        The agent's next process must know what this one has acknowledged. Without the
+        store, that process learns it from the next heartbeat.
+        """
+        timeout = min(LEAVE_RECORD_TIMEOUT_SECONDS, respond_by - self.clock())
+        if not self._is_leave_recorded.wait(timeout):
+            self.log.fact("leave not recorded", sequence=heartbeat.sequence)
 
     def _on_upstream_message(self, message: Heartbeat | Deregistration) -> bool:
         """Applies a message; returns whether it may be acknowledged."""
@@ -350,6 +369,8 @@
             return
         self._last_heartbeat_at = now
         self._is_process_gone = False
+        if self.upstream.is_leaving and not self._is_leave_recorded.is_set():
+            self._is_snapshot_urgent.set()
         if effect is HeartbeatEffect.NONE:
             return
         self.log.fact(
@@ -399,23 +420,29 @@
             self._is_snapshot_urgent.clear()
             if not self.stopping.is_set():
                 self._snapshots.step(now=self.clock(), is_urgent=is_urgent)
+            if self._snapshots.is_leave_recorded:
+                self._is_leave_recorded.set()
+            else:
+                self._is_leave_recorded.clear()
 
     def _apply_snapshot(self, snapshot: FlowSnapshot) -> None:
         flows = [self._decode_row(row) for row in snapshot.packets]
         readable = [flow for flow in flows if flow is not None]
         if len(readable) < len(flows):
             self.log.fact("flow list unreadable", rows=len(flows) - len(readable))
-        self.loop.call(lambda: self._restore(readable, snapshot.incarnation))
+        self.loop.call(lambda: self._restore(readable, snapshot))
 
-    def _restore(
-        self, flows: list[RestoredFlow], incarnation: Incarnation | None
-    ) -> None:
+    def _restore(self, flows: list[RestoredFlow], snapshot: FlowSnapshot) -> None:
         now = self.clock()
+        self.upstream.on_record_read(
+            snapshot.incarnation if snapshot.is_leaving else None
+        )
+        self._update_member(now)
         self.perform(self.flows.restore(flows, now=now))
         self._apply_restart_check(
-            self._upstream_restart_check.on_snapshot_read(incarnation)
+            self._upstream_restart_check.on_snapshot_read(snapshot.incarnation)
         )
-        self.log.fact("flows restored", flows=len(flows))
+        self.log.fact("flows restored", flows=len(flows), leaving=snapshot.is_leaving)
         # Balancers whose status arrived before the snapshot are notified now.
         self._notified_incarnations_by_id.clear()
         if self.upstream.can_verify_flows(now=now):
@@ -446,7 +473,9 @@
         def collect() -> FlowSnapshot:
             flows = self.flows.long_lived_flows(now=self.clock())
             rows = tuple(_encode_row(flow) for flow in flows)
-            return FlowSnapshot(rows, self.upstream.incarnation)
+            return FlowSnapshot(
+                rows, self.upstream.incarnation, self.upstream.is_leaving
+            )
 
         return self.loop.call(collect).result(LOOP_CALL_TIMEOUT_SECONDS)
 
--- a/src/siskinshift/connections/flow_snapshot.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -5,6 +5,9 @@
 detect the loss only with its next request, and a request that may not be repeated would
 be lost. With the snapshot, the restarted agent probes the new upstream with each flow,
 so that callers of lost flows are reset before their next request.
+
+The snapshot also records that the upstream leaves: the agent has acknowledged this, and
+a restarted agent must not accept new flows.
 """
 
 from __future__ import annotations
@@ -46,6 +49,9 @@
 # A snapshot with the upstream's incarnation begins with a size that no packet has, then
 # the length of the id, the start in Unix milliseconds (0 if unknown) and the id.
 _INCARNATION_MARKER = bytes(_SIZE_BYTES)
+# Follows the incarnation of an upstream that leaves; no packet has this size either. An
+# older version reads such a snapshot as an empty one.
+_LEAVING_MARKER = bytes(_SIZE_BYTES)
 _START_BYTES = 8
 _INCARNATION_HEADER_BYTES = len(_INCARNATION_MARKER) + 1 + _START_BYTES
 _MAX_ID_BYTES = 255
@@ -58,14 +64,20 @@
     Attributes:
         packets: One repeatable packet of each flow, all of the same size.
         incarnation: Incarnation of the upstream that held them; None if unknown.
+        is_leaving: Whether that incarnation leaves; only if it is known.
     """
 
     packets: tuple[bytes, ...] = ()
     incarnation: Incarnation | None = None
+    is_leaving: bool = False
 
 
 class FlowSnapshotStore:
-    """Writes and reads the snapshot of one agent."""
+    """Writes and reads the snapshot of one agent.
+
+    Attributes:
+        is_leave_recorded: Whether the stored snapshot records that the upstream leaves.
+    """
 
     def __init__(
         self,
@@ -108,6 +120,7 @@
         self._write_at = 0.0
         self._upload_again_at = 0.0
         self._written: bytes | None = None
+        self.is_leave_recorded = False
         self._has_entry = False
         # Whether this process has ever written an entry, which a restore may lose.
         self._has_written = False
@@ -137,11 +150,16 @@
                 a writer's batch.
         """
         try:
-            value = encode_snapshot(self._flows())
+            snapshot = self._flows()
         except TimeoutError:
             # The instance was frozen; the next step collects the flows again.
             self._log.fact("flow list not collected")
             return
+        value = encode_snapshot(snapshot)
+        self._store_value(value, now=now, is_urgent=is_urgent)
+        self.is_leave_recorded = snapshot.is_leaving and value == self._written
+
+    def _store_value(self, value: bytes, *, now: float, is_urgent: bool) -> None:
         self._handle_restore(now=now)
         if not is_urgent and self._put_back.remaining(now=now):
             return
@@ -230,14 +248,17 @@
         flows: The snapshot; flows beyond the maximum are left out.
 
     Returns:
-        The upstream's incarnation, the packets' size and the packets; empty for a
-        snapshot without flows.
+        The upstream's incarnation, whether it leaves, the packets' size and the
+        packets; empty for a snapshot without flows of an upstream that does not leave.
     """
+    header = _encode_incarnation(flows.incarnation)
+    if header and flows.is_leaving:
+        header += _LEAVING_MARKER
     if not flows.packets:
-        return b""
+        return header if flows.is_leaving else b""
     packets = flows.packets[:MAX_FLOWS]
     size = len(packets[0]).to_bytes(_SIZE_BYTES, "big")
-    return _encode_incarnation(flows.incarnation) + size + b"".join(packets)
+    return header + size + b"".join(packets)
 
 
 def decode_snapshot(value: bytes) -> FlowSnapshot:
@@ -253,12 +274,17 @@
         incarnation, body = _decode_incarnation(value)
     except (IndexError, ValueError):
         return FlowSnapshot()
+    is_leaving = incarnation is not None and body.startswith(_LEAVING_MARKER)
+    if is_leaving:
+        body = body[len(_LEAVING_MARKER) :]
+        if not body:
+            return FlowSnapshot((), incarnation, is_leaving)
     size = int.from_bytes(body[:_SIZE_BYTES], "big")
     rows = body[_SIZE_BYTES:]
     if not size or len(rows) % size:
         return FlowSnapshot()
     packets = (rows[start : start + size] for start in range(0, len(rows), size))
-    return FlowSnapshot(tuple(packets), incarnation)
+    return FlowSnapshot(tuple(packets), incarnation, is_leaving)
 
 
 def _encode_incarnation(incarnation: Incarnation | None) -> bytes:
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -23,6 +23,9 @@
 # Missed heartbeats after which the upstream counts as unresponsive: new flows go
 # elsewhere until it responds again.
 MAX_MISSED_HEARTBEATS = 3
+# Time for which a reachable upstream gets no new flows while the record of the previous
+# process is read. The store usually responds within milliseconds.
+RECORD_READ_TIMEOUT_SECONDS = 0.2
 # Ended incarnations kept. Heartbeats are delayed by seconds, and an upstream does not
 # start this often within that time.
 MAX_ENDED_INCARNATIONS = 64
@@ -108,6 +111,8 @@
         self._sequence = -1
         self._last_heartbeat_at = float("-inf")
         self._reachable_since = float("inf")
+        self._is_record_read = False
+        self._recorded_leave: Incarnation | None = None
         self._cold_until = float("-inf")
         self._presumed_cold_until = float("-inf")
         self._ended: OrderedDict[Incarnation, None] = OrderedDict()
@@ -148,7 +153,9 @@
         self._cold_until = now + heartbeat.cold_seconds
         self._presumed_cold_until = float("-inf")
         self.slots = heartbeat.slots
-        self.is_leaving = self.is_leaving or heartbeat.is_leaving
+        was_recorded = heartbeat.incarnation == self._recorded_leave
+        self._recorded_leave = None
+        self.is_leaving = self.is_leaving or heartbeat.is_leaving or was_recorded
         if self.leaving_since is not None:
             self.leaving_heartbeats += 1
         elif self.is_leaving:
@@ -176,6 +183,19 @@
         self._reachable_since = min(self._reachable_since, now)
         return is_first
 
+    def on_record_read(self, leaving: Incarnation | None) -> None:
+        """Applies what the agent's previous process recorded.
+
+        Args:
+            leaving: Incarnation whose leave that process acknowledged; None if there is
+                none.
+        """
+        self._is_record_read = True
+        if self.incarnation is None:
+            self._recorded_leave = leaving
+        elif self.incarnation == leaving:
+            self.is_leaving = True
+
     def on_process_gone(self) -> None:
         """Records that the upstream's process has ended."""
         self._reachable_since = float("inf")
@@ -237,10 +257,14 @@
         Returns:
             JOINING before the first contact and while the upstream is unresponsive.
         """
-        if self.is_leaving:
+        if self.is_leaving or self._recorded_leave is not None:
             return MemberState.DRAINING
         since = self._last_heartbeat_at if self.incarnation else self._reachable_since
-        if 0.0 <= now - since <= self._heartbeat_timeout:
+        if self.incarnation is None and not self._is_record_read:
+            is_ready_from = since + RECORD_READ_TIMEOUT_SECONDS
+        else:
+            is_ready_from = since
+        if is_ready_from <= now <= since + self._heartbeat_timeout:
             return MemberState.READY
         return MemberState.JOINING
 
--- a/tests/connections/test_processes.py
+++ b/tests/connections/test_processes.py
@@ -184,6 +184,33 @@
         assert caller.request(b"x").startswith(b"editor-2")
 
 
+def test_a_restarted_agent_gives_a_leaving_upstream_no_new_flow(
+    deployment: Deployment,
+) -> None:
+    """Guards against an acknowledged leave that is lost with the agent's process.
+
+    No further heartbeat reaches the next process.
+    """
+    leaving = deployment.instances_by_name["editor-1"]
+    leaving.is_silent = True
+    leaving.state = "draining"
+    assert leaving.send("Heartbeat") == 200
+
+    deployment.kill("editor-1")
+    before = {
+        event: _count(deployment, "editor-1", event)
+        for event in ("flows restored", "upstream answers")
+    }
+    deployment.start("editor-1")
+    for event, count in before.items():
+        _wait_for_event(deployment, "editor-1", event, count + 1)
+
+    for number in range(8):
+        caller = deployment.caller("editor", "balancer-2", host=f"127.0.3.{number + 1}")
+        caller.open()
+        assert caller.request(b"x").startswith(b"editor-2")
+
+
 def test_a_terminating_agent_does_not_acknowledge_a_leave(
     deployment: Deployment,
 ) -> None:
--- a/tests/connections/test_upstream_state.py
+++ b/tests/connections/test_upstream_state.py
@@ -5,6 +5,7 @@
 from siskinshift.connections.incarnation import Incarnation
 from siskinshift.connections.upstream_state import COLD_WEIGHT
 from siskinshift.connections.upstream_state import MAX_MISSED_HEARTBEATS
+from siskinshift.connections.upstream_state import RECORD_READ_TIMEOUT_SECONDS
 from siskinshift.connections.upstream_state import HeartbeatEffect
 from siskinshift.connections.upstream_state import UpstreamState
 from siskinshift.core.members import FULL_WEIGHT
@@ -79,6 +80,8 @@
     assert upstream.state(now=10.0) is MemberState.JOINING
 
     upstream.on_reachable(now=10.0)
+    assert not upstream.accepts(now=10.0)
+    upstream.on_record_read(None)
 
     assert upstream.accepts(now=10.0)
     assert upstream.weight(now=10.0) == COLD_WEIGHT
@@ -282,3 +285,37 @@
     effect = upstream.on_heartbeat(heartbeat("new"), now=unresponsive_at)
 
     assert effect is HeartbeatEffect.REPLACED
+
+
+def test_a_recorded_leave_lasts_until_another_incarnation_responds() -> None:
+    """Guards against new flows at a leaving upstream beside a restarted agent."""
+    upstream = UpstreamState(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+    upstream.on_reachable(now=0.0)
+    upstream.on_record_read(Incarnation("u-1"))
+    assert upstream.state(now=0.0) is MemberState.DRAINING
+
+    upstream.on_heartbeat(heartbeat("u-1", is_leaving=False), now=0.1)
+    assert upstream.state(now=0.1) is MemberState.DRAINING
+
+    successor = UpstreamState(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+    successor.on_record_read(Incarnation("u-1"))
+    successor.on_heartbeat(heartbeat("u-2"), now=0.1)
+    assert successor.accepts(now=0.1)
+
+
+def test_a_record_that_is_read_after_the_first_heartbeat_applies() -> None:
+    """Guards against a delayed heartbeat that cancels an acknowledged leave."""
+    upstream = ready_upstream(upstream_id="u-1")
+
+    upstream.on_record_read(Incarnation("u-1"))
+
+    assert not upstream.accepts(now=0.0)
+
+
+def test_a_reachable_upstream_does_not_wait_for_an_unavailable_record() -> None:
+    """Guards against idle upstreams after a restart during an outage of the store."""
+    upstream = UpstreamState(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+    upstream.on_reachable(now=1.0)
+
+    assert not upstream.accepts(now=1.0 + RECORD_READ_TIMEOUT_SECONDS - 0.01)
+    assert upstream.accepts(now=1.0 + RECORD_READ_TIMEOUT_SECONDS)
