--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -139,6 +139,7 @@
         signal.signal(signal.SIGTERM, lambda *_: self.loop.call(self._on_stop_signal))
         signal.signal(signal.SIGINT, lambda *_: self.loop.call(self._on_stop_signal))
         signal.signal(signal.SIGHUP, lambda *_: self.loop.call(self.on_reload))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.loop.run_until(self.stopping)
 
     def serve(self, endpoint: Endpoint, handler: Handler) -> None:
--- a/src/siskinshift/connections/run.py
+++ b/src/siskinshift/connections/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from typing import TYPE_CHECKING
 
@@ -29,6 +30,8 @@
     Returns:
         Exit status.
     """
+    # Without a handler, SIGHUP ends the process. It is delivered once `run` handles it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         role = Role(arguments[0] if arguments else "")
     except ValueError:
