--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import threading
 from typing import TYPE_CHECKING
 
 import attrs
@@ -14,12 +13,9 @@
 from siskinshift.connections.evacuations import EvacuationRegister
 from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.fleet import MIN_HEARTBEAT_INTERVAL_SECONDS
-from siskinshift.connections.flow_snapshot import READ_RETRY_SECONDS
-from siskinshift.connections.flow_snapshot import UPLOAD_INTERVAL_SECONDS
 from siskinshift.connections.flow_snapshot import FlowSnapshot
 from siskinshift.connections.flow_snapshot import FlowSnapshotStore
 from siskinshift.connections.node import ConnectionNode
-from siskinshift.connections.owned_flow import RestoredFlow
 from siskinshift.connections.peer_codec import encode_evacuations_message
 from siskinshift.connections.peer_codec import encode_ownership_announcements
 from siskinshift.connections.peer_messages import Forward
@@ -29,6 +25,9 @@
 from siskinshift.connections.peer_messages import WarmUpRate
 from siskinshift.connections.put_back import PutBack
 from siskinshift.connections.registration import role_prefix
+from siskinshift.connections.snapshot_rows import decode_row
+from siskinshift.connections.snapshot_rows import encode_row
+from siskinshift.connections.snapshot_task import SnapshotTask
 from siskinshift.connections.snapshot_upload import SnapshotUpload
 from siskinshift.connections.snapshot_writer import choose_writer
 from siskinshift.connections.upstream_restart_check import UpstreamRestartCheck
@@ -55,7 +54,7 @@
     from siskinshift.connections.heartbeat_schedule import HeartbeatRound
     from siskinshift.connections.incarnation import Incarnation
     from siskinshift.connections.node_settings import NodeSettings
-    from siskinshift.connections.owned_flow import LongLivedFlow
+    from siskinshift.connections.owned_flow import RestoredFlow
     from siskinshift.connections.peer_messages import Load
     from siskinshift.connections.peer_messages import PeerMessage
     from siskinshift.messages.core import Endpoint
@@ -79,8 +78,6 @@
 # Interval at which the agent checks its upstream.
 CHECK_INTERVAL_SECONDS = 0.1
 PROBE_TIMEOUT_SECONDS = 0.3
-HOST_SIZE = 4
-UNKNOWN_HOST = bytes(HOST_SIZE)
 
 
 class AgentNode(ConnectionNode):
@@ -111,7 +108,7 @@
             member_id=settings.node_id, writer=self._choose_writer, log=self.log
         )
         self.add_cleanup(self._snapshot_upload.close)
-        self._snapshots = FlowSnapshotStore(
+        snapshots = FlowSnapshotStore(
             store=self.store,
             member_id=settings.node_id,
             flows=self._collect_snapshot,
@@ -125,6 +122,7 @@
                 log=self.log,
             ),
         )
+        self._snapshot_task = SnapshotTask(snapshots, clock=self.clock)
         self._heartbeat_schedule = self.new_heartbeat_schedule(
             interval=MIN_HEARTBEAT_INTERVAL_SECONDS
         )
@@ -134,8 +132,6 @@
         self._is_process_gone = False
         self._verified_incarnation: Incarnation | None = None
         self._upstream_restart_check = UpstreamRestartCheck()
-        self._is_snapshot_urgent = threading.Event()
-        self._is_leave_recorded = threading.Event()
         self._notified_incarnations_by_id: dict[str, int] = {}
         self._shutdown_deadline = float("inf")
 
@@ -144,7 +140,7 @@
         super().on_start()
         if self.node_settings.heartbeats is not None:
             self.serve(self.node_settings.heartbeats, self._handle_upstream_request)
-        self.spawn(self._maintain_snapshot)
+        self.spawn(self._snapshot_task.run_until, self.stopping, self._apply_snapshot)
 
     def add_sockets(self) -> None:
         """Adds the socket for the upstream's packets."""
@@ -328,7 +324,7 @@
         store, that process learns it from the next heartbeat.
         """
         timeout = min(LEAVE_RECORD_TIMEOUT_SECONDS, respond_by - self.clock())
-        if not self._is_leave_recorded.wait(timeout):
+        if not self._snapshot_task.wait_for_leave(timeout=timeout):
             self.log.fact("leave not recorded", sequence=heartbeat.sequence)
 
     def _on_upstream_message(self, message: Heartbeat | Deregistration) -> bool:
@@ -369,8 +365,8 @@
             return
         self._last_heartbeat_at = now
         self._is_process_gone = False
-        if self.upstream.is_leaving and not self._is_leave_recorded.is_set():
-            self._is_snapshot_urgent.set()
+        if self.upstream.is_leaving and not self._snapshot_task.is_leave_recorded:
+            self._snapshot_task.write_now()
         if effect is HeartbeatEffect.NONE:
             return
         self.log.fact(
@@ -387,7 +383,7 @@
             # This process tracks all flows of the new incarnation. The next process
             # must not apply a snapshot of an earlier incarnation to it.
             self.flows.mark_all_known()
-            self._is_snapshot_urgent.set()
+            self._snapshot_task.write_now()
         if self.upstream.incarnation != self._verified_incarnation:
             # Verifies all flows at once. The new incarnation returns the flows of the
             # previous one, which are reset; its own flows remain.
@@ -409,24 +405,9 @@
             self.upstream.incarnation.started_ms if self.upstream.incarnation else None
         )
 
-    def _maintain_snapshot(self) -> None:
-        snapshot = self._snapshots.load()
-        while snapshot is None and not self.stopping.wait(READ_RETRY_SECONDS):
-            snapshot = self._snapshots.load()
-        if snapshot is not None:
-            self._apply_snapshot(snapshot)
-        while not self.stopping.is_set():
-            is_urgent = self._is_snapshot_urgent.wait(UPLOAD_INTERVAL_SECONDS)
-            self._is_snapshot_urgent.clear()
-            if not self.stopping.is_set():
-                self._snapshots.step(now=self.clock(), is_urgent=is_urgent)
-            if self._snapshots.is_leave_recorded:
-                self._is_leave_recorded.set()
-            else:
-                self._is_leave_recorded.clear()
-
     def _apply_snapshot(self, snapshot: FlowSnapshot) -> None:
-        flows = [self._decode_row(row) for row in snapshot.packets]
+        peer_port = self.node_settings.peer_port
+        flows = [decode_row(row, peer_port=peer_port) for row in snapshot.packets]
         readable = [flow for flow in flows if flow is not None]
         if len(readable) < len(flows):
             self.log.fact("flow list unreadable", rows=len(flows) - len(readable))
@@ -472,20 +453,13 @@
     def _collect_snapshot(self) -> FlowSnapshot:
         def collect() -> FlowSnapshot:
             flows = self.flows.long_lived_flows(now=self.clock())
-            rows = tuple(_encode_row(flow) for flow in flows)
+            rows = tuple(encode_row(flow) for flow in flows)
             return FlowSnapshot(
                 rows, self.upstream.incarnation, self.upstream.is_leaving
             )
 
         return self.loop.call(collect).result(LOOP_CALL_TIMEOUT_SECONDS)
 
-    def _decode_row(self, row: bytes) -> RestoredFlow | None:
-        segment = decode_from_caller(row[:-HOST_SIZE])
-        if segment is None or not segment.is_bare_ack:
-            return None
-        host = socket.inet_ntoa(row[-HOST_SIZE:])
-        return RestoredFlow(segment, (host, self.node_settings.peer_port))
-
     def on_peer_status(self, peer: Peer, now: float) -> Iterable[Action]:
         """Announces to each incarnation of a balancer the flows that it forwards."""
         member = peer.member
@@ -554,7 +528,7 @@
     def on_stop(self) -> None:
         """Deregisters the node if its upstream has deregistered."""
         super().on_stop()
-        self._is_snapshot_urgent.set()
+        self._snapshot_task.write_now()
         if self.upstream.is_gone:
             self.deregister()
 
@@ -570,10 +544,3 @@
             self.upstream.on_process_gone()
             self.log.fact("upstream process gone", upstream=self.upstream.upstream_id)
         self.perform(self.flows.on_upstream_gone(now=self.clock()))
-
-
-def _encode_row(flow: LongLivedFlow) -> bytes:
-    host = (
-        socket.inet_aton(flow.last_balancer[0]) if flow.last_balancer else UNKNOWN_HOST
-    )
-    return flow.packet + host
--- /dev/null
+++ b/src/siskinshift/connections/snapshot_task.py
@@ -0,0 +1,77 @@
+"""Maintains an agent's flow snapshot on a thread of its own."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from siskinshift.connections.flow_snapshot import READ_RETRY_SECONDS
+from siskinshift.connections.flow_snapshot import UPLOAD_INTERVAL_SECONDS
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from siskinshift.connections.flow_snapshot import FlowSnapshot
+    from siskinshift.connections.flow_snapshot import FlowSnapshotStore
+    from siskinshift.core.clocks import Clock
+
+
+class SnapshotTask:
+    """Reads the snapshot of the previous process, then writes this one's."""
+
+    def __init__(self, snapshots: FlowSnapshotStore, *, clock: Clock) -> None:
+        """Initializes the task; `run_until` runs it.
+
+        Args:
+            snapshots: Reads and writes the snapshot.
+            clock: Clock of the process.
+        """
+        self._snapshots = snapshots
+        self._clock = clock
+        self._is_urgent = threading.Event()
+        self._is_leave_recorded = threading.Event()
+
+    @property
+    def is_leave_recorded(self) -> bool:
+        """Whether the stored snapshot records that the upstream leaves."""
+        return self._is_leave_recorded.is_set()
+
+    def write_now(self) -> None:
+        """Requests that the agent writes the snapshot itself at once; thread-safe."""
+        self._is_urgent.set()
+
+    def wait_for_leave(self, *, timeout: float) -> bool:
+        """Waits on another thread until the leave of the upstream is recorded.
+
+        Args:
+            timeout: Longest wait, seconds.
+
+        Returns:
+            Whether it is recorded.
+        """
+        return self._is_leave_recorded.wait(timeout)
+
+    def run_until(
+        self, stopping: threading.Event, on_read: Callable[[FlowSnapshot], object]
+    ) -> None:
+        """Reads the snapshot once and writes it until the event is set.
+
+        Args:
+            stopping: Ends the task when set; `write_now` ends its wait.
+            on_read: Called with the snapshot of the previous process.
+        """
+        snapshot = self._snapshots.load()
+        while snapshot is None and not stopping.wait(READ_RETRY_SECONDS):
+            snapshot = self._snapshots.load()
+        if snapshot is not None:
+            on_read(snapshot)
+        while not stopping.is_set():
+            is_urgent = self._is_urgent.wait(UPLOAD_INTERVAL_SECONDS)
+            self._is_urgent.clear()
+            if not stopping.is_set():
+                self._snapshots.step(now=self._clock(), is_urgent=is_urgent)
+            if self._snapshots.is_leave_recorded:
+                self._is_leave_recorded.set()
+            else:
+                self._is_leave_recorded.clear()
