--- a/src/siskinshift/connections/agent_openings.py
+++ b/src/siskinshift/connections/agent_openings.py
@@ -85,11 +85,13 @@
         if forward.service_tag != service_tag(self._upstream.service_id):
             return [self.refuse(Verdict.WRONG_SERVICE, segment.flow, sender)]
         flow = self._flows.get(segment.flow)
-        if self.is_evacuated and (flow is None or not flow.is_confirmed):
+        is_open = flow is not None and flow.is_confirmed and not flow.ended_at
+        if self.is_evacuated and not is_open:
             # Also refuses a retransmission, since the upstream may not have received
             # the earlier packets.
             return [self.refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
-        if flow is None and (self.is_draining or not self._upstream.accepts(now=now)):
+        is_known = is_open or (flow is not None and flow.is_opening(now=now))
+        if not is_known and (self.is_draining or not self._upstream.accepts(now=now)):
             return [self.refuse(Verdict.UNAVAILABLE, segment.flow, sender)]
         if flow is None:
             refusal = self._check_admission(forward, segment, sender, now=now)
--- a/src/siskinshift/connections/owned_flow.py
+++ b/src/siskinshift/connections/owned_flow.py
@@ -12,6 +12,8 @@
 from siskinshift.connections.segment import is_between
 
 
+# Callers end an attempt to open a flow after this time.
+MAX_OPENING_SECONDS = 1.4
 # A sender has at most 16 packets of 1,200 bytes in flight; this is several times that.
 MAX_IN_FLIGHT_BYTES = 1 << 17
 # Data that an upstream may have sent unseen by this process: seconds at 100 Mbit/s.
@@ -58,6 +60,18 @@
     is_retry: bool = False
     dropped_until: float = 0.0
 
+    def is_opening(self, *, now: float) -> bool:
+        """Returns whether its caller may still retransmit the opening packet.
+
+        Args:
+            now: Clock reading, seconds.
+
+        Returns:
+            Whether the flow has not ended and was opened recently. An older one that
+            was never confirmed does not belong to an opening packet of the same port.
+        """
+        return not self.ended_at and now - self.opened_at <= MAX_OPENING_SECONDS
+
     def matches_acknowledgement(self, ack: int) -> bool:
         """Returns whether a caller's packet belongs to this upstream's flow.
 
--- a/src/siskinshift/connections/owned_flows.py
+++ b/src/siskinshift/connections/owned_flows.py
@@ -19,10 +19,6 @@
 LONG_LIVED_AFTER_SECONDS = 1.5
 # Flows without packets are dropped after this; flows last a minute at most.
 IDLE_TIMEOUT_SECONDS = 90.0
-# An open flow without any packet of its caller counts against a connection limit for
-# this long: callers end an attempt after 1.4 s. The losers of hedged openings are never
-# confirmed and stay until `IDLE_TIMEOUT_SECONDS`.
-MAX_UNCONFIRMED_SECONDS = 1.4
 # FIN of the caller (1) and of the upstream (2).
 BOTH_FINS = 3
 
@@ -73,12 +69,14 @@
     def connection_count(self, *, now: float) -> int:
         """Returns the number of open flows that callers use or may still confirm.
 
+        The losers of hedged openings are never confirmed, and stay until
+        `IDLE_TIMEOUT_SECONDS`.
+
         Args:
             now: Clock reading, seconds.
         """
-        oldest = now - MAX_UNCONFIRMED_SECONDS
         return sum(
-            not flow.ended_at and (flow.opened_at >= oldest or _is_in_use(flow))
+            flow.is_opening(now=now) or (not flow.ended_at and _is_in_use(flow))
             for flow in self._flows_by_key.values()
         )
 
--- a/tests/connections/test_agent_flows.py
+++ b/tests/connections/test_agent_flows.py
@@ -115,6 +115,51 @@
     assert any(isinstance(action, ToUpstream) for action in kept)
 
 
+def test_a_port_that_opened_before_opens_no_flow_at_a_leaving_upstream() -> None:
+    """Guards against a reused port of a flow that never opened here.
+
+    The agent keeps such a flow, the loser of a hedged opening, for up to 90 s.
+    """
+    upstream = ready_upstream()
+    flows = agent_flows(upstream)
+    _forward(flows, opening(1), Purpose.OPEN)
+    upstream.on_heartbeat(heartbeat(sequence=2, is_leaving=True), now=1.0)
+
+    actions = _forward(flows, opening(1), Purpose.OPEN, now=10.0)
+
+    assert _verdicts(actions) == [(Verdict.UNAVAILABLE, BALANCER)]
+    assert len(actions) == 1
+
+
+def test_a_port_of_an_ended_flow_opens_no_flow_at_a_leaving_upstream() -> None:
+    """Guards against a port that is reused before the agent forgets its flow."""
+    upstream = ready_upstream()
+    flows = agent_flows(upstream)
+    _opened(flows, 1)
+    _forward(flows, segment(1, RESET, ack=UPSTREAM_SEQ + 1), Purpose.OWNED, now=0.5)
+    upstream.on_heartbeat(heartbeat(sequence=2, is_leaving=True), now=0.6)
+
+    actions = _forward(flows, opening(1), Purpose.OPEN, now=0.7)
+
+    assert _verdicts(actions) == [(Verdict.UNAVAILABLE, BALANCER)]
+    assert len(actions) == 1
+
+
+def test_a_retransmitted_opening_packet_reaches_an_upstream_that_began_to_leave() -> (
+    None
+):
+    """Guards against a refused opening that the upstream may have accepted already."""
+    upstream = ready_upstream()
+    flows = agent_flows(upstream)
+    _forward(flows, opening(1), Purpose.OPEN)
+    upstream.on_heartbeat(heartbeat(sequence=2, is_leaving=True), now=0.1)
+
+    packet = opening(1, retransmissions=1)
+    actions = _forward(flows, packet, Purpose.OPEN, now=0.2)
+
+    assert actions == [ToUpstream(packet.datagram)]
+
+
 def test_a_full_upstream_returns_the_opening_packet_and_the_balancer_is_notified() -> (
     None
 ):
@@ -582,6 +627,19 @@
     assert _verdicts(actions) == [(Verdict.UNAVAILABLE, BALANCER)]
 
 
+def test_a_port_of_an_ended_flow_opens_no_flow_after_an_evacuation() -> None:
+    """Guards against a port that is reused before the agent forgets its flow."""
+    flows = agent_flows()
+    _opened(flows, 1)
+    flows.on_upstream_segment(segment(1, seq=UPSTREAM_SEQ + 1, ack=2), now=0.1)
+    _forward(flows, segment(1, RESET, ack=UPSTREAM_SEQ + 1), Purpose.OWNED, now=0.2)
+    flows.is_evacuated = True
+
+    actions = _forward(flows, opening(1), Purpose.OPEN, now=0.3)
+
+    assert _verdicts(actions) == [(Verdict.UNAVAILABLE, BALANCER)]
+
+
 def test_open_flows_of_an_evacuated_upstream_continue() -> None:
     """An evacuation applies to new flows only and must not reset open ones."""
     flows = agent_flows()
