--- a/src/siskinshift/load/gate.py
+++ b/src/siskinshift/load/gate.py
@@ -32,6 +32,7 @@
 from siskinshift.load.retries import RetryPolicy
 from siskinshift.load.usage import UsageTable
 from siskinshift.load.usage import own_sum
+from siskinshift.load.work import WAITING_STATES
 from siskinshift.load.work import WorkItem
 from siskinshift.load.work import WorkState
 from siskinshift.messages.core import MemberState
@@ -428,7 +429,7 @@
     # Timers.
 
     def _tick_work(self, work: WorkItem, *, now: float) -> list[GateAction]:
-        if work.state is WorkState.QUEUED and work.expires_at <= now:
+        if work.state in WAITING_STATES and work.expires_at <= now:
             return self._dispatcher.expire(work, now=now)
         if (
             work.state is WorkState.HELD
--- a/src/siskinshift/load/retries.py
+++ b/src/siskinshift/load/retries.py
@@ -68,18 +68,24 @@
             return self.requeue(work)
         work.state = WorkState.BACKING_OFF
         work.queued_at = now + backoff_delay(
-            max(1, work.attempts), random=self._state.random
+            max(1, work.attempts),
+            time_left=self._time_to_retry(work, now=now),
+            random=self._state.random,
         )
         work.expires_at = work.request.deadline
         return []
 
     def _can_retry(self, work: WorkItem, result: RunResult, *, now: float) -> bool:
-        if now + self._state.upstream_health.slot_time >= work.request.deadline:
+        if self._time_to_retry(work, now=now) <= 0.0:
             return False
         if result is RunResult.NOT_OFFERED:
             return work.attempts < MAX_UNREACHED_ATTEMPTS
         return work.request.repeatable and self._state.retry_budget.try_spend()
 
+    def _time_to_retry(self, work: WorkItem, *, now: float) -> float:
+        """Returns the time in which another attempt has to start, seconds."""
+        return work.request.deadline - self._state.upstream_health.slot_time - now
+
     def requeue(self, work: WorkItem) -> list[GateAction]:
         """Queues a request again.
 
--- a/src/siskinshift/load/retry_budget.py
+++ b/src/siskinshift/load/retry_budget.py
@@ -8,9 +8,8 @@
 single failures are hidden; if most fail, load rises by a tenth at most. The saved
 budget is limited to ten retries, so that an hour with low load does not allow a retry
 storm. The back-off is drawn uniformly from zero to a bound that doubles (full jitter),
-so that requests which failed together are not retried together. It does not take the
-deadline into account: a request whose deadline passes during its back-off fails at the
-end of the back-off.
+so that requests which failed together are not retried together. It leaves time for the
+next attempt before the deadline.
 """
 
 from __future__ import annotations
@@ -59,15 +58,17 @@
         return True
 
 
-def backoff_delay(attempts: int, *, random: Random) -> float:
+def backoff_delay(attempts: int, *, time_left: float, random: Random) -> float:
     """Draws the delay before the next attempt.
 
     Args:
         attempts: Attempts made so far, 1 or more.
+        time_left: Time until the last moment at which an attempt can still succeed,
+            seconds.
         random: Source of the jitter.
 
     Returns:
         Seconds.
     """
     bound = INITIAL_BACKOFF_BOUND_SECONDS * 2 ** (attempts - 1)
-    return random.uniform(0.0, min(bound, MAX_BACKOFF_SECONDS))
+    return random.uniform(0.0, min(bound, MAX_BACKOFF_SECONDS, time_left))
--- a/src/siskinshift/load/work.py
+++ b/src/siskinshift/load/work.py
@@ -24,6 +24,10 @@
     RESERVED = "reserved"
 
 
+# A request in one of these states ends as soon as `expires_at` has passed.
+WAITING_STATES = (WorkState.QUEUED, WorkState.BACKING_OFF)
+
+
 @define(eq=False)
 class WorkItem:
     """One request with its scheduling state.
