--- a/src/siskinshift/load/work.py
+++ b/src/siskinshift/load/work.py
@@ -25,7 +25,7 @@
 
 
 # A request in one of these states ends as soon as `expires_at` has passed.
-WAITING_STATES = (WorkState.QUEUED, WorkState.BACKING_OFF)
+WAITING_STATES = (WorkState.QUEUED, WorkState.HELD, WorkState.BACKING_OFF)
 
 
 @define(eq=False)
--- a/tests/load/test_gate.py
+++ b/tests/load/test_gate.py
@@ -67,6 +67,20 @@
     assert gate.tick(now=0.00999) == [StartRequest(1)]
 
 
+def test_a_held_request_ends_at_its_deadline() -> None:
+    """Guards against a refusal that waits for a peer beyond the deadline."""
+    gate = a_gate(peers=("b",), queue_limit=1)
+    gate.submit(a_request(1), now=0.0)
+    gate.submit(a_request(2, caller="10.0.0.2"), now=0.0)
+    gate.submit(a_request(3, caller="10.0.0.3", deadline=0.005), now=0.0)
+
+    actions = gate.tick(now=0.006)
+
+    (refusal,) = [action for action in actions if isinstance(action, RefuseRequest)]
+    assert refusal.request_id == 3
+    assert refusal.error is ErrorKind.DEADLINE_EXCEEDED
+
+
 def test_a_retried_request_that_expires_has_an_unknown_outcome() -> None:
     """Guards against a reply "not run" for a request that may have run.
 
