--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -325,7 +325,7 @@
         """
         timeout = min(LEAVE_RECORD_TIMEOUT_SECONDS, respond_by - self.clock())
         if not self._snapshot_task.wait_for_leave(timeout=timeout):
-            self.log.fact("leave not recorded", sequence=heartbeat.sequence)
+            self.log.decision("leave not recorded", sequence=heartbeat.sequence)
 
     def _on_upstream_message(self, message: Heartbeat | Deregistration) -> bool:
         """Applies a message; returns whether it may be acknowledged."""
--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -30,6 +30,7 @@
 from siskinshift.connections.retry_timers import RetryTimers
 from siskinshift.connections.segment import ACK
 from siskinshift.connections.segment import BOUNCED
+from siskinshift.connections.segment import MAX_OPENING_SECONDS
 from siskinshift.connections.segment import RESET
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import format_flow
@@ -62,8 +63,6 @@
 # Longest time that an opening packet is held while no agent can accept it. Callers
 # retransmit after 200 ms, which offers the flow again.
 MAX_HOLD_SECONDS = 0.25
-# A caller's attempt to open a flow ends after this time.
-MAX_OPENING_SECONDS = 1.4
 # Limit of opening packets held at a time, to bound the memory.
 MAX_HELD_PACKETS = 2000
 # Retries after a missing reply that one accepted flow allows. The agents of a failure
--- a/src/siskinshift/connections/flow_snapshot.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -157,7 +157,10 @@
             return
         value = encode_snapshot(snapshot)
         self._store_value(value, now=now, is_urgent=is_urgent)
-        self.is_leave_recorded = snapshot.is_leaving and value == self._written
+        if value == self._written:
+            self.is_leave_recorded = snapshot.is_leaving
+        elif self._written is None:
+            self.is_leave_recorded = False
 
     def _store_value(self, value: bytes, *, now: float, is_urgent: bool) -> None:
         self._handle_restore(now=now)
--- a/src/siskinshift/connections/owned_flow.py
+++ b/src/siskinshift/connections/owned_flow.py
@@ -5,6 +5,7 @@
 from attrs import define
 from attrs import frozen
 
+from siskinshift.connections.segment import MAX_OPENING_SECONDS
 from siskinshift.connections.segment import SEQUENCE_SPACE
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import Segment
@@ -12,8 +13,6 @@
 from siskinshift.connections.segment import is_between
 
 
-# Callers end an attempt to open a flow after this time.
-MAX_OPENING_SECONDS = 1.4
 # A sender has at most 16 packets of 1,200 bytes in flight; this is several times that.
 MAX_IN_FLIGHT_BYTES = 1 << 17
 # Data that an upstream may have sent unseen by this process: seconds at 100 Mbit/s.
--- a/src/siskinshift/connections/segment.py
+++ b/src/siskinshift/connections/segment.py
@@ -16,6 +16,8 @@
 
 FLOW_SIZE = 12
 SEQUENCE_SPACE = 1 << 32
+# A caller's attempt to open a flow ends after this time.
+MAX_OPENING_SECONDS = 1.4
 
 
 @frozen
--- a/tests/connections/test_flow_snapshot.py
+++ b/tests/connections/test_flow_snapshot.py
@@ -221,6 +221,19 @@
     assert agent.new_snapshots().load() == FlowSnapshot()
 
 
+def test_a_recorded_leave_is_not_written_again_with_each_change_of_the_flows() -> None:
+    """Guards against a write at each heartbeat of a leaving upstream."""
+    agent = _Agent()
+    agent.is_leaving = True
+    agent.snapshots.step(now=0.0, is_urgent=True)
+    agent.snapshots.step(now=0.1)
+    agent.packets = [b"packet-3"]
+
+    agent.snapshots.step(now=0.2)
+
+    assert agent.snapshots.is_leave_recorded
+
+
 def test_a_leave_does_not_count_as_recorded_without_the_store() -> None:
     """Guards against an acknowledgement that relies on a record never written."""
     agent = _Agent()
