--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -41,6 +41,8 @@
 REMOTE_INSTANCES = ("editor-3", "dossiers-1")
 # Shutdown grace period before the platform kills a node, plus a margin.
 SHUTDOWN_TIMEOUT_SECONDS = 6.5
+# Time for which a leaving upstream continues to run.
+LEAVE_SECONDS = 5.0
 LINK_FAULT_NAMES = tuple(x.name for x in LinkFault if x is not LinkFault.NONE)
 # About 45 KB as encoded by the store, which a thin link transfers in 3 s.
 UNUSED_ROUTE_COUNT = 200
@@ -137,6 +139,19 @@
     soak.replace_upstream(name, keeps_id=step.variant == "same id")
 
 
+@register_fault(targets=tuple(INSTANCES_BY_NAME), variants=("kill", "terminate", ""))
+def leave(soak: Soak, step: Step) -> None:
+    """Lets an upstream leave while its agent restarts; later faults overlap."""
+    name = step.targets[0]
+    incarnation = soak.deployment.instances_by_name[name].incarnation
+    soak.leave(name)
+    if step.variant:
+        INJECTORS_BY_KIND[step.variant](soak, step)
+    threading.Thread(
+        target=_replace_after_leave, args=(soak, name, incarnation), daemon=True
+    ).start()
+
+
 @register_fault(
     max_duration_seconds=2.0, variants=("429", "503", "429 lapse", "503 lapse")
 )
@@ -230,6 +245,13 @@
     soak.deployment.instances_by_name[step.targets[0]].send_malformed(step.variant)
 
 
+def _replace_after_leave(soak: Soak, name: str, incarnation: int) -> None:
+    time.sleep(LEAVE_SECONDS)
+    instance = soak.deployment.instances_by_name[name]
+    if instance.incarnation == incarnation and not soak.is_stopping:
+        soak.replace_upstream(name, keeps_id=False)
+
+
 def _restart_after_exit(soak: Soak, name: str) -> None:
     process = soak.deployment.processes_by_name[name]
     try:
