--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -312,7 +312,7 @@
             waited=round(self.clock() - shutdown.started_at, 3),
             ready_peers=rotation.ready,
             unavailable_peers=",".join(rotation.unavailable),
-            reason="peers ready" if rotation.can_spare_one else "too few peers",
+            reason="" if rotation.can_spare_one else "too few ready peers",
         )
 
     def _announce_owners(self, peers: list[Peer]) -> None:
--- a/src/siskinshift/connections/graceful_shutdown.py
+++ b/src/siskinshift/connections/graceful_shutdown.py
@@ -4,7 +4,8 @@
 of rotation, but as soon as fewer than half of a failure domain's balancers are ready,
 they send to all of them again, including the stopped ones. Without the wait below, the
 termination of the second of three would send a third of the domain's packets to the
-first one, which is not ready again yet.
+first one, which is not ready again yet. If no balancer of the domain is ready, routers
+send to neighbouring domains, so the last one does not wait.
 """
 
 from __future__ import annotations
@@ -45,10 +46,10 @@
 
     @property
     def can_spare_one(self) -> bool:
-        """Whether routers keep to the ready ones without this balancer."""
-        peers = self.ready + len(self.unavailable)
-        # Without peers in the domain, balancers of neighbouring domains take over.
-        return not peers or 2 * self.ready >= peers + 1
+        """Whether routers send to no unavailable balancer without this one."""
+        # Without ready balancers in the domain, neighbouring domains take over.
+        is_empty = self.ready == 0
+        return is_empty or 2 * self.ready >= self.ready + len(self.unavailable) + 1
 
 
 NO_PEERS = Rotation(ready=0)
--- a/tests/connections/test_graceful_shutdown.py
+++ b/tests/connections/test_graceful_shutdown.py
@@ -83,3 +83,18 @@
 
     assert shutdown.rotation.ready == 1
     assert shutdown.rotation.unavailable == ("b", "c")
+
+
+def test_a_balancer_without_ready_peers_does_not_wait() -> None:
+    """Guards against routers that send to terminated balancers of the domain.
+
+    With one balancer of three in rotation, routers use all three. With none, they use
+    the neighbouring domains.
+    """
+    shutdown = GracefulShutdown(started_at=10.0, leave_seconds=6.0)
+    terminating = _balancer("b", state=MemberState.DRAINING, last_seen_at=10.0)
+    unresponsive = _balancer("c", state=MemberState.READY, last_seen_at=0.0)
+
+    shutdown.advance([terminating, unresponsive], received_at=10.0, now=10.0)
+
+    assert shutdown.reports_not_ready
