--- a/tests/api/test_requests.py
+++ b/tests/api/test_requests.py
@@ -44,6 +44,7 @@
     "DeleteGroup": pb.DeleteGroupRequest,
     "SetShare": pb.SetShareRequest,
     "SetDrain": pb.SetDrainRequest,
+    "SetEvacuation": pb.SetEvacuationRequest,
     "FindChange": pb.FindChangeRequest,
     "ListServices": pb.ListServicesRequest,
     "GetStatus": pb.GetStatusRequest,
@@ -129,6 +130,15 @@
     return name, request_type(**{field: draw(_FIELDS[field]) for field in fields})
 
 
+def test_the_drawn_requests_cover_all_methods_with_one_reply() -> None:
+    """Guards against a new method that no random request reaches."""
+    (described,) = pb.DESCRIPTOR.services_by_name.values()
+
+    unary = {m.name for m in described.methods if not m.server_streaming}
+
+    assert set(METHODS) == unary
+
+
 @hypothesis_settings(max_examples=150)
 @given(calls=st.lists(_calls(), max_size=6))
 def test_any_request_gets_an_answer_of_a_known_kind(
