--- a/src/siskinshift/console/commands/evacuation.py
+++ b/src/siskinshift/console/commands/evacuation.py
@@ -11,6 +11,7 @@
 from siskinshift.console.operators import operators_client
 from siskinshift.console.registry import command
 from siskinshift.messages.core import MemberState
+from siskinshift.messages.core import Role
 
 
 if TYPE_CHECKING:
@@ -21,25 +22,27 @@
 
 
 def warning_about_domain(failure_domain: str, members: Iterable[Member]) -> str:
-    """Returns a warning if no instance is in a failure domain.
+    """Returns a warning if no upstream instance is in a failure domain.
+
+    An evacuation concerns upstreams, so balancers there do not count.
 
     Args:
         failure_domain: Name of the failure domain.
         members: All known processes.
 
     Returns:
-        One line, or an empty string if an instance is there.
+        One line, or an empty string if an upstream instance is there.
     """
     domains = {
         member.failure_domain
         for member in members
-        if member.state is not MemberState.GONE
+        if member.role is Role.AGENT and member.state is not MemberState.GONE
     }
     if failure_domain in domains:
         return ""
     return (
-        f"no instance is in failure domain {failure_domain};"
-        f" domains with instances: {', '.join(sorted(domains)) or 'none'}"
+        f"no upstream instance is in failure domain {failure_domain};"
+        f" domains with upstream instances: {', '.join(sorted(domains)) or 'none'}"
     )
 
 
