--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -454,8 +454,11 @@
         def collect() -> FlowSnapshot:
             flows = self.flows.long_lived_flows(now=self.clock())
             rows = tuple(encode_row(flow) for flow in flows)
+            leaving = self.upstream.leaving_incarnation
             return FlowSnapshot(
-                rows, self.upstream.incarnation, self.upstream.is_leaving
+                rows,
+                leaving or self.upstream.incarnation,
+                is_leaving=leaving is not None,
             )
 
         return self.loop.call(collect).result(LOOP_CALL_TIMEOUT_SECONDS)
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -122,6 +122,11 @@
         """Id of the current incarnation; empty before the first heartbeat."""
         return self.incarnation.upstream_id if self.incarnation else ""
 
+    @property
+    def leaving_incarnation(self) -> Incarnation | None:
+        """Incarnation that leaves, also by the record of an earlier process."""
+        return self.incarnation if self.is_leaving else self._recorded_leave
+
     def on_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> HeartbeatEffect:
         """Applies a heartbeat.
 
--- a/tests/connections/test_processes.py
+++ b/tests/connections/test_processes.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from siskinshift.connections.flow_snapshot import UPLOAD_INTERVAL_SECONDS
 from siskinshift.connections.registration import member_key
 from siskinshift.messages.core import Role
 from siskinshift.platform.store_watch import WATCH_WAIT_SECONDS
@@ -214,6 +215,32 @@
     assert _names_that_serve_new_flows(deployment) == {"editor-2"}
 
 
+def test_a_recorded_leave_outlives_a_second_restart_of_the_agent(
+    deployment: Deployment,
+) -> None:
+    """Guards against a restarted agent that replaces the record of the leave."""
+    leaving = deployment.instances_by_name["editor-1"]
+    leaving.is_silent = True
+    leaving.state = "draining"
+    assert leaving.send("Heartbeat") == 200
+
+    for _ in range(2):
+        deployment.kill("editor-1")
+        restored = _count(deployment, "editor-1", "flows restored")
+        deployment.start("editor-1")
+        _wait_for_event(deployment, "editor-1", "flows restored", restored + 1)
+        # The agent writes its own snapshot within this time.
+        time.sleep(1.5 * UPLOAD_INTERVAL_SECONDS)
+
+    assert _names_that_serve_new_flows(deployment) == {"editor-2"}
+    restores = [
+        line
+        for line in deployment.log_lines("editor-1")
+        if line["event"] == "flows restored"
+    ]
+    assert [line["leaving"] for line in restores[-2:]] == [True, True]
+
+
 def test_a_terminating_agent_does_not_acknowledge_a_leave(
     deployment: Deployment,
 ) -> None:
--- a/tests/connections/test_upstream_state.py
+++ b/tests/connections/test_upstream_state.py
@@ -293,6 +293,7 @@
     upstream.on_reachable(now=0.0)
     upstream.on_record_read(Incarnation("u-1"))
     assert upstream.state(now=0.0) is MemberState.DRAINING
+    assert upstream.leaving_incarnation == Incarnation("u-1")
 
     upstream.on_heartbeat(heartbeat("u-1", is_leaving=False), now=0.1)
     assert upstream.state(now=0.1) is MemberState.DRAINING
@@ -301,6 +302,7 @@
     successor.on_record_read(Incarnation("u-1"))
     successor.on_heartbeat(heartbeat("u-2"), now=0.1)
     assert successor.accepts(now=0.1)
+    assert successor.leaving_incarnation is None
 
 
 def test_a_record_that_is_read_after_the_first_heartbeat_applies() -> None:
