--- a/src/siskinshift/kv/port.py
+++ b/src/siskinshift/kv/port.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 from typing import Protocol
 from typing import TypeAlias
 
+from attrs import Factory
 from attrs import frozen
 
 from siskinshift.kv.generations import UNKNOWN_GENERATION
@@ -103,11 +105,14 @@
         succeeded: Whether all conditions held and all operations were applied.
         revision: Revision of the store after it; that of the writes if it succeeded.
         generation: Generation of the store that gave the revision.
+        revisions_by_key: If it failed, current revisions of the keys of its conditions;
+            0 for an absent key. Empty if the store did not report them.
     """
 
     succeeded: bool
     revision: int
     generation: int = UNKNOWN_GENERATION
+    revisions_by_key: Mapping[str, int] = Factory(dict)
 
 
 @frozen
--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -33,6 +33,7 @@
 from siskinshift.platform.store_codec import MALFORMED_ERRORS
 from siskinshift.platform.store_codec import decode_document
 from siskinshift.platform.store_codec import decode_entry
+from siskinshift.platform.store_codec import decode_revisions
 from siskinshift.platform.store_codec import encode_put
 from siskinshift.platform.store_codec import response_generation
 from siskinshift.platform.store_watch import PlatformWatch
@@ -203,7 +204,10 @@
             # It may have compared other revisions, or used a lease of another node.
             raise StoreOutcomeUnknownError("the store was restored")
         if response.status == HTTPStatus.PRECONDITION_FAILED:
-            return TransactionResult(False, 0, generation)
+            revisions_by_key = decode_revisions(
+                response, {compare.key for compare in compares}
+            )
+            return TransactionResult(False, 0, generation, revisions_by_key)
         if response.status == HTTPStatus.NOT_FOUND:
             raise StoreUnavailableError("no such lease")
         document = decode_document(response)
--- a/src/siskinshift/platform/store_codec.py
+++ b/src/siskinshift/platform/store_codec.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from siskinshift.control.documents import get_integer
+from siskinshift.control.documents import get_objects
 from siskinshift.control.documents import get_string
 from siskinshift.control.documents import parse_object
 from siskinshift.control.exceptions import BadMessageError
@@ -80,6 +81,27 @@
         raise StoreUnavailableError("malformed entry") from error
 
 
+def decode_revisions(response: HttpResponse, keys: set[str]) -> dict[str, int]:
+    """Decodes the current revisions in the response to a failed condition.
+
+    Args:
+        response: The response.
+        keys: Keys of the conditions.
+
+    Returns:
+        Revision of each key, 0 for an absent one; empty if the body is malformed.
+    """
+    try:
+        items = get_objects(parse_object(response.body), "items")
+        revisions_by_key = {
+            get_string(item, "key"): get_integer(item, "revision") for item in items
+        }
+    except MALFORMED_ERRORS:
+        # The caller reads the revisions instead.
+        return {}
+    return {key: revisions_by_key.get(key, 0) for key in keys}
+
+
 def encode_put(put: Put) -> dict[str, Any]:
     """Encodes a write of a transaction.
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -54,6 +54,14 @@
     assert store.get("a") is not None
 
 
+def test_a_failed_condition_returns_the_current_revisions(store: PlatformStore) -> None:
+    written = store.transact((), (Put("a", b"1"), Put("b", b"2")))
+
+    result = store.transact((Compare("a", 0), Compare("c", 0)), (Delete("b"),))
+
+    assert result.revisions_by_key == {"a": written.revision, "c": 0}
+
+
 def test_all_pages_are_read(store: PlatformStore, server: PlatformStoreServer) -> None:
     for number in range(PAGE_ITEMS + 3):
         server.put(f"a/{number:04}", b"x")
