--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -325,7 +325,11 @@
         """
         timeout = min(LEAVE_RECORD_TIMEOUT_SECONDS, respond_by - self.clock())
         if not self._snapshot_task.wait_for_leave(timeout=timeout):
-            self.log.decision("leave not recorded", sequence=heartbeat.sequence)
+            self.log.decision(
+                "leave not recorded",
+                sequence=heartbeat.sequence,
+                activity=self._snapshot_task.activity,
+            )
 
     def _on_upstream_message(self, message: Heartbeat | Deregistration) -> bool:
         """Applies a message; returns whether it may be acknowledged."""
@@ -423,7 +427,12 @@
         self._apply_restart_check(
             self._upstream_restart_check.on_snapshot_read(snapshot.incarnation)
         )
-        self.log.fact("flows restored", flows=len(flows), leaving=snapshot.is_leaving)
+        self.log.fact(
+            "flows restored",
+            flows=len(flows),
+            leaving=snapshot.is_leaving,
+            upstream=snapshot.incarnation.upstream_id if snapshot.incarnation else "",
+        )
         # Balancers whose status arrived before the snapshot are notified now.
         self._notified_incarnations_by_id.clear()
         if self.upstream.can_verify_flows(now=now):
--- a/src/siskinshift/connections/flow_snapshot.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -77,6 +77,7 @@
 
     Attributes:
         is_leave_recorded: Whether the stored snapshot records that the upstream leaves.
+        activity: What the step in progress waits for, for the log; empty outside.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
         self._upload_again_at = 0.0
         self._written: bytes | None = None
         self.is_leave_recorded = False
+        self.activity = ""
         self._has_entry = False
         # Whether this process has ever written an entry, which a restore may lose.
         self._has_written = False
@@ -149,14 +151,17 @@
             is_urgent: Whether the agent writes it itself at once, without the delay of
                 a writer's batch.
         """
+        self.activity = "collecting"
         try:
             snapshot = self._flows()
         except TimeoutError:
             # The instance was frozen; the next step collects the flows again.
             self._log.fact("flow list not collected")
+            self.activity = ""
             return
         value = encode_snapshot(snapshot)
         self._store_value(value, now=now, is_urgent=is_urgent)
+        self.activity = ""
         if value == self._written:
             self.is_leave_recorded = snapshot.is_leaving
         elif self._written is None:
@@ -175,6 +180,7 @@
         is_unchanged = value == self._written and self._lease is None
         if is_unchanged and now < self._upload_again_at:
             return
+        self.activity = "uploading"
         if self._upload(value, is_unchanged):
             # The entry is bound to the writer's lease from now on.
             self._lease = None
@@ -199,6 +205,7 @@
             self._put_back.on_restored(now=now)
 
     def _write(self, value: bytes, *, now: float) -> None:
+        self.activity = "writing"
         try:
             lease = self._ensure_lease(now=now)
             if value != self._written:
--- a/src/siskinshift/connections/snapshot_task.py
+++ b/src/siskinshift/connections/snapshot_task.py
@@ -37,6 +37,11 @@
         """Whether the stored snapshot records that the upstream leaves."""
         return self._is_leave_recorded.is_set()
 
+    @property
+    def activity(self) -> str:
+        """What the step in progress waits for, for the log; empty outside."""
+        return self._snapshots.activity
+
     def write_now(self) -> None:
         """Requests that the agent writes the snapshot itself at once; thread-safe."""
         self._is_urgent.set()
