--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -13,8 +13,10 @@
 from siskinshift.connections.evacuations import EvacuationRegister
 from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.fleet import MIN_HEARTBEAT_INTERVAL_SECONDS
+from siskinshift.connections.flow_snapshot import READ_RETRY_SECONDS
 from siskinshift.connections.flow_snapshot import FlowSnapshot
 from siskinshift.connections.flow_snapshot import FlowSnapshotStore
+from siskinshift.connections.leave_records import LeaveRecords
 from siskinshift.connections.node import ConnectionNode
 from siskinshift.connections.peer_codec import encode_evacuations_message
 from siskinshift.connections.peer_codec import encode_ownership_announcements
@@ -65,8 +67,6 @@
 # Below one second, after which an upstream repeats a request that got no response.
 LOOP_CALL_TIMEOUT_SECONDS = 0.8
 UPSTREAM_RESPONSE_TIMEOUT_SECONDS = 0.9
-# Longest time for which the acknowledgement of a leave waits for its record.
-LEAVE_RECORD_TIMEOUT_SECONDS = 0.3
 # Longest time that a terminating agent continues for running requests. Its next process
 # starts within a second, and most requests take less than this.
 MAX_SHUTDOWN_SECONDS = 1.0
@@ -123,6 +123,12 @@
             ),
         )
         self._snapshot_task = SnapshotTask(snapshots, clock=self.clock)
+        self._leave_records = LeaveRecords(
+            store=self.store,
+            member_id=settings.node_id,
+            clock=self.clock,
+            log=self.log,
+        )
         self._heartbeat_schedule = self.new_heartbeat_schedule(
             interval=MIN_HEARTBEAT_INTERVAL_SECONDS
         )
@@ -140,7 +146,7 @@
         super().on_start()
         if self.node_settings.heartbeats is not None:
             self.serve(self.node_settings.heartbeats, self._handle_upstream_request)
-        self.spawn(self._snapshot_task.run_until, self.stopping, self._apply_snapshot)
+        self.spawn(self._maintain_records)
 
     def add_sockets(self) -> None:
         """Adds the socket for the upstream's packets."""
@@ -309,27 +315,25 @@
         is_applied = self.loop.call(lambda: self._on_upstream_message(message)).result(
             LOOP_CALL_TIMEOUT_SECONDS
         )
-        if not is_applied:
+        if not is_applied or not self._is_durable(message, respond_by=respond_by):
             return ServerResponse(503)
-        if isinstance(message, Heartbeat) and message.is_leaving:
-            self._wait_for_leave_record(message, respond_by=respond_by)
         return ServerResponse(200, ACKNOWLEDGEMENT)
 
-    def _wait_for_leave_record(
-        self, heartbeat: Heartbeat, *, respond_by: float
-    ) -> None:
-        """Waits until the leave is recorded, for a limited time.
+    def _is_durable(
+        self, message: Heartbeat | Deregistration, *, respond_by: float
+    ) -> bool:
+        """Records a leave; returns whether the message may be acknowledged.
 
-        The agent's next process must know what this one has acknowledged. Without the
-        store, that process learns it from the next heartbeat.
+        The agent's next process must know what this one has acknowledged. Until then
+        new flows are refused, and the upstream repeats its heartbeat. A deregistration
+        needs no record, since the upstream ends with it.
         """
-        timeout = min(LEAVE_RECORD_TIMEOUT_SECONDS, respond_by - self.clock())
-        if not self._snapshot_task.wait_for_leave(timeout=timeout):
-            self.log.decision(
-                "leave not recorded",
-                sequence=heartbeat.sequence,
-                activity=self._snapshot_task.activity,
-            )
+        if not isinstance(message, Heartbeat) or not message.is_leaving:
+            return True
+        if message.service_id != self.upstream.service_id:
+            return True
+        timeout = respond_by - self.clock()
+        return self._leave_records.record(message.incarnation, timeout=timeout)
 
     def _on_upstream_message(self, message: Heartbeat | Deregistration) -> bool:
         """Applies a message; returns whether it may be acknowledged."""
@@ -369,8 +373,6 @@
             return
         self._last_heartbeat_at = now
         self._is_process_gone = False
-        if self.upstream.is_leaving and not self._snapshot_task.is_leave_recorded:
-            self._snapshot_task.write_now()
         if effect is HeartbeatEffect.NONE:
             return
         self.log.fact(
@@ -409,6 +411,22 @@
             self.upstream.incarnation.started_ms if self.upstream.incarnation else None
         )
 
+    def _maintain_records(self) -> None:
+        """Reads what previous processes recorded, then maintains the flow snapshot."""
+        leaving = self._leave_records.load()
+        while leaving is None and not self.stopping.wait(READ_RETRY_SECONDS):
+            leaving = self._leave_records.load()
+        if leaving is not None:
+            known = leaving
+            self.loop.call(lambda: self._apply_leaves(known))
+            self._snapshot_task.run_until(self.stopping, self._apply_snapshot)
+
+    def _apply_leaves(self, leaving: frozenset[Incarnation]) -> None:
+        now = self.clock()
+        self.upstream.on_leaves_read(leaving, now=now)
+        self.log.fact("leaves read", leaves=len(leaving))
+        self._update_member(now)
+
     def _apply_snapshot(self, snapshot: FlowSnapshot) -> None:
         peer_port = self.node_settings.peer_port
         flows = [decode_row(row, peer_port=peer_port) for row in snapshot.packets]
@@ -419,10 +437,10 @@
 
     def _restore(self, flows: list[RestoredFlow], snapshot: FlowSnapshot) -> None:
         now = self.clock()
-        self.upstream.on_record_read(
-            snapshot.incarnation if snapshot.is_leaving else None
-        )
-        self._update_member(now)
+        if snapshot.is_leaving and snapshot.incarnation is not None:
+            # Recorded by an older version of this agent.
+            self.upstream.on_leaves_read(frozenset({snapshot.incarnation}), now=now)
+            self._update_member(now)
         self.perform(self.flows.restore(flows, now=now))
         self._apply_restart_check(
             self._upstream_restart_check.on_snapshot_read(snapshot.incarnation)
@@ -463,12 +481,7 @@
         def collect() -> FlowSnapshot:
             flows = self.flows.long_lived_flows(now=self.clock())
             rows = tuple(encode_row(flow) for flow in flows)
-            leaving = self.upstream.leaving_incarnation
-            return FlowSnapshot(
-                rows,
-                leaving or self.upstream.incarnation,
-                is_leaving=leaving is not None,
-            )
+            return FlowSnapshot(rows, self.upstream.incarnation)
 
         return self.loop.call(collect).result(LOOP_CALL_TIMEOUT_SECONDS)
 
--- a/src/siskinshift/connections/flow_snapshot.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -5,9 +5,6 @@
 detect the loss only with its next request, and a request that may not be repeated would
 be lost. With the snapshot, the restarted agent probes the new upstream with each flow,
 so that callers of lost flows are reset before their next request.
-
-The snapshot also records that the upstream leaves: the agent has acknowledged this, and
-a restarted agent must not accept new flows.
 """
 
 from __future__ import annotations
@@ -49,8 +46,7 @@
 # A snapshot with the upstream's incarnation begins with a size that no packet has, then
 # the length of the id, the start in Unix milliseconds (0 if unknown) and the id.
 _INCARNATION_MARKER = bytes(_SIZE_BYTES)
-# Follows the incarnation of an upstream that leaves; no packet has this size either. An
-# older version reads such a snapshot as an empty one.
+# Older versions record here that the upstream leaves; no packet has this size either.
 _LEAVING_MARKER = bytes(_SIZE_BYTES)
 _START_BYTES = 8
 _INCARNATION_HEADER_BYTES = len(_INCARNATION_MARKER) + 1 + _START_BYTES
@@ -64,7 +60,7 @@
     Attributes:
         packets: One repeatable packet of each flow, all of the same size.
         incarnation: Incarnation of the upstream that held them; None if unknown.
-        is_leaving: Whether that incarnation leaves; only if it is known.
+        is_leaving: Whether an older version recorded that this incarnation leaves.
     """
 
     packets: tuple[bytes, ...] = ()
@@ -73,12 +69,7 @@
 
 
 class FlowSnapshotStore:
-    """Writes and reads the snapshot of one agent.
-
-    Attributes:
-        is_leave_recorded: Whether the stored snapshot records that the upstream leaves.
-        activity: What the step in progress waits for, for the log; empty outside.
-    """
+    """Writes and reads the snapshot of one agent."""
 
     def __init__(
         self,
@@ -121,8 +112,6 @@
         self._write_at = 0.0
         self._upload_again_at = 0.0
         self._written: bytes | None = None
-        self.is_leave_recorded = False
-        self.activity = ""
         self._has_entry = False
         # Whether this process has ever written an entry, which a restore may lose.
         self._has_written = False
@@ -151,21 +140,14 @@
             is_urgent: Whether the agent writes it itself at once, without the delay of
                 a writer's batch.
         """
-        self.activity = "collecting"
         try:
             snapshot = self._flows()
         except TimeoutError:
             # The instance was frozen; the next step collects the flows again.
             self._log.fact("flow list not collected")
-            self.activity = ""
             return
         value = encode_snapshot(snapshot)
         self._store_value(value, now=now, is_urgent=is_urgent)
-        self.activity = ""
-        if value == self._written:
-            self.is_leave_recorded = snapshot.is_leaving
-        elif self._written is None:
-            self.is_leave_recorded = False
 
     def _store_value(self, value: bytes, *, now: float, is_urgent: bool) -> None:
         self._handle_restore(now=now)
@@ -180,7 +162,6 @@
         is_unchanged = value == self._written and self._lease is None
         if is_unchanged and now < self._upload_again_at:
             return
-        self.activity = "uploading"
         if self._upload(value, is_unchanged):
             # The entry is bound to the writer's lease from now on.
             self._lease = None
@@ -205,7 +186,6 @@
             self._put_back.on_restored(now=now)
 
     def _write(self, value: bytes, *, now: float) -> None:
-        self.activity = "writing"
         try:
             lease = self._ensure_lease(now=now)
             if value != self._written:
@@ -258,14 +238,12 @@
         flows: The snapshot; flows beyond the maximum are left out.
 
     Returns:
-        The upstream's incarnation, whether it leaves, the packets' size and the
-        packets; empty for a snapshot without flows of an upstream that does not leave.
+        The upstream's incarnation, the packets' size and the packets; empty for a
+        snapshot without flows.
     """
-    header = _encode_incarnation(flows.incarnation)
-    if header and flows.is_leaving:
-        header += _LEAVING_MARKER
     if not flows.packets:
-        return header if flows.is_leaving else b""
+        return b""
+    header = _encode_incarnation(flows.incarnation)
     packets = flows.packets[:MAX_FLOWS]
     size = len(packets[0]).to_bytes(_SIZE_BYTES, "big")
     return header + size + b"".join(packets)
--- a/src/siskinshift/connections/snapshot_task.py
+++ b/src/siskinshift/connections/snapshot_task.py
@@ -30,33 +30,11 @@
         self._snapshots = snapshots
         self._clock = clock
         self._is_urgent = threading.Event()
-        self._is_leave_recorded = threading.Event()
-
-    @property
-    def is_leave_recorded(self) -> bool:
-        """Whether the stored snapshot records that the upstream leaves."""
-        return self._is_leave_recorded.is_set()
-
-    @property
-    def activity(self) -> str:
-        """What the step in progress waits for, for the log; empty outside."""
-        return self._snapshots.activity
 
     def write_now(self) -> None:
         """Requests that the agent writes the snapshot itself at once; thread-safe."""
         self._is_urgent.set()
 
-    def wait_for_leave(self, *, timeout: float) -> bool:
-        """Waits on another thread until the leave of the upstream is recorded.
-
-        Args:
-            timeout: Longest wait, seconds.
-
-        Returns:
-            Whether it is recorded.
-        """
-        return self._is_leave_recorded.wait(timeout)
-
     def run_until(
         self, stopping: threading.Event, on_read: Callable[[FlowSnapshot], object]
     ) -> None:
@@ -76,7 +54,3 @@
             self._is_urgent.clear()
             if not stopping.is_set():
                 self._snapshots.step(now=self._clock(), is_urgent=is_urgent)
-            if self._snapshots.is_leave_recorded:
-                self._is_leave_recorded.set()
-            else:
-                self._is_leave_recorded.clear()
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -26,9 +26,9 @@
 # Time for which a reachable upstream gets no new flows while the record of the previous
 # process is read. The store usually responds within milliseconds.
 RECORD_READ_TIMEOUT_SECONDS = 0.2
-# Ended incarnations kept. Heartbeats are delayed by seconds, and an upstream does not
-# start this often within that time.
-MAX_ENDED_INCARNATIONS = 64
+# Ended and leaving incarnations kept, each. Heartbeats are delayed by seconds, and an
+# upstream does not start this often within that time.
+MAX_KNOWN_INCARNATIONS = 64
 # Weight while the upstream reports that it is cold: requests take about 1.6 times as
 # long then.
 COLD_WEIGHT = FULL_WEIGHT * 5 // 8
@@ -112,7 +112,9 @@
         self._last_heartbeat_at = float("-inf")
         self._reachable_since = float("inf")
         self._is_record_read = False
-        self._recorded_leave: Incarnation | None = None
+        # Incarnations that reported that they leave; none of them returns.
+        self._leaving_incarnations: OrderedDict[Incarnation, None] = OrderedDict()
+        self._leaves_read_at = float("-inf")
         self._cold_until = float("-inf")
         self._presumed_cold_until = float("-inf")
         self._ended: OrderedDict[Incarnation, None] = OrderedDict()
@@ -122,11 +124,6 @@
         """Id of the current incarnation; empty before the first heartbeat."""
         return self.incarnation.upstream_id if self.incarnation else ""
 
-    @property
-    def leaving_incarnation(self) -> Incarnation | None:
-        """Incarnation that leaves, also by the record of an earlier process."""
-        return self.incarnation if self.is_leaving else self._recorded_leave
-
     def on_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> HeartbeatEffect:
         """Applies a heartbeat.
 
@@ -141,6 +138,9 @@
             # Not sent by the upstream of this instance. It would replace that upstream
             # and get no flows, since balancers use the service of the settings.
             return HeartbeatEffect.IGNORED
+        if heartbeat.is_leaving:
+            # Also for a heartbeat that has no other effect.
+            self._add(self._leaving_incarnations, heartbeat.incarnation)
         effect = HeartbeatEffect.NONE
         if self.incarnation is None:
             effect = HeartbeatEffect.CHANGED
@@ -158,9 +158,8 @@
         self._cold_until = now + heartbeat.cold_seconds
         self._presumed_cold_until = float("-inf")
         self.slots = heartbeat.slots
-        was_recorded = heartbeat.incarnation == self._recorded_leave
-        self._recorded_leave = None
-        self.is_leaving = self.is_leaving or heartbeat.is_leaving or was_recorded
+        is_leaving = heartbeat.incarnation in self._leaving_incarnations
+        self.is_leaving = self.is_leaving or is_leaving
         if self.leaving_since is not None:
             self.leaving_heartbeats += 1
         elif self.is_leaving:
@@ -188,17 +187,18 @@
         self._reachable_since = min(self._reachable_since, now)
         return is_first
 
-    def on_record_read(self, leaving: Incarnation | None) -> None:
-        """Applies what the agent's previous process recorded.
+    def on_leaves_read(self, leaving: frozenset[Incarnation], *, now: float) -> None:
+        """Applies the leaves that this agent has recorded, also in earlier processes.
 
         Args:
-            leaving: Incarnation whose leave that process acknowledged; None if there is
-                none.
+            leaving: Incarnations that leave.
+            now: Clock reading, seconds.
         """
         self._is_record_read = True
-        if self.incarnation is None:
-            self._recorded_leave = leaving
-        elif self.incarnation == leaving:
+        self._leaves_read_at = now
+        for incarnation in leaving:
+            self._add(self._leaving_incarnations, incarnation)
+        if self.incarnation in leaving:
             self.is_leaving = True
 
     def on_process_gone(self) -> None:
@@ -261,8 +261,11 @@
 
         Returns:
             JOINING before the first contact and while the upstream is unresponsive.
+            DRAINING also before the first heartbeat if an incarnation has left here,
+            since it may be the one that is reachable.
         """
-        if self.is_leaving or self._recorded_leave is not None:
+        may_be_leaving = self.incarnation is None and self._leaving_incarnations
+        if self.is_leaving or may_be_leaving:
             return MemberState.DRAINING
         since = self._last_heartbeat_at if self.incarnation else self._reachable_since
         if self.incarnation is None and not self._is_record_read:
@@ -321,7 +324,7 @@
         if candidate in self._ended:
             return False
         if self.incarnation is None:
-            return True
+            return self._may_be_first(candidate, now=now)
         relation = candidate.relation_to(self.incarnation)
         if now - self._last_heartbeat_at > self._heartbeat_timeout:
             return relation in (Relation.EARLIER, Relation.LATER)
@@ -329,6 +332,19 @@
             return candidate.started_after(self.incarnation)
         return relation is Relation.LATER
 
+    def _may_be_first(self, candidate: Incarnation, *, now: float) -> bool:
+        """Returns whether a heartbeat may be the first one that this process applies.
+
+        Beside a recorded leave it may be a delayed one of an ended incarnation. It is
+        not if it reports a later start, or once the leaving incarnation is silent.
+        """
+        leaving = self._leaving_incarnations
+        if not leaving or candidate in leaving:
+            return True
+        if all(candidate.started_after(incarnation) for incarnation in leaving):
+            return True
+        return now - self._leaves_read_at > self._heartbeat_timeout
+
     def _switch_to(self, incarnation: Incarnation) -> None:
         if self.incarnation is not None:
             self._add_ended(self.incarnation)
@@ -340,6 +356,12 @@
         self._sequence = -1
 
     def _add_ended(self, incarnation: Incarnation) -> None:
-        self._ended[incarnation] = None
-        while len(self._ended) > MAX_ENDED_INCARNATIONS:
-            self._ended.popitem(last=False)
+        self._add(self._ended, incarnation)
+
+    def _add(
+        self, incarnations: OrderedDict[Incarnation, None], incarnation: Incarnation
+    ) -> None:
+        incarnations[incarnation] = None
+        incarnations.move_to_end(incarnation)
+        while len(incarnations) > MAX_KNOWN_INCARNATIONS:
+            incarnations.popitem(last=False)
--- a/src/siskinshift/kv/exceptions.py
+++ b/src/siskinshift/kv/exceptions.py
@@ -12,6 +12,10 @@
     kind = ErrorKind.STORE_UNAVAILABLE
 
 
+class LeaseNotFoundError(StoreUnavailableError):
+    """A write named a lease that has ended."""
+
+
 class StoreCompactedError(StoreUnavailableError):
     """A watch requested revisions that the store has compacted; read all again."""
 
--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -17,6 +17,7 @@
 from siskinshift.control.documents import get_objects
 from siskinshift.control.exceptions import BadMessageError
 from siskinshift.core.clocks import monotonic_clock
+from siskinshift.kv.exceptions import LeaseNotFoundError
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
 from siskinshift.kv.generations import GENERATION_HEADER
@@ -209,7 +210,7 @@
             )
             return TransactionResult(False, 0, generation, revisions_by_key)
         if response.status == HTTPStatus.NOT_FOUND:
-            raise StoreUnavailableError("no such lease")
+            raise LeaseNotFoundError("no such lease")
         document = decode_document(response)
         try:
             revision = get_integer(document, "revision")
