--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -23,9 +23,6 @@
 # Missed heartbeats after which the upstream counts as unresponsive: new flows go
 # elsewhere until it responds again.
 MAX_MISSED_HEARTBEATS = 3
-# Time for which a reachable upstream gets no new flows while the record of the previous
-# process is read. The store usually responds within milliseconds.
-RECORD_READ_TIMEOUT_SECONDS = 0.2
 # Ended and leaving incarnations kept, each. Heartbeats are delayed by seconds, and an
 # upstream does not start this often within that time.
 MAX_KNOWN_INCARNATIONS = 64
@@ -111,7 +108,7 @@
         self._sequence = -1
         self._last_heartbeat_at = float("-inf")
         self._reachable_since = float("inf")
-        self._is_record_read = False
+        self._are_leaves_read = False
         # Incarnations that reported that they leave; none of them returns.
         self._leaving_incarnations: OrderedDict[Incarnation, None] = OrderedDict()
         self._leaves_read_at = float("-inf")
@@ -175,7 +172,8 @@
         Used only until the first heartbeat. An agent that starts beside a running
         upstream waits 0.77 s for that heartbeat in the users' deployments, and callers
         would be refused meanwhile although the upstream is free. The upstream may also
-        be leaving: without a heartbeat it gets new flows only for a limited time.
+        be leaving: without a heartbeat it gets new flows only once the recorded leaves
+        have been read, and only for a limited time.
 
         Args:
             now: Clock reading, seconds.
@@ -194,7 +192,7 @@
             leaving: Incarnations that leave.
             now: Clock reading, seconds.
         """
-        self._is_record_read = True
+        self._are_leaves_read = True
         self._leaves_read_at = now
         for incarnation in leaving:
             self._add(self._leaving_incarnations, incarnation)
@@ -267,12 +265,10 @@
         may_be_leaving = self.incarnation is None and self._leaving_incarnations
         if self.is_leaving or may_be_leaving:
             return MemberState.DRAINING
+        if self.incarnation is None and not self._are_leaves_read:
+            return MemberState.JOINING
         since = self._last_heartbeat_at if self.incarnation else self._reachable_since
-        if self.incarnation is None and not self._is_record_read:
-            is_ready_from = since + RECORD_READ_TIMEOUT_SECONDS
-        else:
-            is_ready_from = since
-        if is_ready_from <= now <= since + self._heartbeat_timeout:
+        if since <= now <= since + self._heartbeat_timeout:
             return MemberState.READY
         return MemberState.JOINING
 
--- a/tests/connections/test_processes.py
+++ b/tests/connections/test_processes.py
@@ -10,10 +10,12 @@
 
 from siskinshift.connections.flow_snapshot import UPLOAD_INTERVAL_SECONDS
 from siskinshift.connections.registration import member_key
+from siskinshift.connections.upstream_state import MAX_MISSED_HEARTBEATS
 from siskinshift.messages.core import Role
 from siskinshift.platform.store_watch import WATCH_WAIT_SECONDS
 from siskinshift.standins.connection_ends import FlowReset
 from siskinshift.standins.connection_ends import FlowTimeout
+from tests.connections.deployment import HEARTBEAT_SECONDS
 from tests.connections.deployment import Deployment
 
 
@@ -282,6 +284,33 @@
     assert len(leaving.upstream.record.opened_at) == opened
 
 
+def test_an_agent_that_restarts_without_the_store_gives_no_flow_to_a_leaving_upstream(
+    deployment: Deployment,
+) -> None:
+    """Guards against flows by reachability alone while no record can be read."""
+    leaving = deployment.instances_by_name["editor-1"]
+    leaving.is_silent = True
+    leaving.state = "draining"
+    assert leaving.send("Heartbeat") == 200
+
+    deployment.store.state.faults.rejection_status = 503
+    deployment.kill("editor-1")
+    answers = _count(deployment, "editor-1", "upstream answers")
+    restarted_at = time.monotonic()
+    deployment.start("editor-1")
+    _wait_for_event(deployment, "editor-1", "upstream answers", answers + 1)
+    # Longer than an upstream without heartbeats gets flows.
+    time.sleep(MAX_MISSED_HEARTBEATS * HEARTBEAT_SECONDS + 0.5)
+
+    assert _names_that_serve_new_flows(deployment) == {"editor-2"}
+    states = {
+        line["state"]
+        for line in deployment.log_lines("editor-1")
+        if line["event"] == "state" and float(str(line["t"])) > restarted_at
+    }
+    assert "ready" not in states
+
+
 def test_a_leave_is_not_acknowledged_without_a_record(deployment: Deployment) -> None:
     """Guards against an acknowledgement that only one process knows of."""
     leaving = deployment.instances_by_name["editor-1"]
