--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -27,8 +27,9 @@
 from siskinshift.connections.peer_messages import OwnershipAnnouncement
 from siskinshift.connections.placement import AgentPlacement
 from siskinshift.connections.policy_dissemination import PolicyDissemination
-from siskinshift.connections.snapshot_writer import SNAPSHOT_PATH
-from siskinshift.connections.snapshot_writer import UNCHANGED_QUERY
+from siskinshift.connections.snapshot_requests import SNAPSHOT_PATH
+from siskinshift.connections.snapshot_requests import decode_update
+from siskinshift.connections.snapshot_requests import encode_result
 from siskinshift.connections.snapshot_writer import WRITE_TIMEOUT_SECONDS
 from siskinshift.connections.snapshot_writer import SnapshotWriter
 from siskinshift.control.documents import parse_object
@@ -524,12 +525,10 @@
         if not 0 < len(member_id) <= MAX_MEMBER_ID_LENGTH:
             self.log.decision("flow list refused", reason="name", path=request.path)
             return ServerResponse(400)
-        is_unchanged = request.query == UNCHANGED_QUERY
-        write = self._snapshot_writer.submit(
-            member_id, request.body, is_unchanged=is_unchanged
-        )
+        update = decode_update(request.query, request.body)
+        write = self._snapshot_writer.submit(member_id, update)
         try:
-            return ServerResponse(200 if write.result(WRITE_TIMEOUT_SECONDS) else 503)
+            return encode_result(write.result(WRITE_TIMEOUT_SECONDS))
         except TimeoutError:
             # The snapshot may still be written; the agent uploads it again.
             return ServerResponse(503)
--- a/src/siskinshift/connections/flow_snapshot.py
+++ b/src/siskinshift/connections/flow_snapshot.py
@@ -5,6 +5,10 @@
 detect the loss only with its next request, and a request that may not be repeated would
 be lost. With the snapshot, the restarted agent probes the new upstream with each flow,
 so that callers of lost flows are reset before their next request.
+
+Each write names the revision that it replaces. The store may apply a write seconds
+after its response was lost; it would bring back an earlier upstream, and the next
+process would deny flows of the present one.
 """
 
 from __future__ import annotations
@@ -19,6 +23,7 @@
 from siskinshift.connections.put_back import PutBack
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.port import Compare
 from siskinshift.kv.port import Put
 
 
@@ -42,6 +47,10 @@
 MAX_FLOWS = 2000
 # Pause between two attempts to read the snapshot.
 READ_RETRY_SECONDS = 0.4
+# The first attempt may show the current revision.
+MAX_UPLOAD_ATTEMPTS = 2
+# The first conflict shows the current revision; further ones are lost writes.
+MAX_WRITE_ATTEMPTS = 3
 _SIZE_BYTES = 2
 # A snapshot with the upstream's incarnation begins with a size that no packet has, then
 # the length of the id, the start in Unix milliseconds (0 if unknown) and the id.
@@ -68,6 +77,35 @@
     is_leaving: bool = False
 
 
+@frozen
+class SnapshotUpdate:
+    """A snapshot for a writer.
+
+    Attributes:
+        value: The encoded snapshot.
+        revision: Revision of the entry that it replaces, 0 if there is none; None if
+            unknown, then the writer does not write it but returns the revision.
+        is_unchanged: Whether the last write was the same snapshot by a writer.
+    """
+
+    value: bytes
+    revision: int | None
+    is_unchanged: bool = False
+
+
+@frozen
+class UploadResult:
+    """The result of an upload.
+
+    Attributes:
+        is_written: Whether the snapshot is known to be written.
+        revision: Revision of the entry after it; None if unknown.
+    """
+
+    is_written: bool = False
+    revision: int | None = None
+
+
 class FlowSnapshotStore:
     """Writes and reads the snapshot of one agent."""
 
@@ -77,7 +115,7 @@
         store: KeyValueStore,
         member_id: str,
         flows: Callable[[], FlowSnapshot],
-        upload: Callable[[bytes, bool], bool],
+        upload: Callable[[SnapshotUpdate], UploadResult],
         log: EventLog,
         put_back: PutBack | None = None,
     ) -> None:
@@ -87,9 +125,7 @@
             store: The store.
             member_id: Id of the agent.
             flows: Returns the long-lived flows.
-            upload: Uploads the snapshot to a writer; the second argument states whether
-                the last write was the same snapshot by a writer. Returns whether the
-                snapshot is written.
+            upload: Uploads the snapshot to a writer.
             log: Event log.
             put_back: When to write the snapshot again after a restore of the store;
                 None for a time that does not grow with the fleet.
@@ -112,7 +148,8 @@
         self._write_at = 0.0
         self._upload_again_at = 0.0
         self._written: bytes | None = None
-        self._has_entry = False
+        # Revision of the entry, 0 if it is absent; None if a write may have changed it.
+        self._revision: int | None = None
         # Whether this process has ever written an entry, which a restore may lose.
         self._has_written = False
 
@@ -129,7 +166,7 @@
         except StoreUnavailableError as error:
             self._log.decision("flow list not read", error=str(error))
             return None
-        self._has_entry = entry is not None
+        self._revision = entry.revision if entry else 0
         return decode_snapshot(entry.value) if entry else FlowSnapshot()
 
     def step(self, *, now: float, is_urgent: bool = False) -> None:
@@ -153,7 +190,7 @@
         self._handle_restore(now=now)
         if not is_urgent and self._put_back.remaining(now=now):
             return
-        if not value and not self._has_entry:
+        if not value and not (self._revision or self._has_written):
             # There is neither a flow nor an entry, so a lease would serve no purpose.
             return
         if is_urgent:
@@ -162,18 +199,28 @@
         is_unchanged = value == self._written and self._lease is None
         if is_unchanged and now < self._upload_again_at:
             return
-        if self._upload(value, is_unchanged):
+        if self._is_uploaded(value, is_unchanged=is_unchanged):
             # The entry is bound to the writer's lease from now on.
             self._lease = None
-            self._written = value
-            self._has_entry = True
-            self._has_written = True
             self._upload_again_at = now + RENEW_INTERVAL_SECONDS
             self._put_back.on_written(now=now)
         elif now >= self._write_at:
             self._write_at = now + WRITE_INTERVAL_SECONDS
             self._write(value, now=now)
 
+    def _is_uploaded(self, value: bytes, *, is_unchanged: bool) -> bool:
+        for _ in range(MAX_UPLOAD_ATTEMPTS):
+            update = SnapshotUpdate(value, self._revision, is_unchanged)
+            result = self._upload(update)
+            self._revision = result.revision
+            if result.is_written:
+                self._written = value
+                self._has_written = True
+                return True
+            if result.revision is None:
+                break
+        return False
+
     def _handle_restore(self, *, now: float) -> None:
         """Forgets what an earlier generation of the store gave."""
         generation = self._store.generation
@@ -182,6 +229,7 @@
         self._generation = generation
         self._lease = None
         self._written = None
+        self._revision = None
         if self._has_written:
             self._put_back.on_restored(now=now)
 
@@ -189,10 +237,8 @@
         try:
             lease = self._ensure_lease(now=now)
             if value != self._written:
-                put = Put(self._key, value, lease.lease_id)
-                self._store.transact((), (put,))
+                self._replace_entry(Put(self._key, value, lease.lease_id))
                 self._written = value
-                self._has_entry = True
                 self._has_written = True
                 self._put_back.on_written(now=now)
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
@@ -200,6 +246,22 @@
             self._log.fact("flow list not written", error=str(error))
             self._lease = None
             self._written = None
+            self._revision = None
+
+    def _replace_entry(self, put: Put) -> None:
+        """Replaces the entry; raises an error if other writes keep coming first."""
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            revision = self._revision
+            if revision is None:
+                revision = self._store.revision_of(self._key)
+            result = self._store.transact((Compare(self._key, revision),), (put,))
+            if result.succeeded:
+                self._revision = result.revision
+                return
+            # A lost write was applied, or the entry has expired.
+            self._log.decision("flow list superseded", revision=revision)
+            self._revision = result.revisions_by_key.get(self._key)
+        raise StoreUnavailableError("other writes came first")
 
     def _ensure_lease(self, *, now: float) -> Lease:
         if self._lease is not None and now >= self._renew_at:
--- a/src/siskinshift/connections/snapshot_upload.py
+++ b/src/siskinshift/connections/snapshot_upload.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from siskinshift.connections.snapshot_writer import SNAPSHOT_PATH
-from siskinshift.connections.snapshot_writer import UNCHANGED_QUERY
+import attrs
+
+from siskinshift.connections.flow_snapshot import UploadResult
+from siskinshift.connections.snapshot_requests import SNAPSHOT_PATH
+from siskinshift.connections.snapshot_requests import decode_result
+from siskinshift.connections.snapshot_requests import encode_update_query
 from siskinshift.connections.snapshot_writer import WRITE_TIMEOUT_SECONDS
 from siskinshift.runtime.http_client import HttpClient
 
@@ -14,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from siskinshift.connections.flow_snapshot import SnapshotUpdate
     from siskinshift.messages.core import Endpoint
     from siskinshift.observability.event_log import EventLog
 
@@ -47,25 +51,26 @@
         self._endpoint: Endpoint | None = None
         self._client: HttpClient | None = None
 
-    def upload(self, value: bytes, is_unchanged: bool) -> bool:
+    def upload(self, update: SnapshotUpdate) -> UploadResult:
         """Uploads the snapshot.
 
         Args:
-            value: The encoded snapshot.
-            is_unchanged: Whether the last write was the same snapshot by a writer.
+            update: The snapshot and the revision that it replaces.
 
         Returns:
-            Whether the snapshot is written.
+            The result.
         """
         endpoint = self._writer()
         if endpoint is None:
-            return False
+            # Nothing was sent, so the revision is still the current one.
+            return UploadResult(is_written=False, revision=update.revision)
         client = self._client_to(endpoint)
-        is_stored = is_unchanged and endpoint == self._endpoint
-        target = f"{self._path}?{UNCHANGED_QUERY}" if is_stored else self._path
+        if endpoint != self._endpoint:
+            update = attrs.evolve(update, is_unchanged=False)
+        target = f"{self._path}?{encode_update_query(update)}"
         try:
             response = client.request(
-                "POST", target, value, timeout=RESPONSE_TIMEOUT_SECONDS
+                "POST", target, update.value, timeout=RESPONSE_TIMEOUT_SECONDS
             )
         except OSError as error:
             # The agent writes it itself; the next step chooses a writer again.
@@ -73,10 +78,10 @@
                 "flow list not handed over", writer=endpoint.host, error=str(error)
             )
             self._endpoint = None
-            return False
-        is_written = response.status == HTTPStatus.OK
-        self._endpoint = endpoint if is_written else None
-        return is_written
+            return UploadResult()
+        result = decode_result(response)
+        self._endpoint = endpoint if result.is_written else None
+        return result
 
     def close(self) -> None:
         """Closes the connection and aborts a request in progress."""
--- a/src/siskinshift/connections/snapshot_writer.py
+++ b/src/siskinshift/connections/snapshot_writer.py
@@ -4,6 +4,9 @@
 outnumber all other requests of an idle fleet to the store. A balancer of the agents'
 failure domain receives the snapshots over HTTP and writes up to 32 in one transaction,
 under one lease. An agent without a writer, or without a response, writes its own.
+
+Each write names the revisions that it replaces, see `flow_snapshot`. Snapshots whose
+revision is not current are left to their agents.
 """
 
 from __future__ import annotations
@@ -16,9 +19,12 @@
 
 from siskinshift.connections.flow_snapshot import RENEW_INTERVAL_SECONDS
 from siskinshift.connections.flow_snapshot import SNAPSHOT_PREFIX
+from siskinshift.connections.flow_snapshot import SnapshotUpdate
+from siskinshift.connections.flow_snapshot import UploadResult
 from siskinshift.connections.flow_snapshot import snapshot_key
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
+from siskinshift.kv.port import Compare
 from siskinshift.kv.port import Put
 from siskinshift.messages.core import MemberState
 
@@ -33,10 +39,6 @@
     from siskinshift.observability.event_log import EventLog
 
 
-# Followed by the member id of an agent; the body of the request is its snapshot.
-SNAPSHOT_PATH = "/flow-list/"
-# Query string of a snapshot that is the same as in its last write by this writer.
-UNCHANGED_QUERY = "again"
 # Snapshots that arrive within this time are written together.
 WRITE_BATCH_INTERVAL_SECONDS = 1.0
 # The time of one batch, and of one request to a slow store.
@@ -80,11 +82,21 @@
 
 @frozen
 class _PendingSnapshot:
-    """A snapshot that waits to be written."""
+    """A snapshot that waits to be written.
+
+    Attributes:
+        update: The snapshot.
+        result: The result for the agent.
+    """
+
+    update: SnapshotUpdate
+    result: Future[UploadResult]
 
+
+@frozen
+class _WrittenSnapshot:
     value: bytes
-    is_unchanged: bool
-    written: Future[bool]
+    revision: int
 
 
 class SnapshotWriter:
@@ -103,35 +115,32 @@
         self._log = log
         self._lock = threading.Lock()
         self._pending_by_member: dict[str, _PendingSnapshot] = {}
-        self._written_by_member: dict[str, bytes] = {}
+        self._written_by_member: dict[str, _WrittenSnapshot] = {}
         self._lease: Lease | None = None
         self._granted_at = 0.0
         self._check_lease_at = 0.0
         self._is_stopped = False
 
-    def submit(
-        self, member_id: str, value: bytes, *, is_unchanged: bool = False
-    ) -> Future[bool]:
+    def submit(self, member_id: str, update: SnapshotUpdate) -> Future[UploadResult]:
         """Queues an agent's snapshot; may be called on any thread.
 
         Args:
             member_id: Id of the agent.
-            value: Its encoded snapshot.
-            is_unchanged: Whether the last write was the same snapshot by this writer.
+            update: Its snapshot.
 
         Returns:
-            A future that resolves to whether the snapshot is written.
+            A future of the result.
         """
-        snapshot = _PendingSnapshot(value, is_unchanged, Future())
+        snapshot = _PendingSnapshot(update, Future())
         with self._lock:
             before = self._pending_by_member.pop(member_id, None)
             if not self._is_stopped:
                 self._pending_by_member[member_id] = snapshot
         if before is not None:
-            before.written.set_result(False)
-        if self._is_stopped and not snapshot.written.done():
-            snapshot.written.set_result(False)
-        return snapshot.written
+            before.result.set_result(UploadResult())
+        if self._is_stopped and not snapshot.result.done():
+            snapshot.result.set_result(UploadResult())
+        return snapshot.result
 
     def write_until(self, stopping: threading.Event) -> None:
         """Writes queued snapshots until the event is set.
@@ -143,7 +152,7 @@
             self.step()
         with self._lock:
             self._is_stopped = True
-        self._resolve(self._take_pending(), is_written=False)
+        self._reject(self._take_pending())
 
     def step(self) -> None:
         """Writes the snapshots that were queued since the previous step."""
@@ -157,19 +166,17 @@
             # The agents write them themselves.
             self._log.fact("flow lists not kept", lists=len(pending), error=str(error))
             self._lease = None
-        self._resolve(pending, is_written=False)
+        self._reject(pending)
 
     def _take_pending(self) -> dict[str, _PendingSnapshot]:
         with self._lock:
             pending, self._pending_by_member = self._pending_by_member, {}
         return pending
 
-    def _resolve(
-        self, pending: dict[str, _PendingSnapshot], *, is_written: bool
-    ) -> None:
+    def _reject(self, pending: dict[str, _PendingSnapshot]) -> None:
         for snapshot in pending.values():
-            if not snapshot.written.done():
-                snapshot.written.set_result(is_written)
+            if not snapshot.result.done():
+                snapshot.result.set_result(UploadResult())
 
     def _renew_lease(self) -> None:
         """Replaces the lease periodically instead of renewing it.
@@ -200,12 +207,14 @@
         self._written_by_member.clear()
 
     def _write(self, pending: dict[str, _PendingSnapshot]) -> None:
-        assert self._lease is not None
         new = []
         for member_id, snapshot in pending.items():
-            is_same = self._written_by_member.get(member_id) == snapshot.value
-            if snapshot.is_unchanged and is_same:
-                snapshot.written.set_result(True)
+            update = snapshot.update
+            if update.revision is None:
+                revision = self._store.revision_of(snapshot_key(member_id))
+                snapshot.result.set_result(UploadResult(revision=revision))
+            elif update.is_unchanged and self._is_written(member_id, update):
+                snapshot.result.set_result(UploadResult(True, update.revision))
             else:
                 new.append(member_id)
         for start in range(0, len(new), MAX_SNAPSHOTS_PER_TRANSACTION):
@@ -213,12 +222,54 @@
                 member_id: pending[member_id]
                 for member_id in new[start : start + MAX_SNAPSHOTS_PER_TRANSACTION]
             }
-            puts = tuple(
-                Put(snapshot_key(member_id), snapshot.value, self._lease.lease_id)
-                for member_id, snapshot in batch.items()
-            )
-            self._store.transact((), puts)
-            self._written_by_member |= {
-                member_id: snapshot.value for member_id, snapshot in batch.items()
+            current_by_member = self._write_batch(batch)
+            if current_by_member:
+                superseded = {x: batch.pop(x) for x in current_by_member}
+                self._log.decision("flow lists superseded", lists=len(superseded))
+                for member_id, snapshot in superseded.items():
+                    result = UploadResult(revision=current_by_member[member_id])
+                    snapshot.result.set_result(result)
+                self._write_batch(batch)
+
+    def _is_written(self, member_id: str, update: SnapshotUpdate) -> bool:
+        written = self._written_by_member.get(member_id)
+        return written is not None and (
+            (written.value, written.revision) == (update.value, update.revision)
+        )
+
+    def _write_batch(self, batch: dict[str, _PendingSnapshot]) -> dict[str, int | None]:
+        """Writes snapshots in one transaction.
+
+        Args:
+            batch: The snapshots by member id.
+
+        Returns:
+            Revisions of the snapshots that other writes have replaced, by member id;
+            if there are any, none of the batch is written.
+        """
+        assert self._lease is not None
+        if not batch:
+            return {}
+        compares = []
+        puts = []
+        for member_id, snapshot in batch.items():
+            key, update = snapshot_key(member_id), snapshot.update
+            assert update.revision is not None
+            compares.append(Compare(key, update.revision))
+            puts.append(Put(key, update.value, self._lease.lease_id))
+        result = self._store.transact(tuple(compares), tuple(puts))
+        if not result.succeeded:
+            current_by_member = {
+                member_id: result.revisions_by_key.get(snapshot_key(member_id))
+                for member_id in batch
+            }
+            return {
+                member_id: revision
+                for member_id, revision in current_by_member.items()
+                if revision != batch[member_id].update.revision
             }
-            self._resolve(batch, is_written=True)
+        for member_id, snapshot in batch.items():
+            written = _WrittenSnapshot(snapshot.update.value, result.revision)
+            self._written_by_member[member_id] = written
+            snapshot.result.set_result(UploadResult(True, result.revision))
+        return {}
--- a/src/siskinshift/standins/platform_store.py
+++ b/src/siskinshift/standins/platform_store.py
@@ -199,6 +199,13 @@
         item = self._items_by_key.get(key)
         return base64.b64decode(item.value) if item else None
 
+    def revision(self, key: str) -> int:
+        """Returns the revision of a key, 0 if it does not exist."""
+        self._apply_late_writes()
+        self._remove_expired_leases()
+        item = self._items_by_key.get(key)
+        return item.revision if item else 0
+
     def key_names(self) -> list[str]:
         """Returns all keys in sorted order."""
         self._apply_late_writes()
