--- a/src/siskinshift/connections/leave_records.py
+++ b/src/siskinshift/connections/leave_records.py
@@ -32,6 +32,7 @@
     from siskinshift.kv.port import Lease
     from siskinshift.kv.port import TransactionResult
     from siskinshift.observability.event_log import EventLog
+    from siskinshift.observability.event_log import EventValue
 
 
 LEAVES_PREFIX = "siskinshift/leaves/"
@@ -65,6 +66,8 @@
         self._granted_at = 0.0
         # When each record was last known to exist, clock reading.
         self._checked_at_by_incarnation: dict[Incarnation, float] = {}
+        # Incarnations whose record may have been created without a response.
+        self._uncertain: set[Incarnation] = set()
         self._generation = store.generation
 
     def load(self) -> frozenset[Incarnation] | None:
@@ -123,10 +126,15 @@
             # A restore of the store may have lost the records.
             self._checked_at_by_incarnation.clear()
             self._generation = self._store.generation
+        now = self._clock()
         checked_at = self._checked_at_by_incarnation.get(incarnation)
         if checked_at is None:
-            return False
-        now = self._clock()
+            if incarnation not in self._uncertain:
+                return False
+            if self._store.get(self._key(incarnation)) is None:
+                return False
+            self._on_recorded(incarnation, now=now)
+            return True
         if now < checked_at + CHECK_INTERVAL_SECONDS:
             return True
         try:
@@ -149,15 +157,28 @@
             # It expired in an outage since the previous attempt.
             self._lease = None
             result = self._put_new(incarnation)
+        except StoreOutcomeUnknownError:
+            self._uncertain.add(incarnation)
+            raise
         # If the condition failed, an earlier write of the same record has been applied.
         now = self._clock()
+        self._on_recorded(
+            incarnation,
+            now=now,
+            is_new=result.succeeded,
+            seconds=round(now - started_at, 3),
+        )
+
+    def _on_recorded(
+        self, incarnation: Incarnation, *, now: float, **details: EventValue
+    ) -> None:
+        self._uncertain.discard(incarnation)
         self._checked_at_by_incarnation[incarnation] = now
         self._log.fact(
             "leave recorded",
             upstream=incarnation.upstream_id,
             started_ms=incarnation.started_ms,
-            is_new=result.succeeded,
-            seconds=round(now - started_at, 3),
+            **details,
         )
 
     def _put_new(self, incarnation: Incarnation) -> TransactionResult:
