--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -3,7 +3,10 @@
 The entry is bound to a lease. During an outage of the store, nodes continue with the
 members that they know; afterwards an expired entry is written again within the pause
 between two attempts. The store may also silently drop an entry whose lease is valid, so
-the node checks its own entry periodically and writes it again if it is missing.
+the node checks its own entry periodically and writes it again if it is missing. Each
+write names the revision that it replaces: the store may apply a write of this process
+or of its predecessor seconds after the response was lost, which would bind the entry to
+a lease that nobody renews.
 
 Members are read at the start, and again while one of them is unresponsive, to detect
 that its entry has expired. Otherwise they are not read, since the volume would grow
@@ -26,6 +29,7 @@
 from siskinshift.kv.exceptions import StoreOutcomeUnknownError
 from siskinshift.kv.exceptions import StoreUnavailableError
 from siskinshift.kv.guard import Backoff
+from siskinshift.kv.port import Compare
 from siskinshift.kv.port import Put
 
 
@@ -54,6 +58,8 @@
 READ_INTERVAL_SECONDS = 6.0
 # An entry must be written again within two seconds of the store's recovery.
 RETRY_BACKOFF = Backoff(0.2, 0.8)
+# The first conflict shows the current revision; further ones are lost writes.
+MAX_WRITE_ATTEMPTS = 3
 
 
 def member_key(member_id: str, role: Role) -> str:
@@ -103,8 +109,11 @@
     def list_prefix_stale(self, prefix: str) -> Snapshot:
         """Reads all entries with a prefix, which may be seconds out of date."""
 
+    def revision_of(self, key: str) -> int:
+        """Returns the revision of an entry; 0 if absent."""
+
     def transact(
-        self, compares: tuple[()], operations: tuple[Put, ...]
+        self, compares: tuple[Compare, ...], operations: tuple[Put, ...]
     ) -> TransactionResult:
         """Writes entries in one transaction."""
 
@@ -159,7 +168,8 @@
             "store", retry=RETRY_BACKOFF, random=random, log=log
         )
         self._lease: Lease | None = None
-        self._uncertain_lease: Lease | None = None
+        # Revision of the entry; None if a write whose response was lost may change it.
+        self._revision: int | None = 0
         self._generation = store.generation
         self._put_back = PutBack(
             "entry", order=0, spread=spread, random=random, log=log
@@ -224,10 +234,11 @@
         if generation == self._generation:
             return
         self._generation = generation
-        if not self._has_registered and self._uncertain_lease is None:
+        is_new = not self._has_registered and self._revision is not None
+        self._revision = None
+        if is_new:
             return
         self._lease = None
-        self._uncertain_lease = None
         due_at = self._put_back.on_restored(now=now)
         # Until all members had the time to put their entries back, a read would show
         # members without an entry that are only cut off for a moment.
@@ -235,15 +246,11 @@
         self._has_current_read = True
 
     def _register(self, *, now: float) -> None:
-        lease = self._lease_for_entry()
+        lease = self._store.grant_lease(LEASE_SECONDS)
         own = self._own()
         value = encode_json(member_document(own))
         key = member_key(own.member_id, own.role)
-        try:
-            self._store.transact((), (Put(key, value, lease.lease_id),))
-        except StoreOutcomeUnknownError:
-            self._uncertain_lease = lease
-            raise
+        self._replace_entry(Put(key, value, lease.lease_id))
         self._lease = lease
         self._has_registered = True
         self._generation = lease.generation
@@ -255,18 +262,20 @@
         self._log.fact("registered", lease=lease.lease_id)
         self._put_back.on_written(now=now)
 
-    def _lease_for_entry(self) -> Lease:
-        """Returns the lease of a write whose response was lost, or a new lease.
-
-        The store may apply a write seconds after its response was lost. With a new
-        lease, that late write would bind the entry to the old lease, which is no longer
-        renewed. The entry would expire with it, and a starting balancer would not
-        discover this node.
-        """
-        lease, self._uncertain_lease = self._uncertain_lease, None
-        if lease is not None and self._is_renewed(lease):
-            return lease
-        return self._store.grant_lease(LEASE_SECONDS)
+    def _replace_entry(self, put: Put) -> None:
+        """Replaces the entry; raises an error if other writes keep coming first."""
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            revision, self._revision = self._revision, None
+            if revision is None:
+                revision = self._store.revision_of(put.key)
+            result = self._store.transact((Compare(put.key, revision),), (put,))
+            if result.succeeded:
+                self._revision = result.revision
+                return
+            # An entry of the previous process, or an expired one.
+            self._log.decision("entry superseded", revision=revision)
+            self._revision = result.revisions_by_key.get(put.key)
+        raise StoreUnavailableError("other writes came first")
 
     def _is_renewed(self, lease: Lease) -> bool:
         """Renews a lease; returns whether it has not expired.
