--- a/tests/connections/test_store_restored_stateful.py
+++ b/tests/connections/test_store_restored_stateful.py
@@ -281,6 +281,14 @@
         for key, value in lost:
             self.write(key, value)
 
+    @rule(
+        delays=strategies.lists(
+            strategies.sampled_from([0.5, 2.0, 5.0]), min_size=1, max_size=3
+        )
+    )
+    def delay_writes(self, delays: list[float]) -> None:
+        self.state.faults.late_write_delays = delays
+
     @rule(steps=strategies.integers(1, 12))
     def run_nodes(self, steps: int) -> None:
         for _ in range(steps):
@@ -326,6 +334,7 @@
     @rule()
     def converge(self) -> None:
         """Operators write again; then every order is in force within the bound."""
+        self.state.faults.late_write_delays = []
         self.run_nodes(4)
         self.write_again()
         for _ in range(2):
