--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -116,6 +116,7 @@
         self._removed_at = float("-inf")
         self._hello_sent_at = float("-inf")
         self.is_shutting_down = False
+        self._is_stop_requested = False
 
     def on_start(self) -> None:
         """Starts the HTTP servers, the event handlers and the registration."""
@@ -136,12 +137,17 @@
 
     def run(self) -> None:
         """Runs the event loop on the calling thread until the application stops."""
-        signal.signal(signal.SIGTERM, lambda *_: self.loop.call(self._on_stop_signal))
-        signal.signal(signal.SIGINT, lambda *_: self.loop.call(self._on_stop_signal))
+        signal.signal(signal.SIGTERM, lambda *_: self.request_stop())
+        signal.signal(signal.SIGINT, lambda *_: self.request_stop())
         signal.signal(signal.SIGHUP, lambda *_: self.loop.call(self.on_reload))
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.loop.run_until(self.stopping)
 
+    def request_stop(self) -> None:
+        """Requests the planned shutdown; may be called in a signal handler."""
+        self._is_stop_requested = True
+        self.loop.call(self._on_stop_signal)
+
     def serve(self, endpoint: Endpoint, handler: Handler) -> None:
         """Serves HTTP at an endpoint.
 
@@ -454,7 +460,10 @@
     def _handle_readiness_request(self, request: HttpRequest) -> ServerResponse:
         if request.path != READINESS_PATH:
             return ServerResponse(404)
-        return ServerResponse(200 if self.is_ready else 503)
+        # The event loop may be stalled and not have started the shutdown yet.
+        is_unhandled = self._is_stop_requested and not self.is_shutting_down
+        is_ready = self.is_ready and not is_unhandled
+        return ServerResponse(200 if is_ready else 503)
 
     def _on_stop_signal(self) -> None:
         if self.is_shutting_down:
--- a/tests/connections/test_balancer_node.py
+++ b/tests/connections/test_balancer_node.py
@@ -15,8 +15,11 @@
 from siskinshift.connections.peer_messages import Load
 from siskinshift.connections.peer_messages import Status
 from siskinshift.messages.core import Endpoint
+from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
+from siskinshift.platform.heartbeats import READINESS_PATH
 from siskinshift.runtime.http_client import TransferProgress
+from siskinshift.runtime.http_server import HttpRequest
 from tests.connections.builders import member
 from tests.connections.builders import routes
 from tests.connections.in_memory_store import SETTINGS
@@ -147,3 +150,15 @@
     assert balancer._is_fetching
     balancer.loop._run_calls()
     assert not balancer._is_fetching
+
+
+def test_a_stalled_balancer_reports_not_ready_after_sigterm() -> None:
+    """Guards against packets of routers while the event loop does not run."""
+    balancer = _Balancer()
+    balancer.change_member(state=MemberState.READY, weight=1, slots=1)
+    readiness = HttpRequest("GET", READINESS_PATH, b"")
+    assert balancer._handle_readiness_request(readiness).status == 200
+
+    balancer.request_stop()
+
+    assert balancer._handle_readiness_request(readiness).status == 503
