--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 import attrs
@@ -32,24 +31,22 @@
 from siskinshift.connections.snapshot_task import SnapshotTask
 from siskinshift.connections.snapshot_upload import SnapshotUpload
 from siskinshift.connections.snapshot_writer import choose_writer
+from siskinshift.connections.upstream_probe import UpstreamProbe
+from siskinshift.connections.upstream_requests import UpstreamRequests
 from siskinshift.connections.upstream_restart_check import UpstreamRestartCheck
 from siskinshift.connections.upstream_state import Deregistration
-from siskinshift.connections.upstream_state import Heartbeat
 from siskinshift.connections.upstream_state import HeartbeatEffect
 from siskinshift.connections.upstream_state import UpstreamState
-from siskinshift.control.exceptions import BadMessageError
 from siskinshift.messages.core import MemberState
 from siskinshift.messages.core import Role
-from siskinshift.platform.heartbeats import ACKNOWLEDGEMENT
-from siskinshift.platform.heartbeats import decode_upstream_request
 from siskinshift.platform.packets import decode_from_caller
 from siskinshift.platform.packets import decode_from_upstream
 from siskinshift.runtime.event_loop import open_datagram_socket
-from siskinshift.runtime.http_server import ServerResponse
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from concurrent.futures import Future
 
     from siskinshift.connections.actions import Action
     from siskinshift.connections.fleet import Peer
@@ -59,14 +56,14 @@
     from siskinshift.connections.owned_flow import RestoredFlow
     from siskinshift.connections.peer_messages import Load
     from siskinshift.connections.peer_messages import PeerMessage
+    from siskinshift.connections.upstream_requests import UpstreamMessage
+    from siskinshift.connections.upstream_state import Heartbeat
     from siskinshift.messages.core import Endpoint
     from siskinshift.messages.core import Member
-    from siskinshift.runtime.http_server import HttpRequest
 
 
-# Below one second, after which an upstream repeats a request that got no response.
+# Longest wait of another thread for the event loop.
 LOOP_CALL_TIMEOUT_SECONDS = 0.8
-UPSTREAM_RESPONSE_TIMEOUT_SECONDS = 0.9
 # Longest time that a terminating agent continues for running requests. Its next process
 # starts within a second, and most requests take less than this.
 MAX_SHUTDOWN_SECONDS = 1.0
@@ -74,10 +71,8 @@
 # After this delay of a heartbeat the agent probes whether the upstream's process is
 # still running.
 LATE_HEARTBEAT_SECONDS = 0.25
-PROBE_INTERVAL_SECONDS = 0.2
 # Interval at which the agent checks its upstream.
 CHECK_INTERVAL_SECONDS = 0.1
-PROBE_TIMEOUT_SECONDS = 0.3
 
 
 class AgentNode(ConnectionNode):
@@ -104,6 +99,16 @@
         self._upstream_socket = open_datagram_socket(outlet.host, outlet.port)
         self.add_cleanup(self._upstream_socket.close)
         self._upstream_address = (settings.upstream.host, settings.upstream.port)
+        self._upstream_probe = UpstreamProbe(
+            self._upstream_address,
+            spawn=self.spawn,
+            on_reachable=lambda: self.loop.call(self._on_upstream_reachable),
+            on_refused=lambda started_at: self.loop.call(
+                lambda: self._on_process_gone(started_at)
+            ),
+            clock=self.clock,
+            log=self.log,
+        )
         self._snapshot_upload = SnapshotUpload(
             member_id=settings.node_id, writer=self._choose_writer, log=self.log
         )
@@ -129,12 +134,17 @@
             clock=self.clock,
             log=self.log,
         )
+        self._upstream_requests = UpstreamRequests(
+            service_id=settings.service_id,
+            apply=self._apply_upstream_message,
+            leave_records=self._leave_records,
+            clock=self.clock,
+            log=self.log,
+        )
         self._heartbeat_schedule = self.new_heartbeat_schedule(
             interval=MIN_HEARTBEAT_INTERVAL_SECONDS
         )
         self._last_heartbeat_at = float("-inf")
-        self._probed_at = float("-inf")
-        self._is_probing = False
         self._is_process_gone = False
         self._verified_incarnation: Incarnation | None = None
         self._upstream_restart_check = UpstreamRestartCheck()
@@ -145,7 +155,7 @@
         """Starts the heartbeat server and the task that maintains the flow snapshot."""
         super().on_start()
         if self.node_settings.heartbeats is not None:
-            self.serve(self.node_settings.heartbeats, self._handle_upstream_request)
+            self.serve(self.node_settings.heartbeats, self._upstream_requests.handle)
         self.spawn(self._maintain_records)
 
     def add_sockets(self) -> None:
@@ -300,42 +310,10 @@
         self._on_upstream_reachable()
         self.perform(self.flows.on_upstream_segment(segment, now=now))
 
-    def _handle_upstream_request(self, request: HttpRequest) -> ServerResponse:
-        try:
-            message = decode_upstream_request(request)
-        except BadMessageError as error:
-            # The sender is not this instance's upstream and may send at any rate.
-            self.log.decision("heartbeat refused", error=str(error), path=request.path)
-            return ServerResponse(400)
-        if message is None:
-            return ServerResponse(404)
-        respond_by = self.clock() + UPSTREAM_RESPONSE_TIMEOUT_SECONDS
-        # Acknowledged only once applied: balancers have been notified, and the agent
-        # refuses new flows from now on if the upstream leaves.
-        is_applied = self.loop.call(lambda: self._on_upstream_message(message)).result(
-            LOOP_CALL_TIMEOUT_SECONDS
-        )
-        if not is_applied or not self._is_durable(message, respond_by=respond_by):
-            return ServerResponse(503)
-        return ServerResponse(200, ACKNOWLEDGEMENT)
-
-    def _is_durable(
-        self, message: Heartbeat | Deregistration, *, respond_by: float
-    ) -> bool:
-        """Records a leave; returns whether the message may be acknowledged.
-
-        The agent's next process must know what this one has acknowledged. Until then
-        new flows are refused, and the upstream repeats its heartbeat. A deregistration
-        needs no record, since the upstream ends with it.
-        """
-        if not isinstance(message, Heartbeat) or not message.is_leaving:
-            return True
-        if message.service_id != self.upstream.service_id:
-            return True
-        timeout = respond_by - self.clock()
-        return self._leave_records.record(message.incarnation, timeout=timeout)
+    def _apply_upstream_message(self, message: UpstreamMessage) -> Future[bool]:
+        return self.loop.call(lambda: self._on_upstream_message(message))
 
-    def _on_upstream_message(self, message: Heartbeat | Deregistration) -> bool:
+    def _on_upstream_message(self, message: UpstreamMessage) -> bool:
         """Applies a message; returns whether it may be acknowledged."""
         now = self.clock()
         if isinstance(message, Deregistration):
@@ -519,26 +497,7 @@
             return
         if self.upstream.incarnation and not self.flows.is_awaiting_upstream:
             return
-        if not self._is_probing and now - self._probed_at >= PROBE_INTERVAL_SECONDS:
-            self._probed_at = now
-            self._is_probing = True
-            self.spawn(self._probe_process)
-
-    def _probe_process(self) -> None:
-        started_at = self.clock()
-        try:
-            connection = socket.create_connection(
-                self._upstream_address, PROBE_TIMEOUT_SECONDS
-            )
-            connection.close()
-            self.loop.call(self._on_upstream_reachable)
-        except ConnectionRefusedError:
-            self.loop.call(lambda: self._on_process_gone(started_at))
-        except OSError as error:
-            # Inconclusive: the upstream or the instance may be slow.
-            self.log.fact("upstream probe failed", error=str(error))
-        finally:
-            self._is_probing = False
+        self._upstream_probe.start_if_due(now=now)
 
     def _on_upstream_reachable(self) -> None:
         if self.upstream.incarnation:
