--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -64,6 +64,8 @@
 
 # Longest wait of another thread for the event loop.
 LOOP_CALL_TIMEOUT_SECONDS = 0.8
+# Longest wait of the snapshot's thread for a heartbeat that records the leave.
+LEAVE_TIMEOUT_SECONDS = 0.5
 # Longest time that a terminating agent continues for running requests. Its next process
 # starts within a second, and most requests take less than this.
 MAX_SHUTDOWN_SECONDS = 1.0
@@ -127,7 +129,9 @@
                 log=self.log,
             ),
         )
-        self._snapshot_task = SnapshotTask(snapshots, clock=self.clock)
+        self._snapshot_task = SnapshotTask(
+            snapshots, maintain_leave=self._maintain_leave, clock=self.clock
+        )
         self._leave_records = LeaveRecords(
             store=self.store,
             member_id=settings.node_id,
@@ -399,6 +403,13 @@
             self.loop.call(lambda: self._apply_leaves(known))
             self._snapshot_task.run_until(self.stopping, self._apply_snapshot)
 
+    def _maintain_leave(self) -> None:
+        """Creates the record of a leave again if a restore of the store has lost it."""
+        incarnation = self.upstream.incarnation
+        is_leaving = self.upstream.is_leaving and not self.upstream.is_gone
+        if incarnation is not None and is_leaving:
+            self._leave_records.record(incarnation, timeout=LEAVE_TIMEOUT_SECONDS)
+
     def _apply_leaves(self, leaving: frozenset[Incarnation]) -> None:
         now = self.clock()
         self.upstream.on_leaves_read(leaving, now=now)
--- a/src/siskinshift/connections/snapshot_task.py
+++ b/src/siskinshift/connections/snapshot_task.py
@@ -20,14 +20,22 @@
 class SnapshotTask:
     """Reads the snapshot of the previous process, then writes this one's."""
 
-    def __init__(self, snapshots: FlowSnapshotStore, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        snapshots: FlowSnapshotStore,
+        *,
+        maintain_leave: Callable[[], object],
+        clock: Clock,
+    ) -> None:
         """Initializes the task; `run_until` runs it.
 
         Args:
             snapshots: Reads and writes the snapshot.
+            maintain_leave: Creates the record of a leave again if the store lost it.
             clock: Clock of the process.
         """
         self._snapshots = snapshots
+        self._maintain_leave = maintain_leave
         self._clock = clock
         self._is_urgent = threading.Event()
 
@@ -53,4 +61,5 @@
             is_urgent = self._is_urgent.wait(UPLOAD_INTERVAL_SECONDS)
             self._is_urgent.clear()
             if not stopping.is_set():
+                self._maintain_leave()
                 self._snapshots.step(now=self._clock(), is_urgent=is_urgent)
--- a/tests/connections/test_store_restored_processes.py
+++ b/tests/connections/test_store_restored_processes.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from siskinshift.connections.leave_records import LEAVES_PREFIX
 from siskinshift.platform.configuration import CONFIGURATION_KEY
 from siskinshift.platform.evacuations import EVACUATIONS_PREFIX
 from tests.connections.deployment import Deployment
@@ -102,3 +103,21 @@
         lambda: _has_line(deployment, "balancer-1", "evacuations in force", domains="")
     )
     assert "editor-a" in _owners(deployment, count=30)
+
+
+def test_an_acknowledged_leave_outlives_a_restore(deployment: Deployment) -> None:
+    """Guards against a restore that takes back the record of a silent upstream."""
+    leaving = deployment.instances_by_name["editor-a"]
+    time.sleep(COPY_AGE_SECONDS)
+    leaving.is_silent = True
+    leaving.state = "draining"
+    assert leaving.send("Heartbeat") == 200
+
+    deployment.store.restore(age=COPY_AGE_SECONDS)
+    state = deployment.store.state
+    assert not [key for key in state.key_names() if key.startswith(LEAVES_PREFIX)]
+    _wait_for(lambda: any(key.startswith(LEAVES_PREFIX) for key in state.key_names()))
+    deployment.kill("editor-a")
+    deployment.start("editor-a")
+
+    assert _owners(deployment) == {"editor-b"}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -231,6 +231,14 @@
     _delay_writes(soak, LATE_DELAYS_BY_VARIANT[step.variant])
 
 
+@register_fault(max_duration_seconds=1.0, variants=("1", "4", "4 twice"))
+def restore(soak: Soak, step: Step) -> None:
+    """Restores the store from a copy some seconds old, once or twice in a row."""
+    age, _, twice = step.variant.partition(" ")
+    for _ in range(2 if twice else 1):
+        soak.restore_store(age=float(age), pause=step.duration_seconds)
+
+
 @register_fault(
     targets=NODES,
     max_targets=6,
