--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -9,10 +9,10 @@
 
 from siskinshift.connections.actions import ToPeer
 from siskinshift.connections.agent_flows import AgentFlows
+from siskinshift.connections.agent_records import AgentRecords
 from siskinshift.connections.evacuations import EvacuationRegister
 from siskinshift.connections.evacuations import Evacuations
 from siskinshift.connections.fleet import MIN_HEARTBEAT_INTERVAL_SECONDS
-from siskinshift.connections.flow_snapshot import READ_RETRY_SECONDS
 from siskinshift.connections.flow_snapshot import FlowSnapshot
 from siskinshift.connections.flow_snapshot import FlowSnapshotStore
 from siskinshift.connections.leave_records import LeaveRecords
@@ -28,7 +28,6 @@
 from siskinshift.connections.registration import role_prefix
 from siskinshift.connections.snapshot_rows import decode_row
 from siskinshift.connections.snapshot_rows import encode_row
-from siskinshift.connections.snapshot_task import SnapshotTask
 from siskinshift.connections.snapshot_upload import SnapshotUpload
 from siskinshift.connections.snapshot_writer import choose_writer
 from siskinshift.connections.upstream_probe import UpstreamProbe
@@ -64,8 +63,6 @@
 
 # Longest wait of another thread for the event loop.
 LOOP_CALL_TIMEOUT_SECONDS = 0.8
-# Longest wait of the snapshot's thread for a heartbeat that records the leave.
-LEAVE_TIMEOUT_SECONDS = 0.5
 # Longest time that a terminating agent continues for running requests. Its next process
 # starts within a second, and most requests take less than this.
 MAX_SHUTDOWN_SECONDS = 1.0
@@ -129,19 +126,22 @@
                 log=self.log,
             ),
         )
-        self._snapshot_task = SnapshotTask(
-            snapshots, maintain_leave=self._maintain_leave, clock=self.clock
-        )
-        self._leave_records = LeaveRecords(
+        leaves = LeaveRecords(
             store=self.store,
             member_id=settings.node_id,
             clock=self.clock,
             log=self.log,
         )
+        self._records = AgentRecords(
+            leaves=leaves,
+            snapshots=snapshots,
+            leaving=lambda: self.upstream.leaving_incarnation,
+            clock=self.clock,
+        )
         self._upstream_requests = UpstreamRequests(
             service_id=settings.service_id,
             apply=self._apply_upstream_message,
-            leave_records=self._leave_records,
+            leave_records=leaves,
             clock=self.clock,
             log=self.log,
         )
@@ -160,7 +160,12 @@
         super().on_start()
         if self.node_settings.heartbeats is not None:
             self.serve(self.node_settings.heartbeats, self._upstream_requests.handle)
-        self.spawn(self._maintain_records)
+        self.spawn(
+            self._records.run_until,
+            self.stopping,
+            self._apply_leaves,
+            self._apply_snapshot,
+        )
 
     def add_sockets(self) -> None:
         """Adds the socket for the upstream's packets."""
@@ -371,7 +376,7 @@
             # This process tracks all flows of the new incarnation. The next process
             # must not apply a snapshot of an earlier incarnation to it.
             self.flows.mark_all_known()
-            self._snapshot_task.write_now()
+            self._records.write_now()
         if self.upstream.incarnation != self._verified_incarnation:
             # Verifies all flows at once. The new incarnation returns the flows of the
             # previous one, which are reset; its own flows remain.
@@ -393,24 +398,10 @@
             self.upstream.incarnation.started_ms if self.upstream.incarnation else None
         )
 
-    def _maintain_records(self) -> None:
-        """Reads what previous processes recorded, then maintains the flow snapshot."""
-        leaving = self._leave_records.load()
-        while leaving is None and not self.stopping.wait(READ_RETRY_SECONDS):
-            leaving = self._leave_records.load()
-        if leaving is not None:
-            known = leaving
-            self.loop.call(lambda: self._apply_leaves(known))
-            self._snapshot_task.run_until(self.stopping, self._apply_snapshot)
-
-    def _maintain_leave(self) -> None:
-        """Creates the record of a leave again if a restore of the store has lost it."""
-        incarnation = self.upstream.incarnation
-        is_leaving = self.upstream.is_leaving and not self.upstream.is_gone
-        if incarnation is not None and is_leaving:
-            self._leave_records.record(incarnation, timeout=LEAVE_TIMEOUT_SECONDS)
-
     def _apply_leaves(self, leaving: frozenset[Incarnation]) -> None:
+        self.loop.call(lambda: self._on_leaves_read(leaving))
+
+    def _on_leaves_read(self, leaving: frozenset[Incarnation]) -> None:
         now = self.clock()
         self.upstream.on_leaves_read(leaving, now=now)
         self.log.fact("leaves read", leaves=len(leaving))
@@ -523,7 +514,7 @@
     def on_stop(self) -> None:
         """Deregisters the node if its upstream has deregistered."""
         super().on_stop()
-        self._snapshot_task.write_now()
+        self._records.write_now()
         if self.upstream.is_gone:
             self.deregister()
 
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -121,6 +121,14 @@
         """Id of the current incarnation; empty before the first heartbeat."""
         return self.incarnation.upstream_id if self.incarnation else ""
 
+    @property
+    def leaving_incarnation(self) -> Incarnation | None:
+        """Incarnation that leaves and has not deregistered; for any thread."""
+        # Read once: another thread may replace it, and its successor does not leave.
+        incarnation = self.incarnation
+        is_leaving = incarnation in self._leaving_incarnations and not self.is_gone
+        return incarnation if is_leaving else None
+
     def on_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> HeartbeatEffect:
         """Applies a heartbeat.
 
--- a/tests/connections/test_upstream_state.py
+++ b/tests/connections/test_upstream_state.py
@@ -357,3 +357,20 @@
 
     upstream.on_heartbeat(heartbeat(), now=2.0)
     assert upstream.accepts(now=2.0)
+
+
+def test_only_a_running_incarnation_is_reported_as_leaving() -> None:
+    """Guards against a record of a leave for the successor of the one that leaves."""
+    upstream = ready_upstream(upstream_id="u-1")
+    assert upstream.leaving_incarnation is None
+
+    upstream.on_heartbeat(heartbeat("u-1", sequence=9, is_leaving=True), now=0.1)
+    assert upstream.leaving_incarnation == Incarnation("u-1")
+
+    silent_at = 0.2 + MAX_MISSED_HEARTBEATS * HEARTBEAT_SECONDS
+    upstream.on_heartbeat(heartbeat("u-2", sequence=9), now=silent_at)
+    assert upstream.leaving_incarnation is None
+
+    upstream.on_heartbeat(heartbeat("u-2", sequence=10, is_leaving=True), now=silent_at)
+    upstream.on_deregistration(Incarnation("u-2"))
+    assert upstream.leaving_incarnation is None
