--- a/src/siskinshift/connections/leave_records.py
+++ b/src/siskinshift/connections/leave_records.py
@@ -38,8 +38,8 @@
 LEAVES_PREFIX = "siskinshift/leaves/"
 # The longest lease of the platform's store; a leaving upstream ends much sooner.
 LEASE_SECONDS = 600.0
-# Interval at which a leaving upstream's heartbeat checks that its record still exists:
-# the store may drop entries and expire all leases.
+# Interval at which the record of a leaving upstream is checked: the store may drop
+# entries and expire all leases.
 CHECK_INTERVAL_SECONDS = 3.0
 
 
@@ -140,7 +140,7 @@
         try:
             exists = self._store.get(self._key(incarnation)) is not None
         except StoreUnavailableError as error:
-            # It existed at the last check; the next heartbeat checks again.
+            # It existed at the last check; the next call checks again.
             self._log.fact("leave not checked", error=str(error))
             return True
         if exists:
--- a/src/siskinshift/connections/snapshot_writer.py
+++ b/src/siskinshift/connections/snapshot_writer.py
@@ -2,7 +2,7 @@
 
 With a hundred agents whose snapshots change every second, separate writes would
 outnumber all other requests of an idle fleet to the store. A balancer of the agents'
-failure domain receives the snapshots over HTTP and writes up to 32 in one transaction,
+failure domain receives the snapshots over HTTP and writes up to 16 in one transaction,
 under one lease. An agent without a writer, or without a response, writes its own.
 
 Each write names the revisions that it replaces, see `flow_snapshot`. Snapshots whose
@@ -43,8 +43,9 @@
 WRITE_BATCH_INTERVAL_SECONDS = 1.0
 # The time of one batch, and of one request to a slow store.
 WRITE_TIMEOUT_SECONDS = 2.5
-# Maximum of operations that the platform's store accepts in a transaction.
-MAX_SNAPSHOTS_PER_TRANSACTION = 32
+# The platform's store accepts 32 entries in a transaction, of which each snapshot takes
+# two: its condition and its write.
+MAX_SNAPSHOTS_PER_TRANSACTION = 16
 # Half of it is longer than the interval at which an agent uploads its snapshot again,
 # and the other half longer than a usual power loss of an instance.
 LEASE_SECONDS = 45.0
--- a/src/siskinshift/standins/platform_store.py
+++ b/src/siskinshift/standins/platform_store.py
@@ -43,6 +43,8 @@
 WATCH_POLL_SECONDS = 0.05
 ERA_HEADER = "Store-Era"
 TRANSACTION_PATH = "/kv-txn"
+# Conditions, writes and removals together.
+MAX_TRANSACTION_ENTRIES = 32
 
 
 @define
@@ -286,6 +288,9 @@
         return HTTPStatus.OK, {"events": events, "as-of": self._revision}
 
     def _transact(self, document: Document) -> tuple[int, Document]:
+        lists = (document["expect-rev"], document["set-keys"], document["delete-keys"])
+        if sum(len(entries) for entries in lists) > MAX_TRANSACTION_ENTRIES:
+            return HTTPStatus.BAD_REQUEST, {}
         revisions_by_key = {
             condition["key"]: condition["revision"]
             for condition in document["expect-rev"]
