--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shlex
+import signal
 import socket
 import subprocess
 import sys
@@ -29,8 +30,6 @@
 
 
 if TYPE_CHECKING:
-    import signal
-
     from standins.records import Record
 
 
@@ -197,6 +196,13 @@
             self._processes[name].wait()
         self.record.add(f"{name} has ended")
 
+    def restart(self, name: str, *, pause: float) -> None:
+        """Stops a node as the platform does, and starts it again after a pause."""
+        self.signal(name, signal.SIGTERM)
+        self.wait_until_ended(name)
+        time.sleep(pause)
+        self.start(name)
+
     def kill_all(self) -> None:
         """Kills all nodes at once."""
         for process in self._processes.values():
