--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -93,6 +93,15 @@
         for thread in self._threads:
             thread.start()
 
+    def leave(self) -> None:
+        """Begins a planned shutdown: accepts no more connections, keeps its flows.
+
+        It reports `draining` until it is acknowledged and goes on with its flows.
+        """
+        self.state = "draining"
+        self._health.close()
+        self._record.add(f"{self.name} is draining and has closed its health port")
+
     def stop(self) -> None:
         """Ends the backend without a word."""
         self._stopping.set()
@@ -188,8 +197,11 @@
         while not self._stopping.is_set():
             try:
                 connection, _ = self._health.accept()
-            except OSError:
+            except TimeoutError:
                 continue
+            except OSError:
+                # Closed, since the backend leaves.
+                return
             with connection:
                 connection.settimeout(0.3)
                 try:
