--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,8 @@
     from standins.deployment import Deployment
 
 
-SESSION_COUNT = 24
+BACKEND_COUNT = 7
+SESSION_COUNT = 42
 ROUTE_PORT = 443
 SERVICE = "editor"
 # Longer than `stable-window-ms`, and than the interval of the flow snapshots.
@@ -31,7 +32,7 @@
     """Plays the case; returns whether the rule FLOW was broken."""
     deployment.write_config({ROUTE_PORT: SERVICE})
     deployment.start_fronts()
-    for _ in range(4):
+    for _ in range(BACKEND_COUNT):
         deployment.add_backend(SERVICE)
     deployment.wait_until_ready()
     time.sleep(3.0)
