--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -27,6 +27,7 @@
 from standins.client import Client
 from standins.packets import Address
 from standins.router import Router
+from standins.store_access import StoreAccess
 
 
 if TYPE_CHECKING:
@@ -82,6 +83,9 @@
         log = EventLog(process="store", clock=time.monotonic, descriptor=os.dup(2))
         self.store = PlatformStoreServer(self._life_cycle, log=log)
         self.store.start()
+        # The same store, at a port for the frontend nodes.
+        self.front_store = StoreAccess(self._life_cycle, log=log, store=self.store)
+        self.front_store.start()
         self.router = Router(
             self.fronts, packets_port=self.packets_port, ready_port=self.ready_port
         )
@@ -255,6 +259,7 @@
     def _settings(self, name: str) -> str:
         host = self._hosts[name]
         is_side = name in self._services
+        store = self.store if is_side else self.front_store
         seeds = [f"{front}:{self.control_port}" for front in self.fronts][:3]
         serves = '["side"]' if is_side else '["frontend", "control_plane"]'
         side = (
@@ -313,7 +318,7 @@
 flow-timeout-ms = 2000
 max-flow-s = 60
 [platform]
-address = "127.0.0.1:{self.store.port}"
+address = "127.0.0.1:{store.port}"
 deployment-mode = "kv"
 writes-per-s = 400
 reads-per-s = 2000
