--- a/src/siskinshift/connections/configuration_follower.py
+++ b/src/siskinshift/connections/configuration_follower.py
@@ -111,6 +111,7 @@
         )
         self._is_behind = False
         self._read_position = StorePosition()
+        self._resume_position: StorePosition | None = None
         self._watch: TransferringWatch | None = None
 
     def stop(self) -> None:
@@ -155,7 +156,8 @@
                 stopping.wait(self._availability.record_failure(error))
 
     def _follow(self, stopping: threading.Event) -> None:
-        position = self._read_newest(stopping)
+        resumed, self._resume_position = self._resume_position, None
+        position = resumed or self._read_newest(stopping)
         self._watch = watch = self._store.watch(
             self._prefix, position.revision + 1, position.generation
         )
@@ -166,12 +168,21 @@
                 self._availability.record_success()
                 if not self._evacuations.apply(batch):
                     return
+                resumed, position = None, batch.position
                 changes = [e for e in batch.entries if e.key == self._key]
                 if changes:
                     self._handle_entry(changes[-1], watch.transfer)
                 if len(changes) > 1:
                     self._is_behind = True
                     return
+        except StoreCompactedError:
+            raise
+        except StoreUnavailableError:
+            if resumed is None:
+                # A response was lost: the poll is repeated on a new connection before
+                # everything is read again, which takes seconds on a slow link.
+                self._resume_position = position
+            raise
         finally:
             self._watch = None
             watch.close()
--- a/src/siskinshift/connections/node_settings.py
+++ b/src/siskinshift/connections/node_settings.py
@@ -7,6 +7,15 @@
 from siskinshift.messages.core import Endpoint
 
 
+# A watch is a long poll; the protocol allows 30 s.
+MAX_WATCH_WAIT_SECONDS = 28.0
+MIN_WATCH_WAIT_SECONDS = 0.5
+# Time that a response may take beyond the wait for a change.
+WATCH_SLACK_SECONDS = 0.6
+# Time to connect again, repeat the poll and apply what it returns.
+WATCH_RECOVERY_SECONDS = 1.0
+
+
 @frozen
 class StoreSettings:
     """Settings of the client of the platform's store.
@@ -17,12 +26,31 @@
             balancer has two clients, one of them for the configuration.
         call_burst: Number of requests that a client may send at once.
         lease_minimum: Minimum time to live of a lease, seconds.
+        recovery_window: Time after a disturbance of the store by which the changes
+            that it has delayed must be in force, seconds.
     """
 
     endpoint: Endpoint
     call_rate: float
     call_burst: int
     lease_minimum: float
+    recovery_window: float
+
+    @property
+    def watch_wait(self) -> float:
+        """Longest time that a watch waits for a change, seconds.
+
+        A connection on which a response was lost stays open and returns nothing
+        further, so only the end of the wait reveals the loss.
+        """
+        spare = WATCH_SLACK_SECONDS + WATCH_RECOVERY_SECONDS
+        wait = max(MIN_WATCH_WAIT_SECONDS, self.recovery_window - spare)
+        return min(wait, MAX_WATCH_WAIT_SECONDS)
+
+    @property
+    def watch_timeout(self) -> float:
+        """Longest time until a response to a watch begins, seconds."""
+        return self.watch_wait + WATCH_SLACK_SECONDS
 
 
 @frozen
--- a/src/siskinshift/platform/settings.py
+++ b/src/siskinshift/platform/settings.py
@@ -208,7 +208,7 @@
         leave_seconds=bounds.number("grace-s", minimum=0.1, maximum=3600),
         link_bytes_per_second=limits.number("link-mbps", minimum=0.01, maximum=1e6)
         * BYTES_PER_MEGABIT,
-        store=_decode_store(fields.table("platform")),
+        store=_decode_store(fields.table("platform"), bounds),
         policies=_decode_policies(fields),
     )
 
@@ -239,11 +239,15 @@
     )
 
 
-def _decode_store(fields: _TableReader) -> StoreSettings:
+def _decode_store(fields: _TableReader, bounds: _TableReader) -> StoreSettings:
     lease_ms = fields.number("min-ttl-ms", minimum=1, maximum=600_000)
+    window_ms = bounds.number(
+        "stable-window-ms", minimum=1, maximum=3_600_000, default=4_000
+    )
     return StoreSettings(
         endpoint=fields.endpoint("address"),
         call_rate=CALL_RATE,
         call_burst=CALL_BURST,
         lease_minimum=lease_ms / MILLISECONDS_PER_SECOND,
+        recovery_window=window_ms / MILLISECONDS_PER_SECOND,
     )
--- a/src/siskinshift/platform/store.py
+++ b/src/siskinshift/platform/store.py
@@ -259,7 +259,7 @@
     ) -> PlatformWatch:
         """Opens a watch; see KeyValueStore."""
         position = StorePosition(generation, start_revision - 1)
-        return PlatformWatch(self, prefix, position)
+        return PlatformWatch(self, prefix, position, settings=self._settings)
 
     def close(self) -> None:
         """Aborts all requests, even those that wait in other threads."""
--- a/src/siskinshift/platform/store_watch.py
+++ b/src/siskinshift/platform/store_watch.py
@@ -24,17 +24,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from siskinshift.connections.node_settings import StoreSettings
     from siskinshift.core.http import HttpResponse
     from siskinshift.kv.generations import StorePosition
     from siskinshift.runtime.http_client import HttpClient
     from siskinshift.runtime.http_client import TransferProgress
 
 
-# A watch is a long poll that the store answers after this time at the latest; the
-# protocol allows 30 s. Keep-alive probes detect a stalled connection, and peers
-# announce a newer configuration, so long waits with few requests suffice.
-WATCH_WAIT_SECONDS = 28.0
-WATCH_SLACK_SECONDS = 0.6
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -68,7 +64,12 @@
     """A watch implemented by long polling."""
 
     def __init__(
-        self, store: PollingStore, prefix: str, position: StorePosition
+        self,
+        store: PollingStore,
+        prefix: str,
+        position: StorePosition,
+        *,
+        settings: StoreSettings,
     ) -> None:
         """Initializes the watch; the first iteration sends the first request.
 
@@ -76,8 +77,10 @@
             store: The store.
             prefix: Prefix of the keys.
             position: Generation, and revision up to which all changes are known.
+            settings: Longest wait for a change.
         """
         self._store = store
+        self._settings = settings
         self._prefix = prefix
         self._generation = position.generation
         self._revision = position.revision
@@ -92,7 +95,9 @@
                 {
                     "prefix": self._prefix,
                     "after": self._revision,
-                    "wait-ms": round(WATCH_WAIT_SECONDS * MILLISECONDS_PER_SECOND),
+                    "wait-ms": round(
+                        self._settings.watch_wait * MILLISECONDS_PER_SECOND
+                    ),
                 }
             )
             yield self._poll("/kv-watch?" + query)
@@ -113,7 +118,7 @@
                 "GET",
                 target,
                 b"",
-                timeout=WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS,
+                timeout=self._settings.watch_timeout,
             )
         except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
             if self._store.generation != self._generation:
--- a/src/siskinshift/standins/platform_store.py
+++ b/src/siskinshift/standins/platform_store.py
@@ -57,12 +57,15 @@
         late_write_delays: Delays of upcoming transactions that get no response and
             take effect later, in seconds; different delays change their order.
         latency: Delay of each response, in seconds.
+        lose_watch_responses: Number of upcoming watch responses with changes that are
+            lost on a connection which stays open.
     """
 
     rejection_status: int = 0
     lose_responses: int = 0
     late_write_delays: list[float] = Factory(list)
     latency: float = 0.0
+    lose_watch_responses: int = 0
 
 
 @frozen
@@ -434,12 +437,22 @@
                     break
                 self._changed.wait(WATCH_POLL_SECONDS)
             self._changed.notify_all()
+            is_lost = bool(wait_ms and document.get("events")) and self._lose_watch()
+        if is_lost:
+            self._life_cycle.stopping.wait()
+            raise ResponseLost
         if self.state.faults.latency:
             time.sleep(self.state.faults.latency)
         return ServerResponse(
             status, orjson.dumps(document), headers=self.state.headers
         )
 
+    def _lose_watch(self) -> bool:
+        if not self.state.faults.lose_watch_responses:
+            return False
+        self.state.faults.lose_watch_responses -= 1
+        return True
+
 
 def _document(key: str, item: _Item) -> Document:
     return {
--- a/tests/connections/in_memory_store.py
+++ b/tests/connections/in_memory_store.py
@@ -31,6 +31,7 @@
     call_rate=1000.0,
     call_burst=1000,
     lease_minimum=0.1,
+    recovery_window=4.0,
 )
 
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -46,6 +46,7 @@
         call_rate=1000.0,
         call_burst=1000,
         lease_minimum=0.1,
+        recovery_window=4.0,
     )
     store = PlatformStore(settings, stopping=life_cycle.stopping)
     life_cycle.add_cleanup(store.close)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -20,6 +20,7 @@
 from siskinshift.messages.core import Endpoint
 from siskinshift.platform.store import CALL_TIMEOUT_SECONDS
 from siskinshift.platform.store import PlatformStore
+from siskinshift.standins.platform_store import FIRST_REVISION
 from siskinshift.standins.platform_store import PAGE_ITEMS
 from tests.connections.deployment import WAIT_SECONDS
 from tests.connections.in_memory_store import SETTINGS
@@ -99,6 +100,19 @@
     assert next(watch).deleted_keys == ("a",)
 
 
+def test_a_watch_with_a_lost_response_fails(
+    store: PlatformStore, server: PlatformStoreServer
+) -> None:
+    """Guards against a watch that waits on a connection without a response."""
+    server.state.faults.lose_watch_responses = 1
+    server.put("a", b"1")
+
+    with pytest.raises(StoreUnavailableError):
+        next(iter(store.watch("a", FIRST_REVISION + 1)))
+    again = next(iter(store.watch("a", FIRST_REVISION + 1)))
+    assert [e.value for e in again.entries] == [b"1"]
+
+
 def test_a_watch_of_compacted_revisions_raises_an_error(
     store: PlatformStore, server: PlatformStoreServer
 ) -> None:
