--- a/src/siskinshift/connections/balancer_flows.py
+++ b/src/siskinshift/connections/balancer_flows.py
@@ -314,7 +314,8 @@
         actions: list[Action] = []
         for _ in range(len(self._held_records)):
             record = self._held_records.popleft()
-            if record.owner is None and record.opening:
+            is_current = self._records.find(record.flow) is record
+            if is_current and record.owner is None and record.opening:
                 actions += self._offer_to_next_agent(record, now=now)
         return actions
 
@@ -383,15 +384,16 @@
     ) -> list[Action]:
         record = self._records.find(segment.flow)
         if record is not None:
+            if segment.seq == record.earlier_sequence:
+                # Delayed on its way; the caller has opened another flow since.
+                return []
             record.remove_dropped_attempts()
-        if record is None or not record.attempts:
-            record = self._records.add(FlowRecord(segment.flow))
-            record.service_id = route.service_for(segment.flow)
-            record.request_parameters = route.request_parameters
-            record.service_ids = route.service_ids
-            record.opening = segment.datagram
-            record.is_opening_retransmitted = segment.ack > 0
-            record.opened_at = now
+        if (
+            record is None
+            or not record.attempts
+            or not record.is_repeated_by(segment, now=now)
+        ):
+            record = self._add_opening(route, segment, earlier=record, now=now)
             return self._offer_to_next_agent(record, now=now)
         accepted = [
             attempt
@@ -413,6 +415,36 @@
         record.opened_at = now
         return self._offer_to_next_agent(record, now=now)
 
+    def _add_opening(
+        self,
+        route: ConnectionRoute,
+        segment: Segment,
+        *,
+        earlier: FlowRecord | None,
+        now: float,
+    ) -> FlowRecord:
+        """Adds the record of a new flow, in place of an earlier one of its addresses.
+
+        Where both flows meet at one agent, it tells them apart by the numbers that the
+        caller acknowledges.
+        """
+        record = FlowRecord(segment.flow)
+        if earlier is not None:
+            # Its verdict would reset the new flow.
+            earlier.lookup = None
+            is_same = earlier.initial_sequence == segment.seq
+            record.earlier_sequence = (
+                earlier.earlier_sequence if is_same else earlier.initial_sequence
+            )
+        record.initial_sequence = segment.seq
+        record.service_id = route.service_for(segment.flow)
+        record.request_parameters = route.request_parameters
+        record.service_ids = route.service_ids
+        record.opening = segment.datagram
+        record.is_opening_retransmitted = segment.ack > 0
+        record.opened_at = now
+        return self._records.add(record)
+
     def _offer_to_next_agent(self, record: FlowRecord, *, now: float) -> list[Action]:
         attempted = {attempt.agent.member.member_id for attempt in record.attempts}
         was_refused = any(a.verdict is Verdict.FULL for a in record.attempts)
--- a/src/siskinshift/connections/flow_records.py
+++ b/src/siskinshift/connections/flow_records.py
@@ -14,11 +14,14 @@
 from siskinshift.connections.peer_messages import NO_REQUEST_PARAMETERS
 from siskinshift.connections.peer_messages import Verdict
 from siskinshift.connections.request_queue import RequestParameters
+from siskinshift.connections.segment import MAX_OPENING_SECONDS
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from siskinshift.connections.segment import Segment
+
 
 # A record is dropped when its flow was idle for one to two of these.
 GENERATION_SECONDS = 60.0
@@ -79,6 +82,9 @@
         traffic_class: Class of these packets, cached with the header.
         is_opening_retransmitted: Whether the opening packet is a retransmission. The
             earlier one may have passed another balancer.
+        initial_sequence: Sequence number of the opening packet; None if it was not
+            received.
+        earlier_sequence: The same of the flow that had these addresses before.
     """
 
     flow: bytes
@@ -95,6 +101,8 @@
     traffic_class: TrafficClass = TrafficClass.INTERACTIVE
     service_ids: tuple[str, ...] = ()
     is_opening_retransmitted: bool = False
+    initial_sequence: int | None = None
+    earlier_sequence: int | None = None
 
     @property
     def sole_acceptor(self) -> Peer | None:
@@ -109,6 +117,19 @@
             return self.attempts[0].agent
         return None
 
+    def is_repeated_by(self, opening: Segment, *, now: float) -> bool:
+        """Returns whether an opening packet is a retransmission of this flow's.
+
+        A caller may use its port again while the record is kept, so the addresses
+        alone prove nothing.
+
+        Args:
+            opening: The opening packet.
+            now: Clock reading, seconds.
+        """
+        is_waiting = now - self.opened_at <= MAX_OPENING_SECONDS
+        return is_waiting and opening.seq == self.initial_sequence
+
     def remove_dropped_attempts(self) -> None:
         """Removes attempts of which the agent has not been sent the opening packet."""
         for attempt in [a for a in self.attempts if a.was_dropped]:
