--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -263,6 +263,8 @@
                 return actions
             flow = self._flows.add(segment.flow, now=now)
             self._foreign_flows.discard(segment.flow)
+        if segment.flags & SYN:
+            flow = self._apply_pending_opening(flow, segment, now=now)
         if probe is not None:
             actions.append(
                 self._replies.verdict(Verdict.MINE, segment.flow, probe.balancer)
@@ -286,6 +288,22 @@
             self._flows.end_if_closed(segment.flow, flow, now=now)
         return [*actions, *self._start_requests(now=now)]
 
+    def _apply_pending_opening(
+        self, flow: OwnedFlow, segment: Segment, *, now: float
+    ) -> OwnedFlow:
+        """Replaces a flow if the upstream accepts a later one of its addresses.
+
+        An upstream that still holds the earlier flow repeats that flow's response.
+        """
+        pending, flow.pending_opening = flow.pending_opening, None
+        if pending is None or flow.matches_acknowledgement(segment.next_sequence):
+            return flow
+        self._observer.on_flow_ended(segment.flow, now=now)
+        later = self._openings.open(pending.segment, pending.parameters, now=now)
+        later.opening_balancer = flow.opening_balancer
+        later.last_balancer = flow.last_balancer
+        return later
+
     def verify_all(self) -> list[Action]:
         """Verifies each flow with the upstream, so that lost flows are reset.
 
@@ -419,7 +437,11 @@
                 return []
             sender = flow.opening_balancer
             self._observer.on_opening_refused(segment.flow, now=now)
-            self._flows.remove(segment.flow, now=now)
+            if flow.pending_opening is not None:
+                # The earlier flow may still be open.
+                flow.pending_opening = flow.opening_balancer = None
+            else:
+                self._flows.remove(segment.flow, now=now)
             return [self._openings.refuse(Verdict.FULL, segment.flow, sender)]
         probe = self._probes.pop(segment.flow)
         if probe is not None:
--- a/src/siskinshift/connections/owned_flow.py
+++ b/src/siskinshift/connections/owned_flow.py
@@ -5,6 +5,7 @@
 from attrs import define
 from attrs import frozen
 
+from siskinshift.connections.request_queue import RequestParameters
 from siskinshift.connections.segment import MAX_OPENING_SECONDS
 from siskinshift.connections.segment import SEQUENCE_SPACE
 from siskinshift.connections.segment import SYN
@@ -19,6 +20,19 @@
 MAX_UNSEEN_BYTES = 1 << 26
 
 
+@frozen
+class PendingOpening:
+    """An opening packet of a later flow that the upstream has not answered yet.
+
+    Attributes:
+        segment: The packet.
+        parameters: Request parameters of its route.
+    """
+
+    segment: Segment
+    parameters: RequestParameters
+
+
 @define(eq=False)
 class OwnedFlow:
     """State of a flow of the agent's upstream.
@@ -42,6 +56,11 @@
         is_retry: Whether the flow is probably a retry of another one.
         dropped_until: Time at which the caller of a dropped request gives up, seconds;
             0 if none was dropped. Retransmissions are discarded until newer data.
+        initial_sequence: Sequence number of the opening packet; None if this process
+            did not receive it.
+        earlier_sequence: The same of the flow that had these addresses before.
+        pending_opening: Opening packet of a later flow with these addresses. The
+            upstream decides which of the two flows it holds.
     """
 
     opened_at: float
@@ -58,6 +77,45 @@
     ended_at: float = 0.0
     is_retry: bool = False
     dropped_until: float = 0.0
+    initial_sequence: int | None = None
+    earlier_sequence: int | None = None
+    pending_opening: PendingOpening | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the upstream has held the flow open and it has not ended."""
+        return self.is_confirmed and not self.ended_at
+
+    @property
+    def is_in_use(self) -> bool:
+        """Whether the upstream or the caller has sent more than its opening."""
+        return (
+            self.is_confirmed
+            or bool(self.verification_packet)
+            or self.next_caller_sequence is not None
+        )
+
+    def is_repeated_by(self, opening: Segment, *, now: float) -> bool:
+        """Returns whether an opening packet is a retransmission of this flow's.
+
+        Args:
+            opening: The opening packet.
+            now: Clock reading, seconds.
+        """
+        if opening.seq != self.initial_sequence:
+            return False
+        return self.is_open or self.is_opening(now=now)
+
+    def expects_opening(self, opening: Segment) -> bool:
+        """Returns whether the flow, or the pending one, has an opening packet's number.
+
+        Args:
+            opening: The opening packet.
+        """
+        pending = self.pending_opening
+        return opening.seq == self.initial_sequence or (
+            pending is not None and opening.seq == pending.segment.seq
+        )
 
     def is_opening(self, *, now: float) -> bool:
         """Returns whether its caller may still retransmit the opening packet.
--- a/src/siskinshift/connections/owned_flows.py
+++ b/src/siskinshift/connections/owned_flows.py
@@ -52,7 +52,7 @@
         return self._flows_by_key.get(key)
 
     def add(self, key: bytes, *, now: float) -> OwnedFlow:
-        """Adds an open flow.
+        """Adds an open flow, in place of an earlier one of the same addresses.
 
         Args:
             key: Key of the flow.
@@ -62,6 +62,11 @@
             The state of the flow.
         """
         flow = OwnedFlow(now, now)
+        earlier = self._flows_by_key.get(key)
+        if earlier is not None:
+            flow.earlier_sequence = earlier.initial_sequence
+            if not earlier.ended_at:
+                self.end(key, earlier, now=now)
         self._flows_by_key[key] = flow
         self.open_count += 1
         return flow
@@ -76,7 +81,7 @@
             now: Clock reading, seconds.
         """
         return sum(
-            flow.is_opening(now=now) or (not flow.ended_at and _is_in_use(flow))
+            flow.is_opening(now=now) or (not flow.ended_at and flow.is_in_use)
             for flow in self._flows_by_key.values()
         )
 
@@ -197,12 +202,3 @@
 
 def _can_be_verified(flow: OwnedFlow) -> bool:
     return bool(flow.verification_packet) and not flow.ended_at
-
-
-def _is_in_use(flow: OwnedFlow) -> bool:
-    """Returns whether the upstream or the caller has sent more than its opening."""
-    return (
-        flow.is_confirmed
-        or bool(flow.verification_packet)
-        or flow.next_caller_sequence is not None
-    )
--- a/src/siskinshift/standins/connection_ends.py
+++ b/src/siskinshift/standins/connection_ends.py
@@ -25,6 +25,7 @@
 from siskinshift.connections.segment import FLOW_SIZE
 from siskinshift.connections.segment import RESET
 from siskinshift.connections.segment import SYN
+from siskinshift.connections.segment import caller_host
 from siskinshift.platform.packets import decode_from_caller
 from siskinshift.platform.packets import decode_from_upstream
 from siskinshift.runtime.event_loop import open_datagram_socket
@@ -103,6 +104,7 @@
 
 @define(eq=False)
 class _UpstreamFlow:
+    opening_seq: int
     next_seq: int
     expected_seq: int
     replies_by_seq: dict[int, bytes] = Factory(dict)
@@ -193,12 +195,16 @@
     def _on_segment(self, segment: Segment) -> None:
         flow = self._flows.get(segment.flow)
         if segment.flags & SYN:
+            if flow is not None and flow.opening_seq != segment.seq:
+                # The caller has closed the earlier flow of its port.
+                flow = None
             if flow is None and self.is_full:
                 self._bounce(segment)
                 return
             if flow is None:
                 initial_seq = self._random.getrandbits(32)
-                flow = _UpstreamFlow(initial_seq, (segment.seq + 1) & _SEQUENCE_MASK)
+                expected_seq = (segment.seq + 1) & _SEQUENCE_MASK
+                flow = _UpstreamFlow(segment.seq, initial_seq, expected_seq)
                 self._flows[segment.flow] = flow
             self.record.opened_at.append(time.monotonic())
             self._send(segment.flow, SYN | ACK, flow.next_seq, flow.expected_seq)
@@ -278,6 +284,16 @@
         self._seq = random.getrandbits(32)
         self._received = 0
 
+    @property
+    def host(self) -> str:
+        """IP address of the caller."""
+        return caller_host(self.flow)
+
+    @property
+    def port(self) -> int:
+        """Port of the caller."""
+        return int.from_bytes(self.flow[0:2], "big")
+
     def close(self) -> None:
         """Closes the socket without sending anything."""
         self._socket.close()
