--- a/src/siskinshift/connections/balancer_node.py
+++ b/src/siskinshift/connections/balancer_node.py
@@ -32,6 +32,7 @@
 from siskinshift.connections.snapshot_requests import encode_result
 from siskinshift.connections.snapshot_writer import WRITE_TIMEOUT_SECONDS
 from siskinshift.connections.snapshot_writer import SnapshotWriter
+from siskinshift.connections.urgencies import routes_with_fitting_urgencies
 from siskinshift.control.documents import parse_object
 from siskinshift.control.exceptions import BadMessageError
 from siskinshift.kv.generations import UNKNOWN_GENERATION
@@ -380,6 +381,7 @@
             routes: The configuration.
             received: Its encoded form, for peers that can't read it from the store.
         """
+        routes = routes_with_fitting_urgencies(routes)
         policies = resolve_policies(self.node_settings.policies, routes)
         is_newer = self._flows.configure(routes_with_kinds(routes, policies))
         self.log.fact(
--- a/src/siskinshift/connections/peer_codec.py
+++ b/src/siskinshift/connections/peer_codec.py
@@ -75,10 +75,9 @@
 _FORWARD_HEADER = struct.Struct("!BBIBHH")
 FORWARD_HEADER_SIZE = _FORWARD_HEADER.size
 _MILLISECONDS = 1000
-_MAX_URGENCY = 0xFF
 # The upper half of the urgency byte is the request kind, 0 if no load policy needs it.
 _KIND_SHIFT = 4
-_MAX_URGENCY_WITH_KIND = 0x0F
+MAX_URGENCY = 0x0F
 # run times in tenths of milliseconds (median, 0.1 quantile), wait in milliseconds, busy
 # fraction, stalled requests, failure fraction, samples
 _LOAD_REPORT = struct.Struct("!HHHBBBB")
@@ -140,10 +139,7 @@
 
 
 def _pack_urgency(parameters: RequestParameters) -> int:
-    if not parameters.kind:
-        return min(parameters.urgency, _MAX_URGENCY)
-    urgency = min(parameters.urgency, _MAX_URGENCY_WITH_KIND)
-    return parameters.kind << _KIND_SHIFT | urgency
+    return parameters.kind << _KIND_SHIFT | min(parameters.urgency, MAX_URGENCY)
 
 
 def encode_owner_query(query: OwnerQuery) -> bytes:
@@ -393,7 +389,7 @@
     request_parameters = RequestParameters(
         objective_ms / _MILLISECONDS,
         deadline_ms / _MILLISECONDS,
-        urgency & _MAX_URGENCY_WITH_KIND if kind else urgency,
+        urgency & MAX_URGENCY,
         RequestKind(kind),
     )
     packet = datagram[_FORWARD_HEADER.size :]
