--- a/src/siskinshift/connections/member_documents.py
+++ b/src/siskinshift/connections/member_documents.py
@@ -21,6 +21,8 @@
 # width.
 MAX_INCARNATION = (1 << 53) - 1
 MAX_VERSION = (1 << 32) - 1
+# A status with the longest name fits into a datagram.
+MAX_SERVICE_ID_LENGTH = 8192
 # No upstream runs more requests at once, and the choice among agents divides by the
 # slots. Heartbeats with more are refused too, since peers would refuse the agent's
 # record.
@@ -84,7 +86,12 @@
         failure_domain=get_string(document, "failure_domain", allow_empty=True),
         control=endpoint,
         data=endpoint,
-        upstream_class=get_string(document, "upstream_class", allow_empty=True),
+        upstream_class=get_string(
+            document,
+            "upstream_class",
+            allow_empty=True,
+            max_length=MAX_SERVICE_ID_LENGTH,
+        ),
         weight=get_integer(document, "weight", maximum=MAX_WEIGHT),
         slots=get_integer(document, "slots", minimum=1, maximum=MAX_SLOTS),
     )
--- a/src/siskinshift/connections/peer_codec.py
+++ b/src/siskinshift/connections/peer_codec.py
@@ -68,12 +68,20 @@
     # requested load reports; nodes without load policies drop unknown kinds.
     REPORTED_HEARTBEAT = 11
     REPORTED_VERDICT = 12
+    # Replaces PEER_HEARTBEAT of a balancer whose configuration has a larger version
+    # than that one carries.
+    LARGE_VERSION_HEARTBEAT = 13
 
 
 # kind, purpose, service tag, request kind and urgency, objective and deadline in
 # milliseconds
 _FORWARD_HEADER = struct.Struct("!BBIBHH")
 FORWARD_HEADER_SIZE = _FORWARD_HEADER.size
+_HEARTBEATS = (
+    _Kind.PEER_HEARTBEAT,
+    _Kind.REPORTED_HEARTBEAT,
+    _Kind.LARGE_VERSION_HEARTBEAT,
+)
 _MILLISECONDS = 1000
 # The upper half of the urgency byte is the request kind, 0 if no load policy needs it.
 _KIND_SHIFT = 4
@@ -93,6 +101,8 @@
 # kind, incarnation, record's version, configuration's version, milliseconds until the
 # next heartbeat; the load follows
 _PEER_HEARTBEAT = struct.Struct("!BQIIH")
+_LARGE_VERSION_HEARTBEAT = struct.Struct("!BQIQH")
+_MAX_SHORT_VERSION = (1 << 32) - 1
 # kind, verdict, flow; the load and the packet follow
 _VERDICT = struct.Struct(f"!BB{FLOW_SIZE}s")
 _OWNER_QUERY = struct.Struct(f"!B{FLOW_SIZE}sI")
@@ -236,8 +246,13 @@
         The message.
     """
     has_report = heartbeat.load.report is not None
-    header = _PEER_HEARTBEAT.pack(
-        _Kind.REPORTED_HEARTBEAT if has_report else _Kind.PEER_HEARTBEAT,
+    kind, layout = _Kind.PEER_HEARTBEAT, _PEER_HEARTBEAT
+    if has_report:
+        kind = _Kind.REPORTED_HEARTBEAT
+    elif heartbeat.configuration_version > _MAX_SHORT_VERSION:
+        kind, layout = _Kind.LARGE_VERSION_HEARTBEAT, _LARGE_VERSION_HEARTBEAT
+    header = layout.pack(
+        kind,
         heartbeat.incarnation,
         heartbeat.version,
         heartbeat.configuration_version,
@@ -364,7 +379,7 @@
             return OwnerQuery(flow, acknowledged)
         if datagram[0] == _Kind.STATUS:
             return _decode_status(datagram)
-        if datagram[0] in (_Kind.PEER_HEARTBEAT, _Kind.REPORTED_HEARTBEAT):
+        if datagram[0] in _HEARTBEATS:
             return _decode_peer_heartbeat(datagram)
         if datagram[0] == _Kind.KNOWN_HOSTS:
             return _decode_known_hosts(datagram)
@@ -420,14 +435,14 @@
 
 
 def _decode_peer_heartbeat(datagram: bytes) -> PeerHeartbeat:
-    _, incarnation, version, configuration, next_ms = _PEER_HEARTBEAT.unpack_from(
-        datagram
-    )
+    is_large = datagram[0] == _Kind.LARGE_VERSION_HEARTBEAT
+    layout = _LARGE_VERSION_HEARTBEAT if is_large else _PEER_HEARTBEAT
+    _, incarnation, version, configuration, next_ms = layout.unpack_from(datagram)
     has_report = datagram[0] == _Kind.REPORTED_HEARTBEAT
     load_size = _LOAD.size + (_LOAD_REPORT.size if has_report else 0)
-    if len(datagram) != _PEER_HEARTBEAT.size + load_size:
+    if len(datagram) != layout.size + load_size:
         raise ValueError(len(datagram))
-    load = _unpack_load(datagram, _PEER_HEARTBEAT.size, has_report=has_report)
+    load = _unpack_load(datagram, layout.size, has_report=has_report)
     return PeerHeartbeat(
         incarnation, version, load, configuration, next_ms / _MILLISECONDS
     )
--- a/src/siskinshift/control/documents.py
+++ b/src/siskinshift/control/documents.py
@@ -13,6 +13,7 @@
 
 import json
 import math
+import sys
 from typing import Any
 
 from siskinshift.control.exceptions import BadMessageError
@@ -96,7 +97,11 @@
 
 
 def get_string(
-    document: dict[str, Any], name: str, *, allow_empty: bool = False
+    document: dict[str, Any],
+    name: str,
+    *,
+    allow_empty: bool = False,
+    max_length: int = MAX_STRING_LENGTH,
 ) -> str:
     """Returns a field that must be a printable string.
 
@@ -105,7 +110,7 @@
             of another type.
     """
     value = document.get(name)
-    if not isinstance(value, str) or len(value) > MAX_STRING_LENGTH:
+    if not isinstance(value, str) or len(value) > max_length:
         raise _invalid_field(name, value, "a short string")
     if not value.isprintable():
         # This includes lone surrogates, which can't be encoded.
@@ -115,6 +120,22 @@
     return value
 
 
+def get_text(document: dict[str, Any], name: str) -> str:
+    """Returns a field that must be a string, of any length and content.
+
+    Raises:
+        BadMessageError: It is missing, not encodable or of another type.
+    """
+    value = document.get(name)
+    if not isinstance(value, str):
+        raise _invalid_field(name, value, "a string")
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise _invalid_field(name, value, "a string without surrogates") from error
+    return value
+
+
 def get_integer(
     document: dict[str, Any],
     name: str,
@@ -134,7 +155,9 @@
     return int(value)
 
 
-def get_number(document: dict[str, Any], name: str, *, maximum: float) -> float:
+def get_number(
+    document: dict[str, Any], name: str, *, maximum: float = math.inf
+) -> float:
     """Returns a field that must be a non-negative number, integer or float.
 
     Raises:
@@ -144,7 +167,8 @@
     is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
     if not is_number or math.isnan(value) or not 0 <= value <= maximum:
         raise _invalid_field(name, value, f"a number from 0 to {maximum}")
-    return float(value)
+    # An integer may be too large for a float.
+    return float(min(value, sys.float_info.max))
 
 
 def _invalid_field(name: str, value: object, allowed: str) -> BadMessageError:
--- a/src/siskinshift/platform/configuration.py
+++ b/src/siskinshift/platform/configuration.py
@@ -18,6 +18,7 @@
 from siskinshift.control.documents import get_object
 from siskinshift.control.documents import get_objects
 from siskinshift.control.documents import get_string
+from siskinshift.control.documents import get_text
 from siskinshift.control.documents import parse_object
 from siskinshift.control.exceptions import BadMessageError
 
@@ -37,11 +38,11 @@
     DOWNLOAD_TYPE: RequestKind.DOWNLOAD,
     "upload": RequestKind.UPLOAD,
 }
+# The store accepts only valid configurations, so a value beyond what nodes handle is
+# reduced. A refused configuration would leave the one before in force.
 MAX_CONNECTIONS = (1 << 32) - 1
 # One day; no request has a longer time limit.
 MAX_DURATION_MS = 86_400_000
-MAX_WEIGHT = 1_000_000
-MAX_VERSION = (1 << 32) - 1
 
 
 def decode_configuration(value: bytes) -> RouteTable:
@@ -61,12 +62,12 @@
     services = get_objects(document, "services")
     limits = get_object(document, "limits")
     return RouteTable(
-        version=get_integer(document, "version", maximum=MAX_VERSION),
+        version=get_integer(document, "version"),
         routes_by_address=MappingProxyType({route.address: route for route in routes}),
         idle_timeout=_decode_seconds(limits, "idle-timeout-ms"),
         health_paths_by_service=MappingProxyType(
             {
-                get_string(service, "name"): get_string(service, "health-path")
+                get_text(service, "name"): get_text(service, "health-path")
                 for service in services
             }
         ),
@@ -78,8 +79,8 @@
 def _decode_max_connections(services: list[dict[str, Any]]) -> Mapping[str, int]:
     """Decodes the limits; a missing limit or 0 means no limit."""
     limits_by_service = {
-        get_string(service, "name"): get_integer(
-            service, "max-conns", maximum=MAX_CONNECTIONS
+        get_text(service, "name"): min(
+            get_integer(service, "max-conns"), MAX_CONNECTIONS
         )
         for service in services
         if "max-conns" in service
@@ -92,8 +93,8 @@
 def _decode_warm_up_rates(services: list[dict[str, Any]]) -> Mapping[str, float]:
     """Decodes the rates; a missing rate or 0 means no limit."""
     rates_by_service = {
-        get_string(service, "name"): get_number(
-            service, "warmup-per-s", maximum=MAX_WARM_UP_RATE
+        get_text(service, "name"): min(
+            get_number(service, "warmup-per-s"), MAX_WARM_UP_RATE
         )
         for service in services
         if "warmup-per-s" in service
@@ -105,7 +106,7 @@
 
 def _decode_route(route: dict[str, Any]) -> ConnectionRoute:
     return ConnectionRoute(
-        name=get_string(route, "name"),
+        name=get_text(route, "name"),
         address=_decode_address(route),
         targets=_decode_targets(route),
         request_parameters=RequestParameters(
@@ -113,8 +114,8 @@
             deadline=_decode_seconds(route, "timeout-ms"),
             urgency=get_integer(route, "priority"),
         ),
-        is_single_request=get_string(route, "type") == DOWNLOAD_TYPE,
-        kind=KINDS_BY_TYPE.get(get_string(route, "type"), RequestKind.UNKNOWN),
+        is_single_request=get_text(route, "type") == DOWNLOAD_TYPE,
+        kind=KINDS_BY_TYPE.get(get_text(route, "type"), RequestKind.UNKNOWN),
     )
 
 
@@ -128,17 +129,14 @@
 
 
 def _decode_seconds(table: dict[str, Any], name: str) -> float:
-    return get_number(table, name, maximum=MAX_DURATION_MS) / MILLISECONDS_PER_SECOND
+    return min(get_number(table, name), MAX_DURATION_MS) / MILLISECONDS_PER_SECOND
 
 
 def _decode_targets(route: dict[str, Any]) -> tuple[Target, ...]:
     if not route.get("traffic-split"):
-        return (Target(get_string(route, "service"), 1),)
+        return (Target(get_text(route, "service"), 1),)
     targets = [
-        Target(
-            get_string(split, "service"),
-            get_integer(split, "weight", maximum=MAX_WEIGHT),
-        )
+        Target(get_text(split, "service"), get_integer(split, "weight"))
         for split in get_objects(route, "traffic-split")
     ]
     targets = [target for target in targets if target.weight]
--- a/src/siskinshift/platform/heartbeats.py
+++ b/src/siskinshift/platform/heartbeats.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from siskinshift.connections.incarnation import Incarnation
+from siskinshift.connections.member_documents import MAX_SERVICE_ID_LENGTH
 from siskinshift.connections.member_documents import MAX_SLOTS
 from siskinshift.connections.upstream_state import Deregistration
 from siskinshift.connections.upstream_state import Heartbeat
@@ -65,7 +66,7 @@
     cold_ms = get_number(body, "warmup-left-ms", maximum=MAX_COLD_MS)
     return Heartbeat(
         incarnation=_decode_incarnation(upstream_id, body),
-        service_id=get_string(body, "service"),
+        service_id=get_string(body, "service", max_length=MAX_SERVICE_ID_LENGTH),
         sequence=get_integer(body, "seq"),
         slots=get_integer(body, "capacity", minimum=1, maximum=MAX_SLOTS),
         is_leaving=_IS_LEAVING_BY_STATE[state],
