--- a/src/siskinshift/connections/agent_flows.py
+++ b/src/siskinshift/connections/agent_flows.py
@@ -260,7 +260,9 @@
             return [self._ownership.on_foreign_reply(segment, probe, now=now)]
         if flow is None:
             if segment.flags & RESET:
-                return actions
+                # Another upstream may hold the flow. If none does, the lookup of the
+                # caller's next packet ends in a reset.
+                return []
             flow = self._flows.add(segment.flow, now=now)
             self._foreign_flows.discard(segment.flow)
         if segment.flags & SYN:
--- a/src/siskinshift/connections/ownership_probes.py
+++ b/src/siskinshift/connections/ownership_probes.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from siskinshift.connections.owned_flow import MAX_IN_FLIGHT_BYTES
+from siskinshift.connections.segment import RESET
 from siskinshift.connections.segment import SEQUENCE_SPACE
 from siskinshift.connections.segment import Segment
 from siskinshift.connections.segment import is_between
@@ -41,12 +42,17 @@
         check its agent counted as the owner, and retransmissions of a caller's last
         packet were sent only there.
 
+        A reset proves nothing: an upstream at which an earlier flow of these addresses
+        has ended answers data with a reset that has the acknowledged number.
+
         Args:
             segment: The packet.
 
         Returns:
             Whether its sequence numbers match what the caller acknowledges.
         """
+        if segment.flags & RESET:
+            return False
         lowest = (self.acknowledged - MAX_IN_FLIGHT_BYTES) % SEQUENCE_SPACE
         highest = (self.acknowledged + MAX_IN_FLIGHT_BYTES) % SEQUENCE_SPACE
         return is_between(segment.next_sequence, lowest, highest)
--- a/tests/connections/test_agent_flows.py
+++ b/tests/connections/test_agent_flows.py
@@ -456,6 +456,26 @@
     assert not any(isinstance(action, ToCaller | ResetCaller) for action in actions)
 
 
+def test_a_reset_with_the_acknowledged_number_does_not_prove_ownership() -> None:
+    """Guards against the reset of an upstream at which the port's last flow ended.
+
+    Each packet of a request gets such an answer.
+    """
+    flows = agent_flows()
+    acknowledged = UPSTREAM_SEQ + 900
+    for seq in (40, 50):
+        request = segment(1, seq=seq, ack=acknowledged, length=10)
+        _forward(flows, request, Purpose.LOOKUP)
+    reset = segment(1, RESET, seq=acknowledged)
+
+    actions = [
+        action for _ in range(2) for action in flows.on_upstream_segment(reset, now=0.1)
+    ]
+
+    assert _verdicts(list(actions)) == [(Verdict.NOT_MINE, BALANCER)]
+    assert not any(isinstance(action, ToCaller | ResetCaller) for action in actions)
+
+
 def test_a_response_that_crosses_the_probe_proves_ownership() -> None:
     """An agent restarts while packets of its upstream are in transit.
 
