--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -489,10 +489,10 @@
     def _probe_if_late(self, now: float) -> None:
         """Probes the upstream's process while its heartbeat is overdue.
 
-        A port without a listener proves that the process has ended, so that its flows
-        can be reset and callers do not wait for a crashed upstream. An upstream that
-        accepts the connection gets flows before its next heartbeat, so that it is not
-        idle while its agent has just started.
+        A port without a listener proves that the process has ended, unless it may be
+        leaving, so that its flows can be reset and callers do not wait for a crashed
+        upstream. An upstream that accepts the connection gets flows before its next
+        heartbeat, so that it is not idle while its agent has just started.
         """
         late_at = self._last_heartbeat_at + self.node_settings.heartbeat_interval
         if now <= late_at + LATE_HEARTBEAT_SECONDS:
@@ -525,6 +525,11 @@
                 "upstream probe contradicted", upstream=self.upstream.upstream_id
             )
             return
+        if self.upstream.may_be_leaving:
+            self.log.decision(
+                "upstream port closed", upstream=self.upstream.upstream_id
+            )
+            return
         if not self._is_process_gone:
             self._is_process_gone = True
             self.upstream.on_process_gone()
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -129,6 +129,16 @@
         is_leaving = incarnation in self._leaving_incarnations and not self.is_gone
         return incarnation if is_leaving else None
 
+    @property
+    def may_be_leaving(self) -> bool:
+        """Whether the upstream leaves, or may do so as far as this process knows.
+
+        It may have closed its port for connections then, and still holds its flows.
+        """
+        if self.incarnation is not None:
+            return self.is_leaving and not self.is_gone
+        return bool(self._leaving_incarnations) or not self._are_leaves_read
+
     def on_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> HeartbeatEffect:
         """Applies a heartbeat.
 
--- a/tests/connections/test_upstream_state.py
+++ b/tests/connections/test_upstream_state.py
@@ -374,3 +374,18 @@
     upstream.on_heartbeat(heartbeat("u-2", sequence=10, is_leaving=True), now=silent_at)
     upstream.on_deregistration(Incarnation("u-2"))
     assert upstream.leaving_incarnation is None
+
+
+def test_an_upstream_may_be_leaving_until_its_state_is_known() -> None:
+    """Guards against a closed port that counts as the end of a leaving upstream."""
+    upstream = UpstreamState(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
+    assert upstream.may_be_leaving
+    upstream.on_leaves_read(frozenset(), now=0.0)
+    assert not upstream.may_be_leaving
+    upstream.on_leaves_read(frozenset({Incarnation("u-1")}), now=0.1)
+    assert upstream.may_be_leaving
+
+    upstream.on_heartbeat(heartbeat("u-1", sequence=5), now=0.2)
+    assert upstream.may_be_leaving
+    upstream.on_deregistration(Incarnation("u-1"))
+    assert not upstream.may_be_leaving
