--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -204,6 +204,7 @@
             self.perform(self.flows.on_upstream_gone(now=now))
         else:
             self._shutdown_deadline += MAX_SHUTDOWN_SECONDS
+        self._update_member(now)
         self.send_status(self.fleet.balancers())
 
     def on_message(
@@ -481,11 +482,18 @@
     def _update_member(self, now: float) -> None:
         state = self.upstream.state(now=now)
         if self.is_shutting_down:
-            state = MemberState.GONE if self.upstream.is_gone else MemberState.JOINING
+            state = self._state_of_shutdown
         weight = self.upstream.weight(now=now)
         if self.change_member(state=state, weight=weight, slots=self.upstream.slots):
             self.send_status(self.fleet.balancers())
 
+    @property
+    def _state_of_shutdown(self) -> MemberState:
+        if self.upstream.is_gone:
+            return MemberState.GONE
+        # Balancers await the next process of an agent that stops with open flows.
+        return MemberState.DRAINING if len(self.flows) else MemberState.JOINING
+
     def _probe_if_late(self, now: float) -> None:
         """Probes the upstream's process while its heartbeat is overdue.
 
@@ -517,6 +525,8 @@
         self._records.write_now()
         if self.upstream.is_gone:
             self.deregister()
+        elif self.member.state is MemberState.DRAINING:
+            self.update_entry()
 
     def _on_process_gone(self, probed_at: float) -> None:
         if self.flows.upstream_last_seen_at >= probed_at:
--- a/src/siskinshift/connections/fleet.py
+++ b/src/siskinshift/connections/fleet.py
@@ -129,6 +129,11 @@
         is_ready = self.member.state is MemberState.READY
         return self.load.is_certain and not self.load.flows and not is_ready
 
+    @property
+    def may_return_with_flows(self) -> bool:
+        """Whether, by its newest record, it restarts or leaves with open flows."""
+        return self.member.state is MemberState.DRAINING and not self.was_idle
+
     def is_unresponsive(self, *, now: float) -> bool:
         """Returns whether the peer has missed the timeout for its next message.
 
--- a/src/siskinshift/connections/node.py
+++ b/src/siskinshift/connections/node.py
@@ -172,6 +172,10 @@
         """Returns the time over which all nodes put entries back, seconds."""
         return spread_seconds(len(self.fleet.balancers()))
 
+    def update_entry(self) -> None:
+        """Writes the node's present record to the store."""
+        self._registration.update_entry()
+
     def deregister(self) -> None:
         """Removes the node's entry from the store, so that peers do not wait for it."""
         self._registration.deregister()
--- a/src/siskinshift/connections/owner_lookup.py
+++ b/src/siskinshift/connections/owner_lookup.py
@@ -81,6 +81,7 @@
         queried: Member ids that were queried.
         queried_without_packets: Member ids that were sent a query without packets.
         denied: Member ids that have denied the flow.
+        returning: Member ids that do not reply, but may return with the flow.
         batch: Index of the next batch.
         next_batch_at: When the next batch is due at the latest, seconds.
         queried_at: When an agent was last queried for the first time, seconds.
@@ -100,6 +101,7 @@
     queried: set[str] = Factory(set)
     queried_without_packets: set[str] = Factory(set)
     denied: set[str] = Factory(set)
+    returning: set[str] = Factory(set)
     batch: int = 0
     next_batch_at: float = 0.0
     queried_at: float = 0.0
@@ -151,6 +153,7 @@
             self.queried,
             self.queried_without_packets,
             self.denied,
+            self.returning,
         ):
             member_ids.clear()
 
@@ -242,8 +245,10 @@
         """Whether enough agents have denied the flow to conclude that none holds it.
 
         Guards against a balancer that receives no replies: a reset would cut an open
-        flow.
+        flow. Silence of an agent that restarts as planned is no denial either.
         """
+        if self.returning:
+            return False
         unresponsive = len(self.queried - self.denied)
         return unresponsive <= max(1, MAX_UNRESPONSIVE_FRACTION * len(self.queried))
 
@@ -286,6 +291,8 @@
                 self.pending.discard(member_id)
                 if peer is not None and peer.was_idle:
                     self.denied.add(member_id)
+                elif peer is not None and peer.may_return_with_flows:
+                    self.returning.add(member_id)
             else:
                 awaited.append(peer)
         return awaited
--- a/src/siskinshift/connections/registration.py
+++ b/src/siskinshift/connections/registration.py
@@ -209,6 +209,22 @@
             return self._put_back.remaining(now=now)
         return max(0.0, min(self._renew_at, self._read_at) - now)
 
+    def update_entry(self) -> None:
+        """Writes the node's present record, for nodes that start while it is away."""
+        lease, own = self._lease, self._own()
+        if lease is None:
+            return
+        key = member_key(own.member_id, own.role)
+        put = Put(key, encode_json(member_document(own)), lease.lease_id)
+        try:
+            if self._store.confirm_generation(key) != lease.generation:
+                self._log.fact("entry not updated", error="the store was restored")
+                return
+            revision = self._store.revision_of(key)
+            self._store.transact((Compare(key, revision),), (put,))
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
+            self._log.fact("entry not updated", error=str(error))
+
     def deregister(self) -> None:
         """Removes the entry; if the store is unavailable, the entry expires."""
         lease = self._lease
--- a/tests/connections/test_balancer_flows.py
+++ b/tests/connections/test_balancer_flows.py
@@ -15,6 +15,7 @@
 from siskinshift.connections.egress.traffic_class import TrafficClass
 from siskinshift.connections.evacuations import EvacuationRegister
 from siskinshift.connections.evacuations import Evacuations
+from siskinshift.connections.fleet import REMOVE_AFTER_SECONDS
 from siskinshift.connections.fleet import REPLY_TIMEOUT_SECONDS
 from siskinshift.connections.held_packets import MAX_HELD_PACKETS
 from siskinshift.connections.owner_finder import DATAGRAM_HEADER_BYTES
@@ -579,6 +580,62 @@
     )
 
 
+def _fleet_with_stopped_agent(*, is_from_store: bool) -> Fleet:
+    """Returns four agents, the first of which has stopped with open flows."""
+    stopped, *others = agents(4)
+    stopped = attrs.evolve(stopped, state=MemberState.DRAINING, version=2)
+    fleet = fleet_of(*others)
+    if is_from_store:
+        fleet.apply_registrations([stopped, *others], now=0.0)
+    else:
+        fleet.handle_status(Status(stopped, Load(flows=3)), now=0.0)
+    return fleet
+
+
+@pytest.mark.parametrize("is_from_store", [True, False])
+def test_an_agent_that_restarts_as_planned_does_not_deny_flows(
+    is_from_store: bool,
+) -> None:
+    """Guards against the reset of open flows whose agent is away for two seconds."""
+    fleet = _fleet_with_stopped_agent(is_from_store=is_from_store)
+    flows = balancer_flows(fleet)
+    actions: list[Action] = []
+    for tenth in range(50):
+        now = tenth / 10
+        if tenth % 8 == 0:
+            actions += flows.on_segment(segment(1, ack=9), now=now)
+        for agent in agents(4)[1:]:
+            fleet.handle_status(Status(agent, Load()), now=now)
+            host = agent.data.host
+            actions += _verdict(flows, fleet, host, Verdict.NOT_MINE, now=now)
+        actions += flows.tick(now=now)
+    assert not any(isinstance(action, ResetCaller) for action in actions)
+
+    back = attrs.evolve(agents(4)[0], incarnation=2)
+    fleet.handle_status(Status(back, Load()), now=5.0)
+    flows.on_segment(segment(1, ack=9), now=5.0)
+    _verdict(flows, fleet, back.data.host, Verdict.MINE, now=5.1)
+    sent = _sent(flows.on_segment(segment(1, ack=9), now=5.2))
+    assert sent == [(back.data.host, Purpose.OWNED)]
+
+
+def test_an_agent_that_does_not_return_delays_resets_until_it_is_removed() -> None:
+    """Guards against callers that wait for an instance which was taken away."""
+    fleet = _fleet_with_stopped_agent(is_from_store=True)
+    flows = balancer_flows(fleet)
+    fleet.apply_registrations(agents(4)[1:], now=7.0)
+    assert fleet.remove_unresponsive(now=REMOVE_AFTER_SECONDS + 0.1)
+    now = 7.0
+    for agent in agents(4)[1:]:
+        fleet.handle_status(Status(agent, Load()), now=now)
+    flows.on_segment(segment(1, ack=9), now=now)
+
+    hosts = [agent.data.host for agent in agents(4)[1:]]
+    reset_at = _reset_at(flows, fleet, denied_by=hosts, now=now, until=9.0)
+
+    assert reset_at < now + 1.0
+
+
 def test_one_dead_agent_does_not_delay_resets() -> None:
     fleet = fleet_of(*agents(8))
     flows = balancer_flows(fleet)
