--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -150,6 +150,9 @@
         )
         self._last_heartbeat_at = float("-inf")
         self._is_process_gone = False
+        # Whether the upstream's port was closed when it was not known yet whether the
+        # upstream leaves.
+        self._was_port_closed = False
         self._verified_incarnation: Incarnation | None = None
         self._upstream_restart_check = UpstreamRestartCheck()
         self._notified_incarnations_by_id: dict[str, int] = {}
@@ -361,6 +364,7 @@
             return
         self._last_heartbeat_at = now
         self._is_process_gone = False
+        self._conclude_from_closed_port()
         if effect is HeartbeatEffect.NONE:
             return
         self.log.fact(
@@ -406,6 +410,7 @@
         now = self.clock()
         self.upstream.on_leaves_read(leaving, now=now)
         self.log.fact("leaves read", leaves=len(leaving))
+        self._conclude_from_closed_port()
         self._update_member(now)
 
     def _apply_snapshot(self, snapshot: FlowSnapshot) -> None:
@@ -519,6 +524,17 @@
             self._update_member(now)
             self.perform(self.flows.verify_all())
 
+    def _conclude_from_closed_port(self) -> None:
+        """Denies unknown flows of an upstream that has ended, once that is known.
+
+        After a power loss an upstream is often back before the recorded leaves are
+        read. It holds no flow of before, and probing it with each would fill the link.
+        """
+        if self._was_port_closed and not self.upstream.may_be_leaving:
+            self._was_port_closed = False
+            self.log.fact("upstream is new", upstream=self.upstream.upstream_id)
+            self.flows.mark_all_known()
+
     def on_stop(self) -> None:
         """Deregisters the node if its upstream has deregistered."""
         super().on_stop()
@@ -535,10 +551,12 @@
                 "upstream probe contradicted", upstream=self.upstream.upstream_id
             )
             return
-        if self.upstream.may_be_leaving:
-            self.log.decision(
-                "upstream port closed", upstream=self.upstream.upstream_id
-            )
+        if not self.upstream.on_port_closed(now=self.clock()):
+            if not self._was_port_closed:
+                self.log.fact(
+                    "upstream port closed", upstream=self.upstream.upstream_id
+                )
+            self._was_port_closed = True
             return
         if not self._is_process_gone:
             self._is_process_gone = True
--- a/tests/connections/test_upstream_state.py
+++ b/tests/connections/test_upstream_state.py
@@ -380,6 +380,8 @@
     """Guards against a closed port that counts as the end of a leaving upstream."""
     upstream = UpstreamState(service_id="editor", heartbeat_interval=HEARTBEAT_SECONDS)
     assert upstream.may_be_leaving
+    upstream.on_heartbeat(heartbeat("u-1", sequence=4), now=0.0)
+    assert upstream.may_be_leaving
     upstream.on_leaves_read(frozenset(), now=0.0)
     assert not upstream.may_be_leaving
     upstream.on_leaves_read(frozenset({Incarnation("u-1")}), now=0.1)
@@ -389,3 +391,26 @@
     assert upstream.may_be_leaving
     upstream.on_deregistration(Incarnation("u-1"))
     assert not upstream.may_be_leaving
+
+
+def test_a_closed_port_proves_the_end_of_a_silent_upstream_only() -> None:
+    """Guards against waiting forever for a leaving upstream that lost its power."""
+    upstream = ready_upstream(upstream_id="u-1")
+    upstream.on_leaves_read(frozenset({Incarnation("u-1")}), now=0.0)
+    silent = MAX_MISSED_HEARTBEATS * HEARTBEAT_SECONDS
+
+    assert not upstream.on_port_closed(now=0.1)
+    assert not upstream.on_port_closed(now=silent)
+    upstream.on_heartbeat(heartbeat("u-1", sequence=9, is_leaving=True), now=silent)
+    assert not upstream.on_port_closed(now=2 * silent)
+    assert upstream.on_port_closed(now=2 * silent + 0.1)
+
+
+def test_a_closed_port_proves_the_end_of_an_upstream_that_does_not_leave() -> None:
+    """Guards against callers that wait for a crashed upstream."""
+    upstream = ready_upstream(upstream_id="u-1")
+    assert not upstream.on_port_closed(now=0.1)
+
+    upstream.on_leaves_read(frozenset(), now=0.2)
+
+    assert upstream.on_port_closed(now=0.3)
