--- a/src/siskinshift/standins/connection_ends.py
+++ b/src/siskinshift/standins/connection_ends.py
@@ -26,6 +26,7 @@
 from siskinshift.connections.segment import RESET
 from siskinshift.connections.segment import SYN
 from siskinshift.connections.segment import caller_host
+from siskinshift.connections.segment import is_between
 from siskinshift.platform.packets import decode_from_caller
 from siskinshift.platform.packets import decode_from_upstream
 from siskinshift.runtime.event_loop import open_datagram_socket
@@ -43,6 +44,9 @@
 _CHECKSUM_KEY = b"known to both ends only"
 _SEQUENCE_MASK = 0xFFFFFFFF
 SYN_RETRANSMIT_SECONDS = (0.2, 0.6)
+# Largest distance between the number of a reset and the one that the caller of an open
+# flow acknowledged last.
+RESET_WINDOW_BYTES = 76_800
 POLL_SECONDS = 0.02
 
 
@@ -287,6 +291,7 @@
         self._socket = sock
         self._seq = random.getrandbits(32)
         self._received = 0
+        self._is_open = False
 
     @property
     def host(self) -> str:
@@ -320,6 +325,7 @@
         )
         self._seq = (self._seq + 1) & _SEQUENCE_MASK
         self._received = (reply.seq + 1) & _SEQUENCE_MASK
+        self._is_open = True
         self.acknowledge()
 
     def request(self, data: bytes, *, timeout: float = 3.0) -> bytes:
@@ -388,7 +394,7 @@
             reply = self._receive()
             if reply is None:
                 continue
-            if reply.flags & RESET:
+            if reply.flags & RESET and self._accepts_reset(reply.seq):
                 raise FlowReset
             if expected_flag == SYN and reply.flags & SYN:
                 return reply
@@ -396,6 +402,12 @@
                 return reply
         raise FlowTimeout
 
+    def _accepts_reset(self, seq: int) -> bool:
+        """Returns whether a reset applies; before the flow is open, any one does."""
+        lowest = (self._received - RESET_WINDOW_BYTES) & _SEQUENCE_MASK
+        highest = (self._received + RESET_WINDOW_BYTES) & _SEQUENCE_MASK
+        return not self._is_open or is_between(seq, lowest, highest)
+
     def _receive(self) -> Segment | None:
         self._socket.settimeout(POLL_SECONDS)
         try:
--- a/tests/connections/test_ownership_stateful.py
+++ b/tests/connections/test_ownership_stateful.py
@@ -48,6 +48,7 @@
 from siskinshift.connections.upstream_state import UpstreamState
 from siskinshift.messages.core import Endpoint
 from siskinshift.messages.core import Role
+from siskinshift.standins.connection_ends import RESET_WINDOW_BYTES
 from tests.connections.builders import HEARTBEAT_SECONDS
 from tests.connections.builders import balancer_flows
 from tests.connections.builders import flow_of
@@ -69,9 +70,6 @@
 BALANCERS = ("10.0.0.1", "10.0.0.2")
 PORT = 7000
 WALK_STEPS = 40
-# Callers accept a reset of an open flow only with a number this close to the one that
-# they acknowledged last.
-RESET_WINDOW_BYTES = 76_800
 DOMAINS = ("a", "b")
 # Nodes that receive a change of the evacuations at once.
 INFORMED = strategies.sampled_from((BALANCERS, AGENTS, BALANCERS + AGENTS))
