--- a/src/siskinshift/connections/agent_node.py
+++ b/src/siskinshift/connections/agent_node.py
@@ -150,9 +150,6 @@
         )
         self._last_heartbeat_at = float("-inf")
         self._is_process_gone = False
-        # Whether the upstream's port was closed when it was not known yet whether the
-        # upstream leaves.
-        self._was_port_closed = False
         self._verified_incarnation: Incarnation | None = None
         self._upstream_restart_check = UpstreamRestartCheck()
         self._notified_incarnations_by_id: dict[str, int] = {}
@@ -364,7 +361,6 @@
             return
         self._last_heartbeat_at = now
         self._is_process_gone = False
-        self._conclude_from_closed_port()
         if effect is HeartbeatEffect.NONE:
             return
         self.log.fact(
@@ -410,7 +406,6 @@
         now = self.clock()
         self.upstream.on_leaves_read(leaving, now=now)
         self.log.fact("leaves read", leaves=len(leaving))
-        self._conclude_from_closed_port()
         self._update_member(now)
 
     def _apply_snapshot(self, snapshot: FlowSnapshot) -> None:
@@ -502,10 +497,10 @@
     def _probe_if_late(self, now: float) -> None:
         """Probes the upstream's process while its heartbeat is overdue.
 
-        A port without a listener proves that the process has ended, unless it may be
-        leaving, so that its flows can be reset and callers do not wait for a crashed
-        upstream. An upstream that accepts the connection gets flows before its next
-        heartbeat, so that it is not idle while its agent has just started.
+        A port without a listener proves that the process has ended, so that its flows
+        can be reset and callers do not wait for a crashed upstream. An upstream that
+        accepts the connection gets flows before its next heartbeat, so that it is not
+        idle while its agent has just started.
         """
         late_at = self._last_heartbeat_at + self.node_settings.heartbeat_interval
         if now <= late_at + LATE_HEARTBEAT_SECONDS:
@@ -524,17 +519,6 @@
             self._update_member(now)
             self.perform(self.flows.verify_all())
 
-    def _conclude_from_closed_port(self) -> None:
-        """Denies unknown flows of an upstream that has ended, once that is known.
-
-        After a power loss an upstream is often back before the recorded leaves are
-        read. It holds no flow of before, and probing it with each would fill the link.
-        """
-        if self._was_port_closed and not self.upstream.may_be_leaving:
-            self._was_port_closed = False
-            self.log.fact("upstream is new", upstream=self.upstream.upstream_id)
-            self.flows.mark_all_known()
-
     def on_stop(self) -> None:
         """Deregisters the node if its upstream has deregistered."""
         super().on_stop()
@@ -551,13 +535,6 @@
                 "upstream probe contradicted", upstream=self.upstream.upstream_id
             )
             return
-        if not self.upstream.on_port_closed(now=self.clock()):
-            if not self._was_port_closed:
-                self.log.fact(
-                    "upstream port closed", upstream=self.upstream.upstream_id
-                )
-            self._was_port_closed = True
-            return
         if not self._is_process_gone:
             self._is_process_gone = True
             self.upstream.on_process_gone()
--- a/src/siskinshift/connections/upstream_state.py
+++ b/src/siskinshift/connections/upstream_state.py
@@ -108,7 +108,6 @@
         self._sequence = -1
         self._last_heartbeat_at = float("-inf")
         self._reachable_since = float("inf")
-        self._port_closed_since = float("inf")
         self._are_leaves_read = False
         # Incarnations that reported that they leave; none of them returns.
         self._leaving_incarnations: OrderedDict[Incarnation, None] = OrderedDict()
@@ -130,21 +129,6 @@
         is_leaving = incarnation in self._leaving_incarnations and not self.is_gone
         return incarnation if is_leaving else None
 
-    @property
-    def may_be_leaving(self) -> bool:
-        """Whether the upstream leaves, or may do so as far as this process knows.
-
-        It may have closed its port for connections then, and still holds its flows. A
-        heartbeat alone does not rule it out, since it may be a delayed one.
-        """
-        if self.is_gone:
-            return False
-        if not self._are_leaves_read:
-            return True
-        if self.incarnation is not None:
-            return self.is_leaving
-        return bool(self._leaving_incarnations)
-
     def on_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> HeartbeatEffect:
         """Applies a heartbeat.
 
@@ -205,7 +189,6 @@
         Returns:
             Whether this is the first contact with the process.
         """
-        self._port_closed_since = float("inf")
         is_first = self._reachable_since == float("inf")
         self._reachable_since = min(self._reachable_since, now)
         return is_first
@@ -224,21 +207,6 @@
         if self.incarnation in leaving:
             self.is_leaving = True
 
-    def on_port_closed(self, *, now: float) -> bool:
-        """Records that the upstream's port has no listener.
-
-        Args:
-            now: Clock reading, seconds.
-
-        Returns:
-            Whether its process has certainly ended. One that may be leaving has if it
-            has sent no heartbeat for a while either.
-        """
-        self._port_closed_since = min(self._port_closed_since, now)
-        silent_since = max(self._port_closed_since, self._last_heartbeat_at)
-        is_silent = now - silent_since > self._heartbeat_timeout
-        return is_silent or not self.may_be_leaving
-
     def on_process_gone(self) -> None:
         """Records that the upstream's process has ended."""
         self._reachable_since = float("inf")
